--- /dev/null
+++ b/coordination/Vocabulary.cpp
@@ -0,0 +1,60 @@
+#include "citronplank.h"
+
+#include <array>
+#include <xxhash.h>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::array<ErrorAnswer, 19> answers { {
+    { ErrorKind::BadRequest, "bad_request", 400, RetryAdvice::Never, Outcome::NotRun },
+    { ErrorKind::RequestTooLarge, "request_too_large", 413, RetryAdvice::Never, Outcome::NotRun },
+    { ErrorKind::RequestTimeout, "request_timeout", 408, RetryAdvice::Now, Outcome::NotRun },
+    { ErrorKind::UnknownService, "unknown_service", 404, RetryAdvice::Later, Outcome::NotRun },
+    { ErrorKind::KeyMissing, "key_missing", 400, RetryAdvice::Never, Outcome::NotRun },
+    { ErrorKind::KeyReused, "key_reused", 409, RetryAdvice::Never, Outcome::NotRun },
+    { ErrorKind::KeyExpired, "key_expired", 410, RetryAdvice::Never, Outcome::MayHaveRun },
+    { ErrorKind::RequestBlocked, "request_blocked", 422, RetryAdvice::Later, Outcome::MayHaveRun },
+    { ErrorKind::ShareExceeded, "share_exceeded", 429, RetryAdvice::Later, Outcome::NotRun },
+    { ErrorKind::Overloaded, "overloaded", 503, RetryAdvice::Later, Outcome::NotRun },
+    { ErrorKind::DeadlineUnreachable, "deadline_unreachable", 504, RetryAdvice::MoreTime, Outcome::NotRun },
+    { ErrorKind::Stopping, "stopping", 503, RetryAdvice::Elsewhere, Outcome::NotRun },
+    { ErrorKind::NotReady, "not_ready", 503, RetryAdvice::Elsewhere, Outcome::NotRun },
+    { ErrorKind::NoMajority, "no_majority", 503, RetryAdvice::Later, Outcome::NotRun },
+    { ErrorKind::NoReplica, "no_replica", 503, RetryAdvice::Later, Outcome::NotRun },
+    { ErrorKind::CoverageTooLow, "coverage_too_low", 504, RetryAdvice::Now, Outcome::Ran },
+    { ErrorKind::BackEndFailed, "back_end_failed", 502, RetryAdvice::Never, Outcome::Ran },
+    { ErrorKind::OutcomeUnknown, "outcome_unknown", 504, RetryAdvice::SameKeyOnly, Outcome::MayHaveRun },
+    { ErrorKind::Internal, "internal", 500, RetryAdvice::SameKeyOnly, Outcome::MayHaveRun },
+} };
+
+} // namespace
+
+std::span<const ErrorAnswer> errorAnswers() { return answers; }
+
+const ErrorAnswer& errorAnswer(ErrorKind kind) { return answers.at(static_cast<std::size_t>(kind)); }
+
+std::string_view outcomeName(Outcome outcome)
+{
+    constexpr std::array<std::string_view, 3> names { "not_run", "ran", "may_have_run" };
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
+std::string_view retryAdviceName(RetryAdvice advice)
+{
+    constexpr std::array<std::string_view, 6> names { "never", "later", "elsewhere", "more_time", "same_key_only",
+        "now" };
+    return names.at(static_cast<std::size_t>(advice));
+}
+
+std::string_view missingReasonName(MissingReason reason)
+{
+    constexpr std::array<std::string_view, 8> names { "no_replica", "deadline", "refused", "crashed", "wrong_version",
+        "blocked", "unreachable", "zone_out" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+std::uint64_t hash64(std::string_view text, std::uint64_t seed) { return XXH64(text.data(), text.size(), seed); }
+
+} // namespace citronplank
--- /dev/null
+++ b/include/citronplank.h
@@ -0,0 +1,283 @@
+// citronplank: a query tier between callers and many small sharded back ends.
+//
+// This header is the manual of the library. It holds the vocabulary that all parts share: outcomes and errors,
+// leaves and layouts, rules, queries and answers. The parts themselves are in the folders named below; each can be
+// embedded without the daemon, and none of those marked "core" uses sockets, threads or clocks.
+//
+//   coordination/   replicated control log, gossip membership, leaf directory, zone lease         (core)
+//   policy/         replica choice, hedging, retry budgets, slow start, admission, fair shares     (core)
+//   rules/          grammar of the rules file, three-way merge                                     (core)
+//   query/          layout pinning, fan-out, merging, coverage, request keys                       (core)
+//   backend/        HTTP exchange with leaves: announcements in, parts out
+//   transport/      links between daemons, gossip over UDP, HTTP server for callers
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citronplank {
+
+// ---------------------------------------------------------------------------------------------------------------
+// Time. Cores take `now` as an argument and never read a clock.
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// ---------------------------------------------------------------------------------------------------------------
+// Outcomes and errors
+
+/// What is known about whether a request was executed by a back end.
+enum class Outcome : std::uint8_t {
+    NotRun,     // it was never started and never will be
+    Ran,        // it was executed
+    MayHaveRun, // it may or may not have been executed; a retry needs the same request key
+};
+
+/// The closed list of errors a caller can receive. The table `errorAnswers` gives the answer to each.
+enum class ErrorKind : std::uint8_t {
+    BadRequest,
+    RequestTooLarge,
+    RequestTimeout,
+    UnknownService,
+    KeyMissing,
+    KeyReused,
+    KeyExpired,
+    RequestBlocked,
+    ShareExceeded,
+    Overloaded,
+    DeadlineUnreachable,
+    Stopping,
+    NotReady,
+    NoMajority,
+    NoReplica,
+    CoverageTooLow,
+    BackEndFailed,
+    OutcomeUnknown,
+    Internal,
+};
+
+/// When a caller may send the same request again.
+enum class RetryAdvice : std::uint8_t { Never, Later, Elsewhere, MoreTime, SameKeyOnly, Now };
+
+/// One row of the table from error kind to answer.
+struct ErrorAnswer {
+    ErrorKind kind = ErrorKind::Internal;
+    std::string_view name;
+    int httpStatus = 500;
+    RetryAdvice retry = RetryAdvice::Never;
+    Outcome outcome = Outcome::NotRun;
+};
+
+/// All rows, ordered by ErrorKind. Thread safe: constant data.
+std::span<const ErrorAnswer> errorAnswers();
+/// The row of one kind. Thread safe.
+const ErrorAnswer& errorAnswer(ErrorKind);
+std::string_view outcomeName(Outcome);         // "not_run", "ran", "may_have_run"
+std::string_view retryAdviceName(RetryAdvice); // "never", "later", ...
+
+/// The one exception type that crosses module borders. `what()` is one plain sentence for the caller.
+class Error : public std::runtime_error {
+public:
+    Error(ErrorKind kind, const std::string& message)
+        : std::runtime_error(message)
+        , m_kind(kind)
+    {
+    }
+    ErrorKind kind() const { return m_kind; }
+
+private:
+    ErrorKind m_kind;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Leaves. A leaf is one back-end process that holds a replica of one shard, in one or more index versions.
+
+/// A shard of a service at one index version: shard `shard` of `of`.
+struct ShardVersion {
+    std::uint64_t version = 0; // index version; a greater number is newer
+    std::uint32_t shard = 0;   // 0 .. of-1
+    std::uint32_t of = 0;      // shard count of the layout at this version
+    auto operator<=>(const ShardVersion&) const = default;
+};
+
+/// What a leaf says of itself, renewed every `announcementInterval`.
+struct Announcement {
+    std::string leaf;                   // unique name of the leaf
+    std::string service;                // for example "loandesk"
+    std::string zone;                   // for example "atl"
+    std::string address;                // "IP:PORT" for parts
+    std::uint64_t boot = 0;             // boot identity: differs after each restart, greater is newer
+    std::uint64_t sequence = 0;         // counts announcements within one boot
+    std::uint32_t slots = 1;            // parts it runs at once when warm
+    std::uint32_t connections = 1;      // connections it accepts
+    std::vector<ShardVersion> versions; // what it can serve now
+    bool draining = false;              // true: no new work
+};
+
+constexpr milliseconds announcementInterval { 500 };
+constexpr milliseconds announcementLapse { 2000 }; // a leaf not renewed for this long is gone
+
+/// The shards of one service at one index version. The denominator of coverage is `shardCount`.
+struct Layout {
+    std::string service;
+    std::uint64_t version = 0;
+    std::uint32_t shardCount = 0;
+    std::vector<std::vector<Announcement>> replicas; // by shard; an empty list is a shard without a live replica
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Instances. An instance is one daemon process of the system on one machine.
+
+struct Instance {
+    std::string name;              // stable across restarts
+    std::string region;            // for example "georgia"
+    std::string zone;              // for example "atl"
+    std::string linkAddress;       // "IP:PORT" for links between daemons (nng)
+    std::string gossipAddress;     // "IP:PORT" for gossip (UDP)
+    std::string adminAddress;      // "IP:PORT" for operators, announcements and readiness
+    std::uint64_t incarnation = 0; // greater after each restart
+    bool controlMember = false;    // holds a replica of the control log
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Rules in force, as parsed from the rules file. Absent values mean the default.
+
+enum class SendPolicy : std::uint8_t { Owner, Independent };
+
+struct ServiceRules {
+    milliseconds deadline { 1000 };     // default and greatest deadline of a query
+    double minimumCoverage = 0.0;       // below it the answer is an error
+    std::optional<milliseconds> wait;   // after it, stop once minimumCoverage is reached
+    double hedgePercent = 5.0;          // extra parts allowed for hedging, in percent of parts
+    double retryPercent = 10.0;         // extra parts allowed for retries, in percent of parts
+    std::optional<std::uint32_t> limit; // queries in flight at one entry
+    SendPolicy policy = SendPolicy::Owner;
+    std::set<std::string, std::less<>> nonIdempotent; // names of operations that must not run twice
+};
+
+struct LeafRules {
+    std::optional<std::uint32_t> limit; // parts in flight, below the announced slots
+    bool out = false;                   // true: no new work
+};
+
+struct Rules {
+    std::uint64_t version = 0; // control log index of the last accepted edit; 0 before the first
+    std::set<std::string, std::less<>> zonesOut;
+    std::map<std::string, ServiceRules, std::less<>> services;
+    std::map<std::string, LeafRules, std::less<>> leaves;
+    std::map<std::string, double, std::less<>> customerShares; // weight; absent means 1
+};
+
+/// One line of the rules file. `key` is the line's words without its value and identifies the line across edits.
+struct RuleLine {
+    std::string key;     // "service loandesk hedge"
+    std::string value;   // "2%"
+    std::string comment; // "nok: stragglers in october"
+    bool operator==(const RuleLine&) const = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Queries and answers
+
+/// One query over all shards of a service.
+struct Query {
+    std::string service;
+    std::string operation;
+    std::string customer;
+    milliseconds deadline { 1000 };
+    std::string body; // passed to the leaves as it is
+};
+
+/// Why a shard is missing from an answer.
+enum class MissingReason : std::uint8_t {
+    NoReplica,
+    Deadline,
+    Refused,
+    Crashed,
+    WrongVersion,
+    Blocked,
+    Unreachable,
+    ZoneOut,
+};
+std::string_view missingReasonName(MissingReason);
+
+struct MissingShard {
+    std::uint32_t shard = 0;
+    MissingReason reason = MissingReason::NoReplica;
+};
+
+struct Coverage {
+    std::uint32_t total = 0;
+    std::uint32_t answered = 0;
+    std::vector<MissingShard> missing;
+    bool isWhole() const { return answered == total && missing.empty(); }
+};
+
+struct QueryAnswer {
+    std::uint64_t version = 0; // the one index version that every merged part was computed on
+    Coverage coverage;
+    std::vector<std::string> parts; // bodies in shard order; absent shards are left out
+};
+
+/// A request that changes something and runs at most once.
+struct KeyedRequest {
+    std::string key; // "UNIXSECONDS-RANDOM", chosen by the caller at its first send
+    std::string service;
+    std::string operation;
+    std::string customer;
+    std::string routing; // its hash chooses the shard
+    milliseconds deadline { 1000 };
+    std::string body;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Parts: the share of a query or keyed request that one leaf runs
+
+struct Part {
+    std::uint64_t queryId = 0; // unique per entry instance
+    std::uint64_t partId = 0;  // unique per entry instance; a hedge or retry gets a new one
+    std::string service;
+    std::string operation;
+    std::string leaf;              // the chosen replica
+    ShardVersion shard;            // the pinned version and layout
+    milliseconds remaining { 0 };  // until the deadline, measured when the message is sent
+    std::string requestKey;        // empty for idempotent parts
+    std::uint64_t fingerprint = 0; // of service, operation and body; identifies a poison request
+    std::string body;
+};
+
+enum class PartStatus : std::uint8_t {
+    Ok,           // body is the shard's answer
+    Refused,      // not run: shed, draining, queue full or no longer owner
+    WrongVersion, // not run: the leaf does not hold the pinned version
+    Crashed,      // may have run: the connection ended while the part ran
+    Deadline,     // may have run, unless `outcome` says not run
+    Failed,       // ran: the back end answered with an error
+    Blocked,      // not run: poison request
+    Unreachable,  // not run: no connection to the leaf or its owner
+};
+
+struct PartResult {
+    std::uint64_t partId = 0;
+    PartStatus status = PartStatus::Unreachable;
+    Outcome outcome = Outcome::NotRun;
+    ShardVersion shard;                       // version and shard the body was computed on
+    std::chrono::microseconds leafTime { 0 }; // from dispatch at the owner to the answer
+    std::string body;
+};
+
+/// 64-bit hash used for rendezvous hashing, fingerprints and checksums of text. Thread safe.
+std::uint64_t hash64(std::string_view, std::uint64_t seed = 0);
+
+} // namespace citronplank
