--- /dev/null
+++ b/daemon/PartMessages.cpp
@@ -0,0 +1,97 @@
+#include "daemon/PartMessages.h"
+
+#include <msgpack.hpp>
+
+namespace citronplank {
+
+namespace {
+
+template <typename... Fields>
+std::string pack(const Fields&... fields)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, std::make_tuple(fields...));
+    return { buf.data(), buf.size() };
+}
+
+template <typename Tuple>
+Tuple unpack(std::string_view bytes)
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Tuple>();
+    } catch (const std::exception&) {
+        throw Error(ErrorKind::BadRequest, "malformed message between daemons");
+    }
+}
+
+using PackedShard = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
+
+PackedShard packShard(const ShardVersion& shard) { return { shard.version, shard.shard, shard.of }; }
+
+ShardVersion unpackShard(const PackedShard& packed)
+{
+    return { std::get<0>(packed), std::get<1>(packed), std::get<2>(packed) };
+}
+
+} // namespace
+
+std::string encodePart(const Part& part)
+{
+    return pack(part.queryId, part.partId, part.service, part.operation, part.leaf, packShard(part.shard),
+        static_cast<std::int64_t>(part.remaining.count()), part.requestKey, part.fingerprint, part.body);
+}
+
+Part decodePart(std::string_view bytes)
+{
+    using Packed = std::tuple<std::uint64_t, std::uint64_t, std::string, std::string, std::string, PackedShard,
+        std::int64_t, std::string, std::uint64_t, std::string>;
+    auto packed = unpack<Packed>(bytes);
+    Part part;
+    part.queryId = std::get<0>(packed);
+    part.partId = std::get<1>(packed);
+    part.service = std::move(std::get<2>(packed));
+    part.operation = std::move(std::get<3>(packed));
+    part.leaf = std::move(std::get<4>(packed));
+    part.shard = unpackShard(std::get<5>(packed));
+    part.remaining = milliseconds(std::get<6>(packed));
+    part.requestKey = std::move(std::get<7>(packed));
+    part.fingerprint = std::get<8>(packed);
+    part.body = std::move(std::get<9>(packed));
+    return part;
+}
+
+std::string encodePartResult(const PartResult& result)
+{
+    return pack(result.partId, static_cast<std::uint8_t>(result.status), static_cast<std::uint8_t>(result.outcome),
+        packShard(result.shard), static_cast<std::int64_t>(result.leafTime.count()), result.body);
+}
+
+PartResult decodePartResult(std::string_view bytes)
+{
+    using Packed = std::tuple<std::uint64_t, std::uint8_t, std::uint8_t, PackedShard, std::int64_t, std::string>;
+    auto packed = unpack<Packed>(bytes);
+    if (std::get<1>(packed) > static_cast<std::uint8_t>(PartStatus::Unreachable)
+        || std::get<2>(packed) > static_cast<std::uint8_t>(Outcome::MayHaveRun))
+        throw Error(ErrorKind::BadRequest, "part answer with an unknown status or outcome");
+    PartResult result;
+    result.partId = std::get<0>(packed);
+    result.status = static_cast<PartStatus>(std::get<1>(packed));
+    result.outcome = static_cast<Outcome>(std::get<2>(packed));
+    result.shard = unpackShard(std::get<3>(packed));
+    result.leafTime = std::chrono::microseconds(std::get<4>(packed));
+    result.body = std::move(std::get<5>(packed));
+    return result;
+}
+
+std::string encodePartCancel(std::uint64_t partId) { return pack(partId); }
+
+std::uint64_t decodePartCancel(std::string_view bytes) { return std::get<0>(unpack<std::tuple<std::uint64_t>>(bytes)); }
+
+std::string encodeConfigurationFetch(const ConfigurationFetch& fetch) { return pack(fetch.sinceVersion); }
+
+ConfigurationFetch decodeConfigurationFetch(std::string_view bytes)
+{
+    return { std::get<0>(unpack<std::tuple<std::uint64_t>>(bytes)) };
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/PartMessages.h
@@ -0,0 +1,42 @@
+// Messages between the entry that runs a query and the owner of a leaf, and the other daemon-to-daemon messages that
+// belong to no single core. Every message travels in an Envelope of transport/Links.h.
+#pragma once
+
+#include "citronplank.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace citronplank {
+
+/// The 16-bit `kind` of an envelope.
+enum class MessageKind : std::uint16_t {
+    Control = 1,
+    Lease = 2,
+    PartRequest = 3,
+    PartAnswer = 4,
+    PartCancel = 5,
+    ConfigurationFetch = 6,
+    ConfigurationAnswer = 7,
+    DirectoryFetch = 8,
+    DirectoryAnswer = 9,
+};
+
+/// Asks a peer for rules and views newer than `sinceVersion`.
+struct ConfigurationFetch {
+    std::uint64_t sinceVersion = 0;
+};
+
+/// Serialization of the structs above and of parts; `decode...` throws Error(ErrorKind::BadRequest) on malformed input.
+/// All functions are thread safe.
+std::string encodePart(const Part&);
+Part decodePart(std::string_view);
+std::string encodePartResult(const PartResult&);
+PartResult decodePartResult(std::string_view);
+std::string encodePartCancel(std::uint64_t partId);
+std::uint64_t decodePartCancel(std::string_view);
+std::string encodeConfigurationFetch(const ConfigurationFetch&);
+ConfigurationFetch decodeConfigurationFetch(std::string_view);
+
+} // namespace citronplank
