--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -187,6 +187,13 @@
     bool operator==(const RuleLine&) const = default;
 };
 
+/// One difference between two versions of the rules. An absent `line` removes the key.
+struct RuleChange {
+    std::string key;
+    std::optional<RuleLine> line;
+    bool operator==(const RuleChange&) const = default;
+};
+
 // ---------------------------------------------------------------------------------------------------------------
 // Queries and answers
 
--- a/rules/RulesFile.h
+++ b/rules/RulesFile.h
@@ -42,13 +42,6 @@
     std::vector<RuleLine> lines() const;  // the rules without their places
 };
 
-/// One difference between two versions. An absent `line` removes the key.
-struct RuleChange {
-    std::string key;
-    std::optional<RuleLine> line;
-    bool operator==(const RuleChange&) const = default;
-};
-
 /// Parses and checks a whole text. `fileName` is used in errors only. Throws RulesError for the first fault: missing
 /// comment, duplicate key, unknown word, bad value, contradiction, or a last line without a line end. Thread safe.
 ParsedRules parseRules(std::string_view text, std::string_view fileName);
