--- /dev/null
+++ b/coordination/ControlEntries.h
@@ -0,0 +1,75 @@
+// In-memory parts of the control log: the window of entries and the memberships that they define.
+#pragma once
+
+#include "coordination/ControlMessages.h"
+
+#include <deque>
+
+namespace citronplank {
+
+/// The entries after `baseIndex`, which are in a snapshot or further back. Not thread safe.
+class EntryWindow {
+public:
+    /// Drops everything; the next entry is `baseIndex + 1`.
+    void reset(std::uint64_t baseIndex, std::uint64_t baseTerm);
+
+    std::uint64_t baseIndex() const { return m_baseIndex; }
+    std::uint64_t lastIndex() const { return m_baseIndex + m_entries.size(); }
+    std::uint64_t lastTerm() const { return m_entries.empty() ? m_baseTerm : m_entries.back().term; }
+    /// Term of an entry or of the base; absent if the index is outside the window.
+    std::optional<std::uint64_t> termAt(std::uint64_t index) const;
+    /// Precondition: baseIndex() < index <= lastIndex().
+    const LogEntry& at(std::uint64_t index) const { return m_entries.at(index - m_baseIndex - 1); }
+    /// Precondition: entry.index == lastIndex() + 1.
+    void append(const LogEntry&);
+    /// Removes the entries from `index` on. Precondition: index > baseIndex().
+    void truncateFrom(std::uint64_t index);
+    /// Moves the base up to `index`, at most to lastIndex().
+    void dropThrough(std::uint64_t index);
+    /// The entries from `index` on, at least one if there is one, within both limits.
+    /// Precondition: index > baseIndex().
+    std::vector<LogEntry> slice(std::uint64_t index, std::size_t greatestCount, std::size_t greatestBytes) const;
+
+private:
+    std::uint64_t m_baseIndex = 0;
+    std::uint64_t m_baseTerm = 0;
+    std::deque<LogEntry> m_entries;
+};
+
+/// Approximate encoded size of an entry, for the size limit of one message. Thread safe.
+std::size_t approximateBytes(const LogEntry&);
+
+/// The memberships that log entries define. A membership is in force from the moment its entry is in the log, before
+/// it is committed. Not thread safe.
+class MembershipHistory {
+public:
+    /// Replaces everything by the membership of a snapshot, or by none.
+    void reset(std::uint64_t index, const Membership&);
+    /// Notes the membership of an entry, if it has one.
+    void append(const LogEntry&);
+    void truncateFrom(std::uint64_t index);
+
+    const Membership& current() const { return m_items.back().membership; }
+    /// Log index of the entry that defined the current membership.
+    std::uint64_t currentIndex() const { return m_items.back().index; }
+    const Membership& at(std::uint64_t index) const;
+    /// Forgets the memberships that were replaced at or before `index`.
+    void dropThrough(std::uint64_t index);
+
+private:
+    struct Item {
+        std::uint64_t index = 0;
+        Membership membership;
+    };
+    std::vector<Item> m_items { Item {} };
+};
+
+/// Number of voters that make a majority. Thread safe.
+constexpr std::size_t majorityOf(std::size_t voters) { return voters / 2 + 1; }
+/// Thread safe.
+bool isVoter(const Membership&, const ControlMember&);
+bool isLearner(const Membership&, const ControlMember&);
+/// Whether a majority of the voters is in `members`. False for a membership without voters. Thread safe.
+bool hasMajority(const Membership&, const std::set<ControlMember>& members);
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/ControlLog.h
@@ -0,0 +1,432 @@
+// Replicated control log of the Raft family: the protocol core, without sockets, threads or clocks.
+//
+// The caller feeds time and messages in and carries out the returned output. Everything that a message depends on is
+// durable before the call that returns the message ends.
+#pragma once
+
+#include "coordination/ControlLogTypes.h"
+#include "coordination/ControlStorage.h"
+
+#include <random>
+
+namespace citronplank {
+
+/// One member of the control log. Not thread safe: callers serialize all calls to one object.
+template <ControlStorage Storage>
+class ControlLog {
+public:
+    /// Loads what is stored. `storage` must outlive the object. `settings.name` must be among the configured members.
+    /// Throws StorageError if the storage cannot be read. Needs no lock: nobody else knows the object yet.
+    ControlLog(Storage& storage, ControlLogSettings settings, TimePoint now);
+
+    /// The snapshot that the state machine has to start from, if there is one. Committed entries after it come as
+    /// output. Precondition: called before any other member function. Callers serialize.
+    std::optional<RestoredSnapshot> storedSnapshot();
+
+    /// Runs timers. Precondition: called at least every 20 ms or so; `now` never goes back. Callers serialize.
+    ControlOutput tick(TimePoint now);
+    /// Handles a message from the member named `from`; Propose and ProposeAnswer are ignored. Messages that do not fit
+    /// (other cluster, other disk identity, old term) are dropped. Callers serialize.
+    ControlOutput receive(const std::string& from, const ControlMessage&, TimePoint now);
+    /// Proposes a command; see proposeAll. Callers serialize.
+    ControlOutput propose(Command, std::uint64_t proposalId, TimePoint now);
+    /// Proposes commands with one sync for all. Each is settled once, in this or a later output: at once as NotLeader
+    /// if this member is not the leader, as Refused if it is a ChangeMembers, which only the log itself proposes.
+    /// Callers serialize.
+    ControlOutput proposeAll(std::vector<Proposal>, TimePoint now);
+    /// Asks for a quorum round that starts after this call. The read is settled once, in this or a later output.
+    /// Callers serialize.
+    ControlOutput confirmLeadership(std::uint64_t readId, TimePoint now);
+    /// Stores a snapshot of the state after all committed entries returned so far, and truncates the log.
+    /// Precondition: the state machine has applied them all. Callers serialize.
+    ControlOutput saveSnapshot(std::string_view state, TimePoint now);
+
+    /// No precondition. Callers serialize.
+    ControlLogStatus status() const;
+    bool isLeader() const { return m_role == ControlRole::Leader; }
+    bool isStopped() const { return m_role == ControlRole::Stopped; }
+    ControlMember self() const { return { m_settings.name, m_disk }; }
+    const std::string& leader() const { return m_leader; }
+    ClusterId cluster() const { return m_members.current().cluster; }
+    /// The last freshness timestamp that this member knows to be confirmed; 0 if none. Callers serialize.
+    std::uint64_t freshnessMs() const { return m_freshnessMs; }
+
+private:
+    struct Round {
+        std::uint64_t number = 0;
+        TimePoint startedAt;
+        std::uint64_t wallMs = 0;
+    };
+    struct WaitingRead {
+        std::uint64_t id = 0;
+        std::uint64_t round = 0; // first round that confirms it
+    };
+    struct PendingProposal {
+        std::uint64_t id = 0;
+        std::uint64_t term = 0;
+    };
+    struct ProbeResult {
+        ControlMember member;
+        bool empty = false;
+        TimePoint at;
+    };
+
+    // Common
+    template <typename F>
+    ControlOutput run(TimePoint now, F&& handler);
+    void stop(const std::string& reason);
+    void send(const ControlMember& to, ControlBody body);
+    void sendToName(const std::string& name, ControlBody body);
+    std::uint64_t wallMs() const { return m_settings.wallTimeMs(m_now); }
+    void setRole(ControlRole);
+    void handle(const ControlMessage&);
+    bool acceptsSender(const ControlMessage&) const;
+    void dispatch(const ControlMessage&);
+    void refuseOldTerm(const ControlMessage&);
+    void checkTimers();
+
+    // Elections (ControlLogElection.h)
+    void resetElectionTimer();
+    bool knowsLiveLeader() const;
+    bool logIsUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const;
+    void startPreVote();
+    void startElection();
+    void becomeLeader();
+    void becomeFollower(const std::string& leader);
+    void adoptTerm(std::uint64_t term);
+    void stepDown();
+    void checkQuorum();
+    void on(const ControlMember& from, std::uint64_t term, const PreVote&);
+    void on(const ControlMember& from, std::uint64_t term, const PreVoteAnswer&);
+    void on(const ControlMember& from, std::uint64_t term, const Vote&);
+    void on(const ControlMember& from, std::uint64_t term, const VoteAnswer&);
+
+    // Replication (ControlLogReplication.h)
+    void appendAsLeader(std::vector<Command> commands);
+    void broadcast();
+    void sendEntries(const ControlMember& to, PeerProgress&);
+    void heardFrom(PeerProgress&, std::uint64_t round);
+    void updateQuorum();
+    void startRoundForReads();
+    void settleReads();
+    void failReads();
+    void advanceCommitAsLeader();
+    void commitThrough(std::uint64_t index);
+    bool ownTermCommitted() const { return m_window.termAt(m_commitIndex).value_or(0) == m_term; }
+    bool storeEntries(const Append&);
+    void on(const ControlMember& from, std::uint64_t term, const Append&);
+    void on(const ControlMember& from, std::uint64_t term, const AppendAnswer&);
+
+    // Snapshots (ControlLogSnapshot.h)
+    SnapshotHeader headerAt(std::uint64_t index) const;
+    void truncateWindow();
+    void sendSnapshot(const ControlMember& to, PeerProgress&);
+    void installSnapshot();
+    void on(const ControlMember& from, std::uint64_t term, const InstallSnapshot&);
+    void on(const ControlMember& from, std::uint64_t term, const InstallSnapshotAnswer&);
+
+    // Members (ControlLogMembers.h)
+    bool hasCluster() const { return cluster() != 0; }
+    bool isEmpty() const { return !hasCluster() && m_term == 0; }
+    bool isConfigured(const std::string& name) const;
+    void sendProbes();
+    void bootstrapIfAllEmpty();
+    void storeBootstrap(const Bootstrap&);
+    void updatePeers();
+    bool isLive(const ControlMember&) const;
+    void manageMembers();
+    std::optional<Membership> nextMembership();
+    std::optional<Membership> withoutReplacedVoter() const;
+    std::optional<Membership> withoutSilentLearner() const;
+    std::optional<Membership> withPromotedLearner() const;
+    std::optional<Membership> withNewLearner();
+    bool isRepairComplete() const;
+    void on(const ControlMember& from, std::uint64_t term, const Probe&);
+    void on(const ControlMember& from, std::uint64_t term, const ProbeAnswer&);
+    void on(const ControlMember& from, std::uint64_t term, const Bootstrap&);
+    void on(const ControlMember& /*from*/, std::uint64_t /*term*/, const Propose&) { }
+    void on(const ControlMember& /*from*/, std::uint64_t /*term*/, const ProposeAnswer&) { }
+
+    Storage& m_storage;
+    ControlLogSettings m_settings;
+    DiskIdentity m_disk = 0;
+    std::mt19937_64 m_random;
+
+    // Durable state and its image in memory
+    std::uint64_t m_term = 0;
+    ControlMember m_votedFor;
+    EntryWindow m_window;
+    MembershipHistory m_members;
+    std::optional<SnapshotHeader> m_snapshot;
+    Bootstrap m_bootstrap;
+
+    // Volatile state
+    ControlRole m_role = ControlRole::Follower;
+    std::string m_leader;
+    std::uint64_t m_commitIndex = 0;
+    std::uint64_t m_freshnessMs = 0;
+    TimePoint m_now;
+    TimePoint m_electionDeadline;
+    std::optional<TimePoint> m_heardLeaderAt;
+    TimePoint m_nextProbe;
+    std::map<std::string, ProbeResult> m_probeResults; // by name
+    std::optional<InstallSnapshot> m_incoming;         // its chunk collects the data received so far
+
+    // Candidate
+    std::set<ControlMember> m_votes;
+
+    // Leader
+    std::map<ControlMember, PeerProgress> m_peers;
+    std::map<std::uint64_t, PendingProposal> m_pending; // by log index
+    std::vector<WaitingRead> m_reads;
+    std::deque<Round> m_rounds; // not yet confirmed
+    std::uint64_t m_round = 0;
+    std::uint64_t m_confirmedRound = 0;
+    std::uint64_t m_readRound = 0; // last round that was started for a read
+    bool m_readRoundWanted = false;
+    TimePoint m_quorumAt; // start of the last confirmed round
+    TimePoint m_nextHeartbeat;
+    std::optional<TimePoint> m_freshnessAt;
+    std::map<std::string, std::pair<ControlMember, TimePoint>> m_joiners; // identities that probed, by name
+    std::weak_ptr<const std::string> m_snapshotData;                      // shared by running transfers
+
+    ControlOutput m_out;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Common
+
+template <ControlStorage Storage>
+ControlLog<Storage>::ControlLog(Storage& storage, ControlLogSettings settings, TimePoint now)
+    : m_storage(storage)
+    , m_settings(std::move(settings))
+    , m_disk(storage.disk())
+    , m_random(m_settings.seed)
+    , m_now(now)
+    , m_nextProbe(now)
+{
+    auto stored = m_storage.load();
+    m_snapshot = stored.snapshot;
+    if (m_snapshot) {
+        m_window.reset(m_snapshot->index, m_snapshot->term);
+        m_members.reset(m_snapshot->index, m_snapshot->membership);
+        m_bootstrap = m_snapshot->bootstrap;
+        m_commitIndex = m_snapshot->index;
+    }
+    for (const auto& it : stored.entries) {
+        m_window.append(it);
+        m_members.append(it);
+        if (it.index == 1)
+            m_bootstrap = { it.timestampMs, m_members.current() };
+    }
+    m_term = std::max(stored.vote.term, m_window.lastTerm());
+    if (m_term == stored.vote.term)
+        m_votedFor = stored.vote.votedFor;
+    resetElectionTimer();
+}
+
+template <ControlStorage Storage>
+std::optional<RestoredSnapshot> ControlLog<Storage>::storedSnapshot()
+{
+    if (!m_snapshot)
+        return std::nullopt;
+    return RestoredSnapshot { *m_snapshot, m_storage.readSnapshotData() };
+}
+
+template <ControlStorage Storage>
+template <typename F>
+ControlOutput ControlLog<Storage>::run(TimePoint now, F&& handler)
+{
+    m_out = {};
+    m_now = std::max(m_now, now);
+    if (isStopped())
+        return {};
+    try {
+        // First of all, so that a leader that was frozen does not act as leader on input that waited meanwhile.
+        checkQuorum();
+        handler();
+    } catch (const StorageError& e) {
+        stop(e.what());
+    }
+    return std::move(m_out);
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::stop(const std::string& reason)
+{
+    stepDown();
+    setRole(ControlRole::Stopped);
+    m_out.messages.clear(); // some may depend on what was not stored
+    m_out.snapshotDue = false;
+    m_out.failure = reason;
+}
+
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::tick(TimePoint now)
+{
+    return run(now, [&] { checkTimers(); });
+}
+
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::receive(const std::string& from, const ControlMessage& message, TimePoint now)
+{
+    return run(now, [&] {
+        if (message.from.name == from && from != m_settings.name)
+            handle(message);
+    });
+}
+
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::propose(Command command, std::uint64_t proposalId, TimePoint now)
+{
+    std::vector<Proposal> proposals;
+    proposals.push_back({ proposalId, std::move(command) });
+    return proposeAll(std::move(proposals), now);
+}
+
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::proposeAll(std::vector<Proposal> proposals, TimePoint now)
+{
+    auto output = run(now, [&] {
+        std::vector<Command> commands;
+        for (auto& it : proposals) {
+            if (!isLeader()) {
+                m_out.settled.push_back({ it.id, ProposeStatus::NotLeader });
+            } else if (std::holds_alternative<ChangeMembers>(it.command)) {
+                m_out.settled.push_back({ it.id, ProposeStatus::Refused });
+            } else {
+                commands.push_back(std::move(it.command));
+                m_pending.emplace(m_window.lastIndex() + commands.size(), PendingProposal { it.id, m_term });
+            }
+        }
+        if (!commands.empty())
+            appendAsLeader(std::move(commands));
+    });
+    if (isStopped() && output.failure.empty()) {
+        for (const auto& it : proposals)
+            output.settled.push_back({ it.id, ProposeStatus::NotLeader });
+    }
+    return output;
+}
+
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::confirmLeadership(std::uint64_t readId, TimePoint now)
+{
+    auto output = run(now, [&] {
+        if (!isLeader()) {
+            m_out.reads.push_back({ readId, false });
+            return;
+        }
+        m_reads.push_back({ readId, m_round + 1 });
+        m_readRoundWanted = true;
+        startRoundForReads();
+    });
+    if (isStopped() && output.failure.empty())
+        output.reads.push_back({ readId, false });
+    return output;
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::setRole(ControlRole role)
+{
+    if (m_role == role)
+        return;
+    m_role = role;
+    m_out.roleChanged = true;
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::send(const ControlMember& to, ControlBody body)
+{
+    m_out.messages.push_back({ to.name, { cluster(), self(), to.disk, m_term, std::move(body) } });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::sendToName(const std::string& name, ControlBody body)
+{
+    send({ name, 0 }, std::move(body));
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::checkTimers()
+{
+    if (isLeader()) {
+        if (m_now >= m_nextHeartbeat)
+            broadcast();
+        manageMembers();
+        return;
+    }
+    if (m_now >= m_electionDeadline && isVoter(m_members.current(), self()))
+        startPreVote();
+    if (m_now >= m_nextProbe && !knowsLiveLeader())
+        sendProbes();
+}
+
+/// Whether a message is for this member and comes from its cluster. A member without a cluster listens to a leader
+/// that names its disk identity: that leader has added it.
+template <ControlStorage Storage>
+bool ControlLog<Storage>::acceptsSender(const ControlMessage& message) const
+{
+    if (message.toDisk != 0 && message.toDisk != m_disk)
+        return false;
+    if (std::holds_alternative<Probe>(message.body) || std::holds_alternative<ProbeAnswer>(message.body)
+        || std::holds_alternative<Bootstrap>(message.body))
+        return true;
+    if (hasCluster())
+        return message.cluster == cluster();
+    bool fromLeader
+        = std::holds_alternative<Append>(message.body) || std::holds_alternative<InstallSnapshot>(message.body);
+    return fromLeader && message.cluster != 0 && message.toDisk == m_disk;
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::handle(const ControlMessage& message)
+{
+    if (!acceptsSender(message))
+        return;
+    bool outsideTerms = std::holds_alternative<Probe>(message.body) || std::holds_alternative<ProbeAnswer>(message.body)
+        || std::holds_alternative<Bootstrap>(message.body) || std::holds_alternative<PreVote>(message.body);
+    if (outsideTerms) {
+        dispatch(message);
+        return;
+    }
+    // A member of an old term may grant a pre-vote: the term it grants is in the answer.
+    if (message.term < m_term && !std::holds_alternative<PreVoteAnswer>(message.body)) {
+        refuseOldTerm(message);
+        return;
+    }
+    // The handler of Vote stores term and vote with one write.
+    if (message.term > m_term && !std::holds_alternative<Vote>(message.body))
+        adoptTerm(message.term);
+    dispatch(message);
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::dispatch(const ControlMessage& message)
+{
+    std::visit([&](const auto& it) { on(message.from, message.term, it); }, message.body);
+}
+
+/// Tells a leader or candidate of an old term about the current one. Answers of an old term are dropped.
+template <ControlStorage Storage>
+void ControlLog<Storage>::refuseOldTerm(const ControlMessage& message)
+{
+    if (std::holds_alternative<Append>(message.body) || std::holds_alternative<InstallSnapshot>(message.body))
+        send(message.from, AppendAnswer {});
+    else if (std::holds_alternative<Vote>(message.body))
+        send(message.from, VoteAnswer {});
+}
+
+template <ControlStorage Storage>
+ControlLogStatus ControlLog<Storage>::status() const
+{
+    return { m_role, self(), m_term, m_leader, m_commitIndex, m_window.lastIndex(), m_snapshot ? m_snapshot->index : 0,
+        m_members.current(), isRepairComplete() };
+}
+
+} // namespace citronplank
+
+#include "coordination/ControlLogElection.h"
+#include "coordination/ControlLogMembers.h"
+#include "coordination/ControlLogReplication.h"
+#include "coordination/ControlLogSnapshot.h"
--- /dev/null
+++ b/coordination/ControlLogElection.h
@@ -0,0 +1,179 @@
+// Elections of the control log. Included by ControlLog.h only.
+#pragma once
+
+#include "coordination/ControlLog.h"
+
+namespace citronplank {
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::resetElectionTimer()
+{
+    auto span = static_cast<std::uint64_t>((longestElectionTimeout - shortestElectionTimeout).count());
+    m_electionDeadline = m_now + shortestElectionTimeout + milliseconds(m_random() % (span + 1));
+}
+
+template <ControlStorage Storage>
+bool ControlLog<Storage>::knowsLiveLeader() const
+{
+    return isLeader() || (m_heardLeaderAt && m_now - *m_heardLeaderAt < shortestElectionTimeout);
+}
+
+template <ControlStorage Storage>
+bool ControlLog<Storage>::logIsUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const
+{
+    if (lastTerm != m_window.lastTerm())
+        return lastTerm > m_window.lastTerm();
+    return lastIndex >= m_window.lastIndex();
+}
+
+/// Asks the voters whether they would vote, without changing any term: a member that was isolated does not disturb a
+/// leader that the others still hear.
+template <ControlStorage Storage>
+void ControlLog<Storage>::startPreVote()
+{
+    resetElectionTimer();
+    setRole(ControlRole::PreCandidate);
+    m_leader.clear();
+    m_votes = { self() };
+    if (hasMajority(m_members.current(), m_votes)) {
+        startElection();
+        return;
+    }
+    for (const auto& it : m_members.current().voters) {
+        if (it != self())
+            send(it, PreVote { m_term + 1, m_window.lastIndex(), m_window.lastTerm() });
+    }
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const PreVote& message)
+{
+    bool granted
+        = !knowsLiveLeader() && message.proposedTerm > m_term && logIsUpToDate(message.lastIndex, message.lastTerm);
+    send(from, PreVoteAnswer { message.proposedTerm, granted });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const PreVoteAnswer& message)
+{
+    if (m_role != ControlRole::PreCandidate || !message.granted || message.proposedTerm != m_term + 1)
+        return;
+    m_votes.insert(from);
+    if (hasMajority(m_members.current(), m_votes))
+        startElection();
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::startElection()
+{
+    m_storage.saveVote({ m_term + 1, self() });
+    ++m_term;
+    m_votedFor = self();
+    setRole(ControlRole::Candidate);
+    resetElectionTimer();
+    m_votes = { self() };
+    if (hasMajority(m_members.current(), m_votes)) {
+        becomeLeader();
+        return;
+    }
+    for (const auto& it : m_members.current().voters) {
+        if (it != self())
+            send(it, Vote { m_window.lastIndex(), m_window.lastTerm() });
+    }
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t term, const Vote& message)
+{
+    bool newTerm = term > m_term;
+    bool free = newTerm || m_votedFor.name.empty() || m_votedFor == from;
+    bool granted = free && logIsUpToDate(message.lastIndex, message.lastTerm);
+    auto vote = granted ? from : (newTerm ? ControlMember {} : m_votedFor);
+    if (newTerm || vote != m_votedFor)
+        m_storage.saveVote({ term, vote });
+    if (newTerm)
+        stepDown();
+    m_term = term;
+    m_votedFor = vote;
+    if (granted) {
+        setRole(ControlRole::Follower);
+        resetElectionTimer();
+    }
+    send(from, VoteAnswer { granted });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const VoteAnswer& message)
+{
+    if (m_role != ControlRole::Candidate || !message.granted)
+        return;
+    m_votes.insert(from);
+    if (hasMajority(m_members.current(), m_votes))
+        becomeLeader();
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::becomeLeader()
+{
+    setRole(ControlRole::Leader);
+    m_leader = m_settings.name;
+    m_peers.clear();
+    m_joiners.clear();
+    m_rounds.clear();
+    m_confirmedRound = m_round;
+    m_readRound = m_round;
+    m_readRoundWanted = false;
+    m_quorumAt = m_now;
+    m_freshnessAt.reset();
+    updatePeers();
+    appendAsLeader({ NoOp {} });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::becomeFollower(const std::string& leader)
+{
+    if (m_role != ControlRole::Follower)
+        stepDown();
+    m_leader = leader;
+    m_heardLeaderAt = m_now;
+    resetElectionTimer();
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::adoptTerm(std::uint64_t term)
+{
+    m_storage.saveVote({ term, {} });
+    stepDown();
+    m_term = term;
+    m_votedFor = {};
+}
+
+/// Becomes a follower without a known leader. Proposals in flight may still be committed by the next leader.
+template <ControlStorage Storage>
+void ControlLog<Storage>::stepDown()
+{
+    bool wasLeader = isLeader();
+    setRole(ControlRole::Follower);
+    m_leader.clear();
+    m_votes.clear();
+    if (!wasLeader)
+        return;
+    for (const auto& [index, it] : m_pending)
+        m_out.settled.push_back({ it.id, ProposeStatus::Unknown });
+    m_pending.clear();
+    failReads();
+    m_peers.clear();
+    m_rounds.clear();
+    m_heardLeaderAt.reset();
+    resetElectionTimer();
+}
+
+/// A leader whose last confirmed round started longer than an election timeout ago may have been replaced.
+template <ControlStorage Storage>
+void ControlLog<Storage>::checkQuorum()
+{
+    if (isLeader() && m_now - m_quorumAt > longestElectionTimeout)
+        stepDown();
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/ControlLogMembers.h
@@ -0,0 +1,231 @@
+// Bootstrap and membership changes of the control log. Included by ControlLog.h only.
+#pragma once
+
+#include "coordination/ControlLog.h"
+
+namespace citronplank {
+
+template <ControlStorage Storage>
+bool ControlLog<Storage>::isConfigured(const std::string& name) const
+{
+    const auto& names = m_settings.configuredMembers;
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Probes and bootstrap
+
+/// A member that hears no leader asks all members it knows of. The leader learns from a probe of an identity that wants
+/// to join; an empty member learns whether there is a cluster.
+template <ControlStorage Storage>
+void ControlLog<Storage>::sendProbes()
+{
+    m_nextProbe = m_now + probeInterval;
+    std::set<std::string> names(m_settings.configuredMembers.begin(), m_settings.configuredMembers.end());
+    for (const auto& it : m_members.current().voters)
+        names.insert(it.name);
+    names.erase(m_settings.name);
+    for (const auto& it : names)
+        sendToName(it, Probe { isEmpty() });
+    bootstrapIfAllEmpty();
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const Probe& message)
+{
+    send(from, ProbeAnswer { isEmpty(), m_members.current(), m_leader });
+    // A member that missed the bootstrap message still has to store the first configuration before it may vote.
+    if (hasCluster() && message.empty && isVoter(m_bootstrap.membership, from))
+        send(from, m_bootstrap);
+    if (isLeader())
+        m_joiners.insert_or_assign(from.name, std::pair(from, m_now));
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const ProbeAnswer& message)
+{
+    m_probeResults.insert_or_assign(from.name, ProbeResult { from, message.empty, m_now });
+    bootstrapIfAllEmpty();
+}
+
+/// Only the configured member with the smallest name creates a cluster, and only while every configured member says
+/// that it has never been part of one. Answers older than two probe intervals do not count.
+template <ControlStorage Storage>
+void ControlLog<Storage>::bootstrapIfAllEmpty()
+{
+    const auto& names = m_settings.configuredMembers;
+    if (!isEmpty() || names.empty() || *std::min_element(names.begin(), names.end()) != m_settings.name)
+        return;
+    Membership membership;
+    for (const auto& name : std::set<std::string>(names.begin(), names.end())) {
+        if (name == m_settings.name) {
+            membership.voters.push_back(self());
+            continue;
+        }
+        auto found = m_probeResults.find(name);
+        if (found == m_probeResults.end() || !found->second.empty || m_now - found->second.at > 2 * probeInterval)
+            return;
+        membership.voters.push_back(found->second.member);
+    }
+    while (membership.cluster == 0)
+        membership.cluster = m_random();
+    storeBootstrap({ wallMs(), membership });
+    for (const auto& it : membership.voters) {
+        if (it != self())
+            send(it, m_bootstrap);
+    }
+}
+
+/// Writes the first configuration as log entry 1 of term 1, which is the same on every member.
+template <ControlStorage Storage>
+void ControlLog<Storage>::storeBootstrap(const Bootstrap& bootstrap)
+{
+    LogEntry entry { 1, 1, bootstrap.timestampMs, ChangeMembers { bootstrap.membership } };
+    m_storage.append(std::span(&entry, 1));
+    m_window.append(entry);
+    m_members.append(entry);
+    m_bootstrap = bootstrap;
+    m_term = std::max<std::uint64_t>(m_term, 1);
+    resetElectionTimer();
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& /*from*/, std::uint64_t /*term*/, const Bootstrap& message)
+{
+    if (!hasCluster() && message.membership.cluster != 0 && isVoter(message.membership, self()))
+        storeBootstrap(message);
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Membership changes
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::updatePeers()
+{
+    std::set<ControlMember> members;
+    for (const auto* list : { &m_members.current().voters, &m_members.current().learners })
+        members.insert(list->begin(), list->end());
+    members.erase(self());
+    std::erase_if(m_peers, [&](const auto& it) { return !members.contains(it.first); });
+    for (const auto& it : members) {
+        auto [peer, isNew] = m_peers.try_emplace(it);
+        if (isNew) {
+            peer->second.next = m_window.lastIndex() + 1;
+            peer->second.lastAnswer = m_now;
+        }
+    }
+}
+
+template <ControlStorage Storage>
+bool ControlLog<Storage>::isLive(const ControlMember& member) const
+{
+    auto found = m_peers.find(member);
+    return member == self()
+        || (found != m_peers.end() && found->second.answered
+            && m_now - found->second.lastAnswer < longestElectionTimeout);
+}
+
+/// Takes the next step of a repair or of growth. One change at a time: two changes in flight could give disjoint
+/// majorities. So could a change before an own-term entry is committed, next to one of the former leader.
+template <ControlStorage Storage>
+void ControlLog<Storage>::manageMembers()
+{
+    if (!isLeader() || !ownTermCommitted() || m_members.currentIndex() > m_commitIndex)
+        return;
+    if (auto next = nextMembership())
+        appendAsLeader({ ChangeMembers { *next } });
+}
+
+template <ControlStorage Storage>
+std::optional<Membership> ControlLog<Storage>::nextMembership()
+{
+    if (auto next = withoutReplacedVoter())
+        return next;
+    if (auto next = withoutSilentLearner())
+        return next;
+    if (auto next = withPromotedLearner())
+        return next;
+    return withNewLearner();
+}
+
+/// Removes the former identity of a member whose new identity is a voter.
+template <ControlStorage Storage>
+std::optional<Membership> ControlLog<Storage>::withoutReplacedVoter() const
+{
+    auto next = m_members.current();
+    for (auto it = next.voters.begin(); it != next.voters.end(); ++it) {
+        // Voters are in order of addition, so a later one of the same name is the replacement.
+        bool replaced = std::any_of(
+            it + 1, next.voters.end(), [&](const ControlMember& other) { return other.name == it->name; });
+        if (replaced && *it != self()) {
+            next.voters.erase(it);
+            return next;
+        }
+    }
+    return std::nullopt;
+}
+
+template <ControlStorage Storage>
+std::optional<Membership> ControlLog<Storage>::withoutSilentLearner() const
+{
+    auto next = m_members.current();
+    auto n = std::erase_if(next.learners, [&](const ControlMember& it) {
+        auto peer = m_peers.find(it);
+        return peer == m_peers.end() || m_now - peer->second.lastAnswer > silentLearnerTimeout;
+    });
+    return n > 0 ? std::optional(next) : std::nullopt;
+}
+
+template <ControlStorage Storage>
+std::optional<Membership> ControlLog<Storage>::withPromotedLearner() const
+{
+    auto next = m_members.current();
+    for (auto it = next.learners.begin(); it != next.learners.end(); ++it) {
+        auto peer = m_peers.find(*it);
+        if (peer == m_peers.end() || !isLive(*it) || peer->second.match < m_commitIndex)
+            continue;
+        next.voters.push_back(*it);
+        next.learners.erase(it);
+        return next;
+    }
+    return std::nullopt;
+}
+
+/// Adds an identity that asked for membership and is not known yet. An identity of the same name that is still live is
+/// not replaced: the probe is then an old message.
+template <ControlStorage Storage>
+std::optional<Membership> ControlLog<Storage>::withNewLearner()
+{
+    std::erase_if(m_joiners, [&](const auto& it) { return m_now - it.second.second > longestElectionTimeout; });
+    for (const auto& [name, it] : m_joiners) {
+        const auto& joiner = it.first;
+        auto next = m_members.current();
+        bool known = isVoter(next, joiner) || isLearner(next, joiner);
+        auto sameName = [&](const ControlMember& other) { return other.name == joiner.name; };
+        auto live = [&](const ControlMember& other) { return sameName(other) && isLive(other); };
+        bool replacesLive = std::any_of(next.voters.begin(), next.voters.end(), live)
+            || std::any_of(next.learners.begin(), next.learners.end(), live);
+        bool allowed = isConfigured(joiner.name) || std::any_of(next.voters.begin(), next.voters.end(), sameName);
+        if (known || replacesLive || !allowed || joiner.disk == 0)
+            continue;
+        std::erase_if(next.learners, sameName);
+        next.learners.push_back(joiner);
+        return next;
+    }
+    return std::nullopt;
+}
+
+template <ControlStorage Storage>
+bool ControlLog<Storage>::isRepairComplete() const
+{
+    const auto& current = m_members.current();
+    std::set<std::string> names;
+    for (const auto& it : current.voters)
+        names.insert(it.name);
+    bool all = std::all_of(m_settings.configuredMembers.begin(), m_settings.configuredMembers.end(),
+        [&](const std::string& it) { return names.contains(it); });
+    return all && names.size() == current.voters.size() && current.learners.empty()
+        && m_members.currentIndex() <= m_commitIndex;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/ControlLogSnapshot.h
@@ -0,0 +1,137 @@
+// Snapshots of the control log. Included by ControlLog.h only.
+#pragma once
+
+#include "coordination/ControlLog.h"
+
+namespace citronplank {
+
+/// Precondition: the index is committed and within the window.
+template <ControlStorage Storage>
+SnapshotHeader ControlLog<Storage>::headerAt(std::uint64_t index) const
+{
+    const auto& entry = m_window.at(index);
+    return { index, entry.term, entry.timestampMs, m_members.at(index), m_bootstrap };
+}
+
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::saveSnapshot(std::string_view state, TimePoint now)
+{
+    return run(now, [&] {
+        if (m_commitIndex <= (m_snapshot ? m_snapshot->index : 0))
+            return;
+        auto header = headerAt(m_commitIndex);
+        m_storage.saveSnapshot(header, state);
+        m_snapshot = header;
+        m_snapshotData.reset();
+        truncateWindow();
+    });
+}
+
+/// Keeps some entries before the snapshot, so that a member that is a little behind needs no snapshot. While a snapshot
+/// is on its way to a member, the entries after it are kept as well.
+template <ControlStorage Storage>
+void ControlLog<Storage>::truncateWindow()
+{
+    auto snapshotIndex = m_snapshot->index;
+    auto through = snapshotIndex - std::min(snapshotIndex, entriesKeptInMemory);
+    for (const auto& [member, peer] : m_peers) {
+        if (peer.transfer)
+            through = std::min(through, peer.transfer->header.index);
+    }
+    auto least = snapshotIndex - std::min(snapshotIndex, greatestEntriesInMemory);
+    m_window.dropThrough(std::max(through, least));
+    m_members.dropThrough(snapshotIndex);
+}
+
+/// Sends the next chunk of a snapshot, or the same one again if no answer came for a while.
+template <ControlStorage Storage>
+void ControlLog<Storage>::sendSnapshot(const ControlMember& to, PeerProgress& peer)
+{
+    if (peer.transfer && m_now - peer.transfer->sentAt < snapshotResendInterval)
+        return;
+    if (!peer.transfer) {
+        auto data = m_snapshotData.lock();
+        if (!data) {
+            data = std::make_shared<const std::string>(m_storage.readSnapshotData());
+            m_snapshotData = data;
+        }
+        peer.transfer = SnapshotTransfer { *m_snapshot, std::move(data), 0, m_now };
+    }
+    auto& it = *peer.transfer;
+    it.sentAt = m_now;
+    send(to,
+        InstallSnapshot {
+            it.header, it.offset, it.data->size(), m_round, it.data->substr(it.offset, snapshotChunkBytes) });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const InstallSnapshot& message)
+{
+    if (isLeader())
+        return;
+    becomeFollower(from.name);
+    if (message.header.index <= m_commitIndex) {
+        m_incoming.reset();
+        send(from, InstallSnapshotAnswer { message.header.index, message.totalBytes, true, message.round });
+        return;
+    }
+    if (!m_incoming || m_incoming->header != message.header || m_incoming->totalBytes != message.totalBytes) {
+        m_incoming = message;
+        m_incoming->chunk.clear();
+    }
+    if (message.offset == m_incoming->chunk.size())
+        m_incoming->chunk += message.chunk;
+    auto received = m_incoming->chunk.size();
+    bool complete = received >= message.totalBytes;
+    if (complete)
+        installSnapshot();
+    send(from, InstallSnapshotAnswer { message.header.index, received, complete, message.round });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::installSnapshot()
+{
+    auto header = std::move(m_incoming->header);
+    auto data = std::move(m_incoming->chunk);
+    m_incoming.reset();
+    m_storage.saveSnapshot(header, data);
+    bool agrees = m_window.termAt(header.index) == header.term;
+    if (agrees)
+        m_window.dropThrough(header.index);
+    else
+        m_window.reset(header.index, header.term);
+    m_members.reset(header.index, header.membership);
+    for (auto i = header.index + 1; i <= m_window.lastIndex(); ++i)
+        m_members.append(m_window.at(i));
+    m_snapshot = header;
+    m_bootstrap = header.bootstrap;
+    m_commitIndex = header.index;
+    m_out.restore = RestoredSnapshot { std::move(header), std::move(data) };
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const InstallSnapshotAnswer& message)
+{
+    auto found = m_peers.find(from);
+    if (!isLeader() || found == m_peers.end())
+        return;
+    auto& peer = found->second;
+    heardFrom(peer, message.round);
+    if (peer.transfer && peer.transfer->header.index == message.snapshotIndex) {
+        auto& it = *peer.transfer;
+        if (message.installed) {
+            peer.match = std::max(peer.match, message.snapshotIndex);
+            peer.next = peer.match + 1;
+            peer.transfer.reset();
+            sendEntries(from, peer);
+            advanceCommitAsLeader();
+        } else if (message.nextOffset <= it.data->size() && message.nextOffset != it.offset) {
+            it.offset = message.nextOffset;
+            it.sentAt = TimePoint::min();
+            sendSnapshot(from, peer);
+        }
+    }
+    updateQuorum();
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/ControlLogTypes.h
@@ -0,0 +1,120 @@
+// Settings, inputs and outputs of the control log.
+#pragma once
+
+#include "coordination/ControlEntries.h"
+
+#include <functional>
+#include <memory>
+
+namespace citronplank {
+
+constexpr milliseconds controlHeartbeatInterval { 100 };
+constexpr milliseconds shortestElectionTimeout { 500 };
+constexpr milliseconds longestElectionTimeout { 1000 };
+constexpr milliseconds freshnessInterval { 500 };
+constexpr milliseconds probeInterval { 500 };
+constexpr milliseconds silentLearnerTimeout { 10'000 }; // a learner that is gone must not block the next repair
+constexpr milliseconds snapshotResendInterval { 300 };  // below the shortest election timeout
+constexpr std::uint64_t entriesPerSnapshot = 256;
+constexpr std::uint64_t entriesKeptInMemory = 512;        // before the snapshot, for members that are a little behind
+constexpr std::uint64_t greatestEntriesInMemory = 16'384; // while a snapshot is being sent
+constexpr std::size_t greatestEntriesPerAppend = 512;
+constexpr std::size_t greatestBytesPerAppend = 1024UL * 1024;
+constexpr std::size_t snapshotChunkBytes = 256UL * 1024;
+
+struct ControlLogSettings {
+    std::string name;                           // of this member
+    std::vector<std::string> configuredMembers; // all control members' names, this one included
+    std::uint64_t seed = 0;                     // of election timeouts and the cluster identity; random in production
+    std::function<std::uint64_t(TimePoint)> wallTimeMs; // wall clock at a point of the steady clock, ms since 1970
+};
+
+enum class ControlRole : std::uint8_t {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+    Stopped, // storage failed; the object does nothing any more
+};
+std::string_view controlRoleName(ControlRole);
+
+struct Proposal {
+    std::uint64_t id = 0; // chosen by the caller
+    Command command;
+};
+
+struct SettledProposal {
+    std::uint64_t id = 0;
+    ProposeStatus status = ProposeStatus::Unknown;
+    std::uint64_t index = 0; // if committed
+};
+
+struct SettledRead {
+    std::uint64_t id = 0;
+    bool confirmed = false;      // false: not the leader; nothing may be answered as leader
+    std::uint64_t readIndex = 0; // the state must have applied this index before the answer is computed
+};
+
+struct OutgoingControlMessage {
+    std::string to;
+    ControlMessage message;
+};
+
+struct RestoredSnapshot {
+    SnapshotHeader header;
+    std::string data; // what ControlState::snapshot() wrote
+};
+
+/// A quorum confirmed that this member was the leader at the timestamp.
+struct Freshness {
+    std::uint64_t timestampMs = 0;
+    std::uint64_t commitIndex = 0; // the leader's state at this index holds everything committed by then
+};
+
+/// What one call to the control log asks its caller to do, in this order: send the messages, restore the snapshot,
+/// apply the committed entries, then use the rest.
+struct ControlOutput {
+    std::vector<OutgoingControlMessage> messages;
+    std::optional<RestoredSnapshot> restore;
+    std::vector<LogEntry> committed;
+    std::vector<SettledProposal> settled;
+    std::vector<SettledRead> reads;
+    std::optional<Freshness> freshness;
+    bool snapshotDue = false; // call saveSnapshot() with the state after the committed entries
+    bool roleChanged = false;
+    std::string failure; // not empty: storage failed, the control role stopped
+};
+
+struct ControlLogStatus {
+    ControlRole role = ControlRole::Follower;
+    ControlMember self;
+    std::uint64_t term = 0;
+    std::string leader; // empty if not known
+    std::uint64_t commitIndex = 0;
+    std::uint64_t lastIndex = 0;
+    std::uint64_t snapshotIndex = 0;
+    Membership membership;
+    // Every configured name is one voter, there is no learner, and the membership is committed: one loss is survived.
+    bool repairComplete = false;
+};
+
+/// A snapshot on its way to a member.
+struct SnapshotTransfer {
+    SnapshotHeader header;
+    std::shared_ptr<const std::string> data;
+    std::uint64_t offset = 0;
+    TimePoint sentAt;
+};
+
+/// What the leader knows of another member.
+struct PeerProgress {
+    std::uint64_t next = 1;  // next entry to send
+    std::uint64_t match = 0; // greatest entry known to be durable there
+    std::uint64_t answeredRound = 0;
+    std::uint64_t resentRound = 0; // rejections of earlier rounds are answered already
+    TimePoint lastAnswer;
+    bool answered = false;
+    std::optional<SnapshotTransfer> transfer;
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/ControlState.h
@@ -0,0 +1,194 @@
+// State machine of the control log: rules, zone views, request records, roster and blocked fingerprints.
+//
+// It is deterministic: members that apply the same entries hold the same state. Its clock is the greatest timestamp of
+// the entries applied so far.
+#pragma once
+
+#include "coordination/ControlMessages.h"
+
+#include <unordered_map>
+
+namespace citronplank {
+
+constexpr std::size_t ruleVersionsHeld = 1024;
+constexpr std::size_t greatestRequestKeys = 200'000;
+constexpr std::uint64_t requestRetentionMs = 15ULL * 60 * 1000;
+constexpr std::size_t greatestStoredAnswerBytes = 16UL * 1024;
+constexpr std::uint64_t greatestKeyLeadMs = 60'000; // a key further ahead would be kept for longer than 16 minutes
+constexpr std::size_t submissionsHeld = 4096;       // a later resend is refused by its base version or by a conflict
+constexpr std::size_t greatestBlockedFingerprints = 10'000;
+
+/// A rule line with the edit that wrote it.
+struct VersionedLine {
+    RuleLine line;
+    std::uint64_t version = 0; // log index of the edit
+    std::string author;
+    std::uint64_t timeMs = 0;
+    bool operator==(const VersionedLine&) const = default;
+};
+
+struct ZoneView {
+    std::string zone;
+    std::uint64_t number = 0;
+    std::vector<std::string> members;
+    std::uint64_t version = 0; // log index of the change
+    bool operator==(const ZoneView&) const = default;
+};
+
+struct BlockedFingerprint {
+    std::uint64_t fingerprint = 0;
+    std::uint64_t expiresMs = 0;
+    std::uint64_t version = 0; // log index of the command
+    bool operator==(const BlockedFingerprint&) const = default;
+};
+
+enum class RequestState : std::uint8_t { Begun, Finished, NotRun };
+
+struct RequestRecord {
+    std::string attempt;
+    std::uint64_t fingerprint = 0;
+    std::uint64_t keyTimeMs = 0;
+    RequestState state = RequestState::Begun;
+    Outcome outcome = Outcome::NotRun;
+    std::string answer;
+    bool answerOmitted = false;
+    bool operator==(const RequestRecord&) const = default;
+};
+
+/// What every daemon holds: the part of the state that is spread from peer to peer.
+struct PublishedState {
+    ClusterId cluster = 0;
+    std::uint64_t version = 0;               // log index of the last change of any published part
+    std::uint64_t rulesVersion = 0;          // log index of the last accepted edit
+    std::vector<VersionedLine> lines;        // ordered by key
+    std::vector<ZoneView> views;             // ordered by zone
+    std::vector<BlockedFingerprint> blocked; // ordered by fingerprint; the reader drops expired ones
+    bool operator==(const PublishedState&) const = default;
+};
+
+/// The changes from one version of the published state to a newer one.
+struct PublishedDifference {
+    ClusterId cluster = 0;
+    std::uint64_t fromVersion = 0;
+    std::uint64_t version = 0;
+    std::uint64_t rulesVersion = 0;
+    bool full = false; // true: it replaces the whole state, whatever version the receiver holds
+    std::vector<VersionedLine> lines;
+    std::vector<std::string> removedKeys;
+    std::vector<ZoneView> views;
+    std::vector<BlockedFingerprint> blocked;
+    bool operator==(const PublishedDifference&) const = default;
+};
+
+/// Applies a difference. Returns false and changes nothing if it is of another cluster, starts after `state.version`
+/// or leads to no newer version. Needs no other precondition. Callers serialize access to `state`.
+bool applyDifference(PublishedState& state, const PublishedDifference&);
+
+/// Encoding by msgpack; the decoders throw Error(ErrorKind::BadRequest) on malformed input. Thread safe.
+std::string encode(const PublishedState&);
+PublishedState decodePublishedState(std::string_view);
+std::string encode(const PublishedDifference&);
+PublishedDifference decodePublishedDifference(std::string_view);
+
+/// Undo record of one accepted edit.
+struct RuleVersion {
+    struct Previous {
+        std::string key;
+        std::optional<VersionedLine> line; // as it was before the edit
+        bool operator==(const Previous&) const = default;
+    };
+    std::uint64_t version = 0;
+    std::vector<Previous> previous;
+    bool operator==(const RuleVersion&) const = default;
+};
+
+struct RemovedLine {
+    std::uint64_t version = 0;
+    std::string author;
+    bool operator==(const RemovedLine&) const = default;
+};
+
+struct StoredSubmission {
+    std::string submissionId;
+    EditResult result;
+    bool operator==(const StoredSubmission&) const = default;
+};
+
+/// Everything that a snapshot holds.
+struct ControlStateData {
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t clockMs = 0;
+    std::uint64_t rulesVersion = 0;
+    std::uint64_t publishedVersion = 0;
+    std::uint64_t oldestBase = 0; // oldest version that an edit may be based on
+    Membership membership;
+    std::map<std::string, VersionedLine> lines;
+    std::map<std::string, RemovedLine> removed; // keys removed after oldestBase
+    std::vector<RuleVersion> history;           // oldest first, at most ruleVersionsHeld
+    std::vector<StoredSubmission> submissions;  // oldest first, at most submissionsHeld
+    std::map<std::string, RequestRecord> requests;
+    std::map<std::string, ZoneView> views;
+    std::map<std::uint64_t, BlockedFingerprint> blocked;
+    bool operator==(const ControlStateData&) const = default;
+};
+
+/// The state machine. Not thread safe: callers serialize all calls to one object.
+class ControlState {
+public:
+    /// Applies the next committed entry and returns the result of its command. The entry's index must be
+    /// `appliedIndex() + 1`; any other throws std::logic_error, because the members' states would differ.
+    CommandResult apply(const LogEntry&);
+
+    /// The whole state as bytes. No precondition; callers serialize.
+    std::string snapshot() const;
+    /// Replaces the whole state by that of a snapshot. Throws Error(ErrorKind::BadRequest) on malformed input and
+    /// then changes nothing. Callers serialize.
+    void restore(std::string_view);
+
+    /// Accessors. No precondition; references stay valid until the next apply() or restore(). Callers serialize.
+    std::uint64_t appliedIndex() const { return m_data.appliedIndex; }
+    std::uint64_t clockMs() const { return m_data.clockMs; }
+    std::uint64_t rulesVersion() const { return m_data.rulesVersion; }
+    std::uint64_t publishedVersion() const { return m_data.publishedVersion; }
+    const Membership& membership() const { return m_data.membership; }
+    const std::map<std::string, VersionedLine>& lines() const { return m_data.lines; }
+    const std::map<std::string, ZoneView>& views() const { return m_data.views; }
+    const std::map<std::uint64_t, BlockedFingerprint>& blocked() const { return m_data.blocked; }
+    std::size_t requestCount() const { return m_data.requests.size(); }
+    /// The record of a request key, or null. Callers serialize.
+    const RequestRecord* request(const std::string& key) const;
+    /// True while the fingerprint is blocked, by the state clock. Callers serialize.
+    bool isBlocked(std::uint64_t fingerprint) const;
+    const ControlStateData& data() const { return m_data; }
+
+    /// The rule lines as they were at a version, ordered by key; absent if that version is no longer held or is in the
+    /// future. Callers serialize.
+    std::optional<std::vector<RuleLine>> ruleLinesAt(std::uint64_t version) const;
+
+    /// The published part and its changes since a version; a version that is no longer held gives a full difference.
+    /// Callers serialize.
+    PublishedState published() const;
+    PublishedDifference differenceSince(std::uint64_t version) const;
+
+private:
+    CommandResult applyCommand(const EditRules&, std::uint64_t index);
+    CommandResult applyCommand(const BeginRequest&, std::uint64_t index);
+    CommandResult applyCommand(const FinishRequest&, std::uint64_t index);
+    CommandResult applyCommand(const ChangeView&, std::uint64_t index);
+    CommandResult applyCommand(const BlockFingerprint&, std::uint64_t index);
+    CommandResult applyCommand(const ChangeMembers&, std::uint64_t index);
+    CommandResult applyCommand(const NoOp&, std::uint64_t index);
+    EditResult edit(const EditRules&, std::uint64_t index);
+    std::optional<EditResult> refusal(const EditRules&) const;
+    void writeLines(const EditRules&, std::uint64_t index);
+    void trimHistory();
+    void remember(const std::string& submissionId, const EditResult&);
+    void dropExpired();
+    void rebuildIndexes();
+
+    ControlStateData m_data;
+    std::unordered_map<std::string, EditResult> m_submissionResults;  // index of m_data.submissions
+    std::set<std::pair<std::uint64_t, std::string>> m_requestsByTime; // index of m_data.requests
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/ControlStorage.h
@@ -0,0 +1,147 @@
+// Durable state of a control member: log, term and vote, disk identity, snapshot.
+#pragma once
+
+#include "coordination/ControlMessages.h"
+
+#include <concepts>
+#include <filesystem>
+
+namespace citronplank {
+
+/// A write or sync failed or was refused. The control role must stop for good: after a failed sync the system may have
+/// dropped the data, and a later sync that succeeds proves nothing.
+class StorageError : public Error {
+public:
+    explicit StorageError(const std::string& message)
+        : Error(ErrorKind::Internal, message)
+    {
+    }
+};
+
+struct VoteRecord {
+    std::uint64_t term = 0;
+    ControlMember votedFor; // empty name: no vote in this term
+    bool operator==(const VoteRecord&) const = default;
+};
+
+/// What a storage holds at start.
+struct StoredControl {
+    VoteRecord vote;
+    std::optional<SnapshotHeader> snapshot;
+    std::vector<LogEntry> entries; // follow the snapshot without a gap
+};
+
+/// Storage of one control member. Each writing member function returns only once the data is durable and throws
+/// StorageError otherwise; after that every later call throws as well. Callers serialize all calls to one object.
+///
+/// - `disk()` is the identity of this storage; a storage that lost its data has another one.
+/// - `load()` returns what was stored.
+/// - `saveVote(vote)` replaces term and vote.
+/// - `append(entries)` appends consecutive entries; the first one may replace a stored entry and all after it.
+/// - `saveSnapshot(header, data)` stores a snapshot and drops the entries it contains. Entries after it are kept only
+///   if the log agrees with the snapshot, see `keptEntries`.
+/// - `readSnapshotData()` returns the data of the stored snapshot.
+template <typename S>
+concept ControlStorage = requires(S storage, const VoteRecord& vote, std::span<const LogEntry> entries,
+    const SnapshotHeader& header, std::string_view data)
+{
+    {
+        storage.disk()
+        } -> std::convertible_to<DiskIdentity>;
+    {
+        storage.load()
+        } -> std::same_as<StoredControl>;
+    storage.saveVote(vote);
+    storage.append(entries);
+    storage.saveSnapshot(header, data);
+    {
+        storage.readSnapshotData()
+        } -> std::same_as<std::string>;
+};
+
+/// The entries that remain valid after a snapshot: those after its index, provided that the log holds the snapshot's
+/// last entry with the same term or starts right after it. Otherwise none, because they may contradict the snapshot.
+/// Precondition: `entries` are consecutive. Thread safe.
+std::vector<LogEntry> keptEntries(std::vector<LogEntry> entries, const SnapshotHeader&);
+
+/// The file operations that can lose data, as an interface so that tests can make them fail. They return what the
+/// POSIX functions return and set errno. Thread safe.
+class FileOperations {
+public:
+    virtual ~FileOperations() = default;
+    virtual long write(int descriptor, const void* data, std::size_t size);
+    virtual int sync(int descriptor);
+    virtual int rename(const char* from, const char* to);
+    virtual int truncate(int descriptor, long size);
+    /// The operations of the running system. Thread safe.
+    static FileOperations& system();
+};
+
+/// Owns a file descriptor. Callers serialize.
+class FileDescriptor {
+public:
+    explicit FileDescriptor(int descriptor = -1)
+        : m_descriptor(descriptor)
+    {
+    }
+    ~FileDescriptor() { reset(-1); }
+    FileDescriptor(const FileDescriptor&) = delete;
+    FileDescriptor& operator=(const FileDescriptor&) = delete;
+    int get() const { return m_descriptor; }
+    void reset(int descriptor);
+
+private:
+    int m_descriptor;
+};
+
+/// ControlStorage on a data folder.
+///
+/// Every file is a sequence of records: length (4 bytes), check of the length (4 bytes), xxhash64 of the body (8
+/// bytes), body. The check of the length tells a torn last record, which is cut off, from a damaged length. Any other
+/// mismatch is corruption: all files are moved to a subfolder and the storage starts empty with a new disk identity.
+class FileControlStorage {
+public:
+    /// Opens or creates the folder and holds a lock on it. Throws StorageError if the folder cannot be read or written
+    /// or another process holds it. `operations` must outlive the object.
+    explicit FileControlStorage(std::filesystem::path folder, FileOperations& operations = FileOperations::system());
+
+    /// See ControlStorage. Callers serialize.
+    DiskIdentity disk() const { return m_disk; }
+    StoredControl load() const;
+    void saveVote(const VoteRecord&);
+    void append(std::span<const LogEntry>);
+    void saveSnapshot(const SnapshotHeader&, std::string_view data);
+    std::string readSnapshotData() const;
+
+    /// Why the former content was set aside at start; empty if it was not. Callers serialize.
+    const std::string& setAsideReason() const { return m_setAsideReason; }
+
+private:
+    void lockFolder();
+    void openExisting();
+    void readLog();
+    void readSnapshotHeader();
+    void create();
+    void setAside(const std::string& reason);
+    void openLog();
+    void cutTornRecord(std::uintmax_t validBytes);
+    void replaceFile(const char* name, std::string_view content);
+    void writeAll(int descriptor, std::string_view content, const char* file);
+    void syncDescriptor(int descriptor, const char* file);
+    void syncFolder();
+    [[noreturn]] void fail(const std::string& what);
+    void requireUsable() const;
+
+    std::filesystem::path m_folder;
+    FileOperations& m_operations;
+    FileDescriptor m_lock;
+    FileDescriptor m_log;
+    DiskIdentity m_disk = 0;
+    VoteRecord m_vote;
+    std::optional<SnapshotHeader> m_snapshot;
+    std::vector<LogEntry> m_entries; // as in the log file, for rewriting it at a snapshot
+    std::string m_setAsideReason;
+    bool m_failed = false;
+};
+
+} // namespace citronplank
