Add links between daemons over nng push/pull

Cause: daemons need one-way envelopes that never block the caller and never arrive late. Ruled out: nng's own reconnect, which delivers queued messages after an outage; each re-dial opens a new socket instead. Ruled out: one heartbeat per peer, because one silent lane hides behind traffic of the other; each lane proves itself. Envelopes carry the number of the connection, so that bytes of a replaced connection are dropped at the receiver.

--- /dev/null
+++ b/tests/LinksTests.cpp
@@ -0,0 +1,308 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "transport/EnvelopeCodec.h"
+#include "transport/Links.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/push.h>
+#include <thread>
+
+using namespace citronplank;
+
+namespace {
+
+constexpr seconds patience { 20 };
+
+/// One daemon's links with two worker threads and a record of what they delivered.
+struct Node {
+    explicit Node(const std::string& name, LinkSettings settings = {})
+        : work(asio::make_work_guard(io))
+    {
+        if (settings.listenAddress.empty())
+            settings.listenAddress = "127.0.0.1:0";
+        settings.sender = name;
+        settings.incarnation = 5;
+        links = std::make_unique<Links>(io, settings);
+        links->onReceive([this](Envelope envelope) {
+            while (hold.load())
+                std::this_thread::sleep_for(milliseconds(1));
+            const std::lock_guard lock(mutex);
+            received.push_back(std::move(envelope));
+            changed.notify_all();
+        });
+        links->onLinkState([this](const std::string&, Lane lane, bool up) {
+            const std::lock_guard lock(mutex);
+            states.emplace_back(lane, up);
+            changed.notify_all();
+        });
+        links->start();
+        for (int i = 0; i < 2; ++i)
+            threads.emplace_back([this] { io.run(); });
+    }
+    ~Node()
+    {
+        hold = false;
+        links->stop();
+        work.reset();
+        io.stop();
+        for (auto& it : threads)
+            it.join();
+    }
+    template <typename Condition>
+    bool waitFor(Condition condition)
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, patience, condition);
+    }
+
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<Links> links;
+    std::vector<std::thread> threads;
+    std::atomic<bool> hold { false };
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<Envelope> received;
+    std::vector<std::pair<Lane, bool>> states;
+};
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    const TimePoint end = Clock::now() + patience;
+    while (Clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+}
+
+/// An address that nobody listens on at the moment.
+std::string freeAddress()
+{
+    asio::io_context io;
+    const asio::ip::tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
+    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+/// Forwards bytes between a port of its own and a target; can go silent while connections stay open.
+class SilentRelay {
+public:
+    explicit SilentRelay(const std::string& target)
+        : m_acceptor(m_io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_target(asio::ip::make_address("127.0.0.1"),
+              static_cast<std::uint16_t>(std::stoi(target.substr(target.find(':') + 1))))
+    {
+        accept();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~SilentRelay()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    /// Connections that exist now forward nothing more; new ones work.
+    void silenceExisting() { m_silentBelow = m_connections.load(); }
+
+private:
+    using Socket = asio::ip::tcp::socket;
+    void accept()
+    {
+        m_acceptor.async_accept([this](const std::error_code& ec, Socket caller) {
+            if (ec)
+                return;
+            auto near = std::make_shared<Socket>(std::move(caller));
+            auto far = std::make_shared<Socket>(m_io);
+            std::error_code failed;
+            far->connect(m_target, failed);
+            const int number = ++m_connections;
+            if (!failed) {
+                pump(near, far, number);
+                pump(far, near, number);
+            }
+            accept();
+        });
+    }
+    void pump(const std::shared_ptr<Socket>& from, const std::shared_ptr<Socket>& to, int number)
+    {
+        auto buf = std::make_shared<std::array<char, 4096>>();
+        from->async_read_some(asio::buffer(*buf), [=, this](const std::error_code& ec, std::size_t n) {
+            if (ec) {
+                std::error_code ignored;
+                to->close(ignored);
+                return;
+            }
+            std::error_code failed;
+            if (number > m_silentBelow)
+                asio::write(*to, asio::buffer(buf->data(), n), failed);
+            pump(from, to, number);
+        });
+    }
+    asio::io_context m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::endpoint m_target;
+    std::atomic<int> m_connections { 0 };
+    std::atomic<int> m_silentBelow { 0 };
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against a codec that loses a field, and against bytes of another format that are taken for an envelope.
+TEST_CASE("an envelope survives the wire and damaged bytes do not pass")
+{
+    const WireEnvelope wire { 9, Lane::Part, { "127.0.0.1:7400", "atl-1", 5, 77, 3, std::string("a\0b", 3) } };
+    const std::string bytes = encodeWire(wire);
+    const auto decoded = decodeWire(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->epoch == 9);
+    CHECK(decoded->lane == Lane::Part);
+    CHECK(decoded->envelope.sender == "atl-1");
+    CHECK(decoded->envelope.correlation == 77);
+    CHECK(decoded->envelope.body == std::string("a\0b", 3));
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        CHECK_FALSE(decodeWire(std::string_view(bytes).substr(0, n)));
+    CHECK_FALSE(decodeWire(bytes + "x"));
+    CHECK_FALSE(decodeWire(std::string(64, '\x91')));
+    CHECK_FALSE(decodeWire(encodeWire({ 1, Lane::Part, { "no address", "n", 0, 0, 0, "" } })));
+}
+
+// Guards against lost or reordered envelopes of one lane, and against a first send that is refused while dialling.
+TEST_CASE("envelopes arrive in order, with their sender, from the first one on")
+{
+    Node sender("a");
+    Node receiver("b");
+    for (std::uint64_t i = 0; i < 100; ++i)
+        REQUIRE(sender.links->send(receiver.links->address(), Lane::Part, { .correlation = i, .kind = 4 }));
+    REQUIRE(receiver.waitFor([&] { return receiver.received.size() == 100; }));
+    for (std::uint64_t i = 0; i < 100; ++i)
+        CHECK(receiver.received[i].correlation == i);
+    CHECK(receiver.received[0].from == sender.links->address());
+    CHECK(receiver.received[0].sender == "a");
+    CHECK(receiver.received[0].incarnation == 5);
+}
+
+// Guards against a send that blocks or pretends success when nobody listens, and against a missing "down".
+TEST_CASE("a link to an absent peer goes down and refuses at once, then comes up with the peer")
+{
+    Node sender("a");
+    std::string address;
+    {
+        const Node gone("b");
+        address = gone.links->address();
+    }
+    sender.links->send(address, Lane::Control, { .kind = 1 });
+    REQUIRE(sender.waitFor([&] { return !sender.states.empty(); }));
+    CHECK(sender.states.front() == std::pair(Lane::Control, false));
+    CHECK_FALSE(sender.links->send(address, Lane::Control, { .kind = 1 }));
+    LinkSettings settings;
+    settings.listenAddress = address;
+    Node back("b", settings);
+    REQUIRE(sender.waitFor([&] { return sender.states.back().second; }));
+    // What was queued while the peer was absent is dropped with the old dial, never delivered late.
+    CHECK(sender.links->send(address, Lane::Control, { .kind = 2 }));
+    REQUIRE(back.waitFor([&] { return !back.received.empty(); }));
+    CHECK(back.received.front().kind == 2);
+}
+
+// Guards against a connection that is open but delivers nothing any more while a new one would work.
+TEST_CASE("a silent connection is reported down and dialled again")
+{
+    Node caller("a");
+    LinkSettings settings;
+    settings.listenAddress = freeAddress();
+    SilentRelay relay(settings.listenAddress);
+    settings.advertisedAddress = relay.address();
+    Node peer("b", settings);
+    REQUIRE(caller.links->send(relay.address(), Lane::Part, { .kind = 1 }));
+    REQUIRE(caller.waitFor([&] { return !caller.states.empty() && caller.states.back().second; }));
+    relay.silenceExisting();
+    REQUIRE(caller.waitFor([&] { return caller.states.size() == 3; }));
+    CHECK_FALSE(caller.states[1].second);
+    CHECK(caller.states[2].second);
+    CHECK(caller.links->counters().redials > 0);
+    CHECK(caller.links->send(relay.address(), Lane::Part, { .kind = 2 }));
+    CHECK(peer.waitFor([&] { return peer.received.size() == 2; }));
+}
+
+// Guards against a full queue that blocks the caller or grows without bound behind a receiver that has stopped.
+TEST_CASE("a receiver that handles nothing makes sends fail at once")
+{
+    LinkSettings slow;
+    slow.maximumPendingMessages = 4;
+    Node receiver("b", slow);
+    LinkSettings settings;
+    settings.sendQueueLength = 4;
+    settings.silenceLimit = seconds(60);
+    Node sender("a", settings);
+    receiver.hold = true;
+    const std::string body(std::size_t { 1 } << 20U, 'x');
+    CHECK(eventually([&] { return !sender.links->send(receiver.links->address(), Lane::Part, { .body = body }); }));
+    receiver.hold = false;
+    CHECK(eventually([&] { return sender.links->send(receiver.links->address(), Lane::Part, { .body = body }); }));
+}
+
+// Guards against oversized envelopes, which the peer answers by closing the connection with all that is queued on it.
+TEST_CASE("oversized envelopes and reserved kinds are refused by the sender")
+{
+    LinkSettings settings;
+    settings.maximumMessageBytes = 1000;
+    Node sender("a", settings);
+    const std::string address = "127.0.0.1:9";
+    CHECK_FALSE(sender.links->send(address, Lane::Part, { .kind = 1, .body = std::string(1000, 'x') }));
+    CHECK_FALSE(sender.links->send(address, Lane::Part, { .kind = firstReservedKind }));
+    CHECK_FALSE(sender.links->send("not an address", Lane::Part, { .kind = 1 }));
+    CHECK(sender.links->counters().refused == 3);
+}
+
+// Guards against a stranger on the port that stops the receiver.
+TEST_CASE("malformed messages are counted and dropped")
+{
+    Node receiver("b");
+    nng_socket stranger {};
+    REQUIRE(nng_push0_open(&stranger) == 0);
+    REQUIRE(nng_dial(stranger, ("tcp://" + receiver.links->address()).c_str(), nullptr, 0) == 0);
+    std::string garbage = "garbage";
+    REQUIRE(nng_send(stranger, garbage.data(), garbage.size(), 0) == 0);
+    CHECK(eventually([&] { return receiver.links->counters().malformed == 1; }));
+    Node sender("a");
+    CHECK(sender.links->send(receiver.links->address(), Lane::Part, { .kind = 1 }));
+    CHECK(receiver.waitFor([&] { return receiver.received.size() == 1; }));
+    nng_close(stranger);
+}
+
+// Guards against links that keep each other open by heartbeats alone.
+TEST_CASE("idle lanes are closed on both sides")
+{
+    LinkSettings settings;
+    settings.idleLimit = milliseconds(300);
+    Node sender("a", settings);
+    Node receiver("b", settings);
+    REQUIRE(sender.links->send(receiver.links->address(), Lane::Part, { .kind = 1 }));
+    REQUIRE(sender.waitFor([&] { return !sender.states.empty() && sender.states.back().second; }));
+    CHECK(eventually([&] { return sender.links->counters().openLanes + receiver.links->counters().openLanes == 0; }));
+}
+
+// Guards against envelopes of a replaced connection that the kernel delivers after the network heals.
+TEST_CASE("envelopes of an older connection are dropped")
+{
+    Node receiver("b");
+    nng_socket peer {};
+    REQUIRE(nng_push0_open(&peer) == 0);
+    REQUIRE(nng_dial(peer, ("tcp://" + receiver.links->address()).c_str(), nullptr, 0) == 0);
+    for (const std::uint64_t epoch : { 2, 1, 3 }) {
+        std::string bytes = encodeWire({ epoch, Lane::Part, { "127.0.0.1:9", "p", 1, epoch, 1, "" } });
+        REQUIRE(nng_send(peer, bytes.data(), bytes.size(), 0) == 0);
+    }
+    REQUIRE(receiver.waitFor([&] { return receiver.received.size() == 2; }));
+    CHECK(receiver.received[0].correlation == 2);
+    CHECK(receiver.received[1].correlation == 3);
+    CHECK(receiver.links->counters().outdated == 1);
+    nng_close(peer);
+}
--- /dev/null
+++ b/transport/EnvelopeCodec.cpp
@@ -0,0 +1,94 @@
+#include "transport/EnvelopeCodec.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <msgpack.hpp>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::uint32_t fieldCount = 8;
+constexpr std::size_t maximumNameBytes = 256;
+
+std::string bytesOf(const msgpack::object& field)
+{
+    if (field.type != msgpack::type::BIN)
+        throw msgpack::type_error();
+    return { field.via.bin.ptr, field.via.bin.size };
+}
+
+WireEnvelope wireOf(const msgpack::object& object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != fieldCount)
+        throw msgpack::type_error();
+    const msgpack::object* fields = object.via.array.ptr;
+    WireEnvelope wire;
+    wire.epoch = fields[0].as<std::uint64_t>();
+    const auto lane = fields[1].as<std::uint8_t>();
+    if (lane > static_cast<std::uint8_t>(Lane::Part))
+        throw msgpack::type_error();
+    wire.lane = static_cast<Lane>(lane);
+    wire.envelope.from = fields[2].as<std::string>();
+    wire.envelope.sender = fields[3].as<std::string>();
+    wire.envelope.incarnation = fields[4].as<std::uint64_t>();
+    wire.envelope.correlation = fields[5].as<std::uint64_t>();
+    wire.envelope.kind = fields[6].as<std::uint16_t>();
+    wire.envelope.body = bytesOf(fields[7]);
+    return wire;
+}
+
+} // namespace
+
+std::string encodeWire(const WireEnvelope& wire)
+{
+    msgpack::sbuffer buf;
+    msgpack::packer<msgpack::sbuffer> packer(buf);
+    const Envelope& envelope = wire.envelope;
+    packer.pack_array(fieldCount);
+    packer.pack(wire.epoch);
+    packer.pack(static_cast<std::uint8_t>(wire.lane));
+    packer.pack(envelope.from);
+    packer.pack(envelope.sender);
+    packer.pack(envelope.incarnation);
+    packer.pack(envelope.correlation);
+    packer.pack(envelope.kind);
+    packer.pack_bin(static_cast<std::uint32_t>(envelope.body.size()));
+    packer.pack_bin_body(envelope.body.data(), static_cast<std::uint32_t>(envelope.body.size()));
+    return { buf.data(), buf.size() };
+}
+
+std::optional<WireEnvelope> decodeWire(std::string_view bytes)
+{
+    try {
+        std::size_t offset = 0;
+        // A depth of 2 is all that an envelope needs; the limits keep hostile bytes from allocating more.
+        const msgpack::unpack_limit limit(fieldCount, 0, maximumNameBytes, bytes.size(), 0, 2);
+        const msgpack::object_handle handle
+            = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
+        if (offset != bytes.size())
+            return std::nullopt;
+        WireEnvelope wire = wireOf(handle.get());
+        if (!isAddress(wire.envelope.from))
+            return std::nullopt;
+        return wire;
+    } catch (const std::exception&) { // msgpack's errors have no common base below std::exception
+        return std::nullopt;
+    }
+}
+
+bool isAddress(std::string_view text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos)
+        return false;
+    const std::string host(text.substr(0, colon));
+    const std::string_view digits = text.substr(colon + 1);
+    in_addr parsed {};
+    unsigned port = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return inet_pton(AF_INET, host.c_str(), &parsed) == 1 && ec == std::errc() && end == digits.data() + digits.size()
+        && port > 0 && port <= 65535;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/transport/Links.cpp
@@ -0,0 +1,610 @@
+#include "transport/Links.h"
+
+#include "transport/EnvelopeCodec.h"
+
+#include <array>
+#include <asio.hpp>
+#include <atomic>
+#include <mutex>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+#include <unordered_map>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::uint16_t heartbeatKind = firstReservedKind;
+constexpr std::uint16_t heartbeatAnswerKind = firstReservedKind + 1;
+constexpr std::size_t maximumPeers = 8192; // bounds the tables that addresses in received envelopes can grow
+constexpr nng_duration dialRetryMilliseconds = 100;
+constexpr std::size_t laneCount = 2;
+
+/// One connection to one peer. The fields other than `socket`, `id` and `epoch` are guarded by the mutex of Impl.
+struct Dialer {
+    enum class State : std::uint8_t {
+        Opening, // first dial: sends are queued until the silence limit
+        Up,
+        Down, // sends are refused until a heartbeat is answered
+    };
+    nng_socket socket {};
+    std::uint64_t id = 0; // identifies this connection in nng's callbacks
+    std::uint64_t epoch = 0;
+    State state = State::Opening;
+    bool hasPipe = false;
+    bool lostPipe = false;
+    TimePoint openedAt;
+    TimePoint lastAnswer;
+    TimePoint lastUse;     // last send by the daemon
+    TimePoint lastPeerUse; // last heartbeat by which the peer asked for proof of this lane
+};
+
+struct InboundLane {
+    std::uint64_t incarnation = 0;
+    std::uint64_t epoch = 0;
+};
+
+struct InboundPeer {
+    asio::strand<asio::io_context::executor_type> strand;
+    std::array<InboundLane, laneCount> lanes;
+};
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using DialerKey = std::pair<std::string, Lane>;
+
+struct DialerKeyHash {
+    std::size_t operator()(const DialerKey& key) const
+    {
+        return std::hash<std::string> {}(key.first) * 2 + static_cast<std::size_t>(key.second);
+    }
+};
+
+} // namespace
+
+class Links::Impl : public std::enable_shared_from_this<Links::Impl> {
+public:
+    Impl(asio::io_context& io, LinkSettings settings)
+        : m_io(io)
+        , m_settings(std::move(settings))
+        , m_timer(io)
+        , m_stateStrand(asio::make_strand(io))
+    {
+    }
+
+    void bind();
+    void start();
+    void stop();
+    bool send(const std::string& address, Lane, Envelope&&);
+    LinkCounters counters();
+
+    void setHandler(Handler handler) { m_handler = std::move(handler); }
+    void setStateHandler(StateHandler handler) { m_stateHandler = std::move(handler); }
+    const std::string& address() const { return m_address; }
+
+private:
+    static void receiveCallback(void* self) { static_cast<Impl*>(self)->received(); }
+    static void pipeCallback(nng_pipe, nng_pipe_ev event, void* id);
+
+    void received();
+    void receiveNext();
+    void handleMessage(std::string_view bytes);
+    void deliver(Envelope&&, const Strand&);
+    std::optional<Strand> admitInbound(const WireEnvelope&);
+    void answerHeartbeat(const WireEnvelope&);
+    void acceptHeartbeatAnswer(const WireEnvelope&);
+    void pipeChanged(std::uint64_t id, nng_pipe_ev event);
+
+    std::shared_ptr<Dialer> openDialer(std::uint64_t epoch);
+    std::shared_ptr<Dialer> findOrOpen(const DialerKey&);
+    void closeDialer(Dialer&);
+    void redial(const DialerKey&, const std::shared_ptr<Dialer>& old);
+    bool push(const DialerKey&, const Dialer&, Envelope&&);
+    void sendHeartbeat(const DialerKey&, const Dialer&, bool inUse);
+    void reportState(const DialerKey&, bool up);
+    void scheduleTick();
+    void tick();
+    void tickDialer(const DialerKey&, const std::shared_ptr<Dialer>&, TimePoint now);
+
+    asio::io_context& m_io;
+    LinkSettings m_settings;
+    Handler m_handler;
+    StateHandler m_stateHandler;
+    std::string m_address;
+    asio::steady_timer m_timer;
+    Strand m_stateStrand;
+    nng_socket m_pull {};
+    nng_aio* m_receiveAio = nullptr;
+    std::atomic<bool> m_stopped { false };
+
+    std::mutex m_mutex; // guards the members below; never held across a call into nng or a callback
+    std::unordered_map<DialerKey, std::shared_ptr<Dialer>, DialerKeyHash> m_dialers;
+    std::unordered_map<std::uint64_t, DialerKey> m_keyOfId;
+    std::unordered_map<std::string, InboundPeer> m_inbound;
+    std::uint64_t m_lastEpoch = 0;
+    std::size_t m_pending = 0;
+    bool m_receivePaused = false;
+    LinkCounters m_counters;
+};
+
+namespace {
+
+/// Finds the object of a pipe callback by number. nng may run such a callback while the socket is being closed, so
+/// the callback's argument cannot be a pointer.
+class PipeRegistry {
+public:
+    std::uint64_t add(std::weak_ptr<void> owner)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_owners.emplace(++m_lastId, std::move(owner));
+        return m_lastId;
+    }
+    void remove(std::uint64_t id)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_owners.erase(id);
+    }
+    std::shared_ptr<void> find(std::uint64_t id)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_owners.find(id);
+        return it == m_owners.end() ? nullptr : it->second.lock();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::uint64_t m_lastId = 0;
+    std::unordered_map<std::uint64_t, std::weak_ptr<void>> m_owners;
+};
+
+PipeRegistry& pipeRegistry()
+{
+    // Never destroyed: nng's threads outlive the static objects of the program.
+    static auto* registry = new PipeRegistry;
+    return *registry;
+}
+
+void requireNng(int result, const std::string& what)
+{
+    if (result != 0)
+        throw Error(ErrorKind::Internal, what + ": " + nng_strerror(result));
+}
+
+} // namespace
+
+void Links::Impl::bind()
+{
+    requireNng(nng_pull0_open(&m_pull), "cannot open the link listener");
+    nng_listener listener {};
+    const std::string url = "tcp://" + m_settings.listenAddress;
+    requireNng(nng_listener_create(&listener, m_pull, url.c_str()), "bad link address " + m_settings.listenAddress);
+    nng_listener_set_size(listener, NNG_OPT_RECVMAXSZ, m_settings.maximumMessageBytes);
+    requireNng(nng_listener_start(listener, 0), "cannot listen on " + m_settings.listenAddress);
+    int port = 0;
+    requireNng(nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port), "cannot read the bound link port");
+    const std::string host = m_settings.listenAddress.substr(0, m_settings.listenAddress.find(':'));
+    m_address = m_settings.advertisedAddress.empty() ? host + ":" + std::to_string(port) : m_settings.advertisedAddress;
+    requireNng(nng_aio_alloc(&m_receiveAio, &Impl::receiveCallback, this), "cannot prepare to receive");
+}
+
+void Links::Impl::start()
+{
+    nng_recv_aio(m_pull, m_receiveAio);
+    scheduleTick();
+}
+
+void Links::Impl::stop()
+{
+    if (m_stopped.exchange(true))
+        return;
+    std::unordered_map<DialerKey, std::shared_ptr<Dialer>, DialerKeyHash> dialers;
+    {
+        const std::lock_guard lock(m_mutex);
+        dialers.swap(m_dialers);
+        m_keyOfId.clear();
+    }
+    asio::post(m_io, [self = shared_from_this()] { self->m_timer.cancel(); });
+    if (m_receiveAio)
+        nng_aio_stop(m_receiveAio);
+    for (auto& [key, dialer] : dialers)
+        closeDialer(*dialer);
+    nng_close(m_pull);
+    if (m_receiveAio)
+        nng_aio_free(m_receiveAio);
+    m_receiveAio = nullptr;
+}
+
+bool Links::Impl::send(const std::string& address, Lane lane, Envelope&& envelope)
+{
+    bool accepted = false;
+    if (!m_stopped && envelope.kind < firstReservedKind && isAddress(address)) {
+        const DialerKey key(address, lane);
+        const std::shared_ptr<Dialer> dialer = findOrOpen(key);
+        bool usable = false;
+        if (dialer) {
+            const std::lock_guard lock(m_mutex);
+            dialer->lastUse = Clock::now();
+            usable = dialer->state != Dialer::State::Down;
+        }
+        accepted = usable && push(key, *dialer, std::move(envelope));
+    }
+    const std::lock_guard lock(m_mutex);
+    ++(accepted ? m_counters.sent : m_counters.refused);
+    return accepted;
+}
+
+LinkCounters Links::Impl::counters()
+{
+    const std::lock_guard lock(m_mutex);
+    LinkCounters counters = m_counters;
+    counters.openLanes = m_dialers.size();
+    return counters;
+}
+
+// ---- receiving
+
+void Links::Impl::received()
+{
+    if (nng_aio_result(m_receiveAio) != 0) {
+        if (!m_stopped && nng_aio_result(m_receiveAio) != NNG_ECLOSED && nng_aio_result(m_receiveAio) != NNG_ECANCELED)
+            nng_recv_aio(m_pull, m_receiveAio);
+        return;
+    }
+    nng_msg* message = nng_aio_get_msg(m_receiveAio);
+    handleMessage({ static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message) });
+    nng_msg_free(message);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_pending >= m_settings.maximumPendingMessages) {
+            m_receivePaused = true; // `deliver` resumes
+            return;
+        }
+    }
+    receiveNext();
+}
+
+void Links::Impl::receiveNext()
+{
+    if (!m_stopped)
+        nng_recv_aio(m_pull, m_receiveAio);
+}
+
+void Links::Impl::handleMessage(std::string_view bytes)
+{
+    std::optional<WireEnvelope> wire = decodeWire(bytes);
+    if (!wire) {
+        const std::lock_guard lock(m_mutex);
+        ++m_counters.malformed;
+        return;
+    }
+    auto strand = admitInbound(*wire);
+    if (!strand)
+        return;
+    if (wire->envelope.kind == heartbeatKind)
+        answerHeartbeat(*wire);
+    else if (wire->envelope.kind == heartbeatAnswerKind)
+        acceptHeartbeatAnswer(*wire);
+    else if (wire->envelope.kind < firstReservedKind)
+        deliver(std::move(wire->envelope), *strand);
+}
+
+/// Drops what was sent on a connection that the sender has replaced since: after a network partition heals, the kernel
+/// still delivers old bytes of the old connection.
+std::optional<Strand> Links::Impl::admitInbound(const WireEnvelope& wire)
+{
+    const std::lock_guard lock(m_mutex);
+    auto it = m_inbound.find(wire.envelope.from);
+    if (it == m_inbound.end()) {
+        if (m_inbound.size() >= maximumPeers)
+            m_inbound.clear();
+        it = m_inbound.emplace(wire.envelope.from, InboundPeer { asio::make_strand(m_io), {} }).first;
+    }
+    InboundLane& lane = it->second.lanes.at(static_cast<std::size_t>(wire.lane));
+    if (lane.incarnation == wire.envelope.incarnation && wire.epoch < lane.epoch) {
+        ++m_counters.outdated;
+        return std::nullopt;
+    }
+    lane = { wire.envelope.incarnation, wire.epoch };
+    return it->second.strand;
+}
+
+void Links::Impl::deliver(Envelope&& envelope, const Strand& strand)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_pending;
+        ++m_counters.received;
+    }
+    asio::post(strand, [self = shared_from_this(), envelope = std::move(envelope)]() mutable {
+        if (self->m_stopped)
+            return;
+        if (self->m_handler)
+            self->m_handler(std::move(envelope));
+        bool resume = false;
+        {
+            const std::lock_guard lock(self->m_mutex);
+            --self->m_pending;
+            resume = self->m_receivePaused && self->m_pending <= self->m_settings.maximumPendingMessages / 2;
+            if (resume)
+                self->m_receivePaused = false;
+        }
+        if (resume)
+            self->receiveNext();
+    });
+}
+
+// ---- heartbeats
+
+/// The answer goes back on this daemon's lane of the same kind, so it proves both directions of that lane.
+void Links::Impl::answerHeartbeat(const WireEnvelope& wire)
+{
+    const DialerKey key(wire.envelope.from, wire.lane);
+    const std::shared_ptr<Dialer> dialer = findOrOpen(key);
+    if (!dialer)
+        return;
+    if (wire.envelope.body == "1") {
+        const std::lock_guard lock(m_mutex);
+        dialer->lastPeerUse = Clock::now();
+    }
+    push(key, *dialer, { .correlation = wire.epoch, .kind = heartbeatAnswerKind });
+}
+
+void Links::Impl::acceptHeartbeatAnswer(const WireEnvelope& wire)
+{
+    const DialerKey key(wire.envelope.from, wire.lane);
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_dialers.find(key);
+        if (it == m_dialers.end() || it->second->epoch != wire.envelope.correlation || it->second->lostPipe)
+            return;
+        it->second->lastAnswer = Clock::now();
+        if (it->second->state == Dialer::State::Up)
+            return;
+        it->second->state = Dialer::State::Up;
+    }
+    reportState(key, true);
+}
+
+void Links::Impl::sendHeartbeat(const DialerKey& key, const Dialer& dialer, bool inUse)
+{
+    push(key, dialer, { .kind = heartbeatKind, .body = inUse ? "1" : "0" });
+}
+
+void Links::Impl::reportState(const DialerKey& key, bool up)
+{
+    asio::post(m_stateStrand, [self = shared_from_this(), key, up] {
+        if (!self->m_stopped && self->m_stateHandler)
+            self->m_stateHandler(key.first, key.second, up);
+    });
+}
+
+void Links::Impl::scheduleTick()
+{
+    m_timer.expires_after(m_settings.heartbeatInterval);
+    m_timer.async_wait([self = shared_from_this()](const std::error_code& ec) {
+        if (ec || self->m_stopped)
+            return;
+        self->tick();
+        self->scheduleTick();
+    });
+}
+
+void Links::Impl::tick()
+{
+    std::vector<std::pair<DialerKey, std::shared_ptr<Dialer>>> dialers;
+    {
+        const std::lock_guard lock(m_mutex);
+        dialers.assign(m_dialers.begin(), m_dialers.end());
+    }
+    const TimePoint now = Clock::now();
+    for (const auto& [key, dialer] : dialers)
+        tickDialer(key, dialer, now);
+}
+
+void Links::Impl::tickDialer(const DialerKey& key, const std::shared_ptr<Dialer>& dialer, TimePoint now)
+{
+    enum class Action : std::uint8_t { Heartbeat, Redial, Close } action = Action::Heartbeat;
+    bool inUse = false;
+    bool wentDown = false;
+    bool hasPipe = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        hasPipe = dialer->hasPipe;
+        inUse = now - dialer->lastUse < m_settings.idleLimit;
+        const bool silent = now - std::max(dialer->openedAt, dialer->lastAnswer) > m_settings.silenceLimit;
+        if (!inUse && now - dialer->lastPeerUse > m_settings.silenceLimit) {
+            action = Action::Close;
+            m_dialers.erase(key);
+            m_keyOfId.erase(dialer->id);
+        } else if (silent || dialer->lostPipe) {
+            action = Action::Redial;
+            wentDown = dialer->state != Dialer::State::Down;
+            dialer->state = Dialer::State::Down;
+        }
+    }
+    if (wentDown)
+        reportState(key, false);
+    if (action == Action::Close)
+        closeDialer(*dialer);
+    else if (action == Action::Redial)
+        redial(key, dialer);
+    else if (hasPipe)
+        sendHeartbeat(key, *dialer, inUse);
+}
+
+// ---- dialling
+
+void Links::Impl::pipeCallback(nng_pipe, nng_pipe_ev event, void* argument)
+{
+    const auto id = reinterpret_cast<std::uintptr_t>(argument);
+    if (const auto owner = std::static_pointer_cast<Impl>(pipeRegistry().find(id)))
+        owner->pipeChanged(id, event);
+}
+
+void Links::Impl::pipeChanged(std::uint64_t id, nng_pipe_ev event)
+{
+    DialerKey key;
+    std::shared_ptr<Dialer> dialer;
+    bool wentDown = false;
+    bool inUse = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_keyOfId.find(id);
+        if (it == m_keyOfId.end())
+            return;
+        key = it->second;
+        const auto found = m_dialers.find(key);
+        if (found == m_dialers.end() || found->second->id != id)
+            return;
+        dialer = found->second;
+        dialer->hasPipe = event == NNG_PIPE_EV_ADD_POST;
+        inUse = Clock::now() - dialer->lastUse < m_settings.idleLimit;
+        if (!dialer->hasPipe) {
+            // nng would reconnect by itself and deliver queued messages late; the next tick replaces the socket.
+            dialer->lostPipe = true;
+            wentDown = dialer->state != Dialer::State::Down;
+            dialer->state = Dialer::State::Down;
+        }
+    }
+    if (wentDown)
+        reportState(key, false);
+    if (event == NNG_PIPE_EV_ADD_POST)
+        sendHeartbeat(key, *dialer, inUse);
+}
+
+/// Opens a socket without dialling. Returns null when nng has no more resources.
+std::shared_ptr<Dialer> Links::Impl::openDialer(std::uint64_t epoch)
+{
+    auto dialer = std::make_shared<Dialer>();
+    if (nng_push0_open(&dialer->socket) != 0)
+        return nullptr;
+    dialer->id = pipeRegistry().add(std::weak_ptr<void>(std::static_pointer_cast<void>(shared_from_this())));
+    dialer->epoch = epoch;
+    dialer->openedAt = Clock::now();
+    nng_socket_set_int(dialer->socket, NNG_OPT_SENDBUF, m_settings.sendQueueLength);
+    nng_socket_set_ms(dialer->socket, NNG_OPT_RECONNMINT, dialRetryMilliseconds);
+    nng_socket_set_ms(dialer->socket, NNG_OPT_RECONNMAXT, dialRetryMilliseconds);
+    // NOLINTNEXTLINE(performance-no-int-to-ptr): nng passes one pointer-sized argument, here a number.
+    void* argument = reinterpret_cast<void*>(static_cast<std::uintptr_t>(dialer->id));
+    nng_pipe_notify(dialer->socket, NNG_PIPE_EV_ADD_POST, &Impl::pipeCallback, argument);
+    nng_pipe_notify(dialer->socket, NNG_PIPE_EV_REM_POST, &Impl::pipeCallback, argument);
+    return dialer;
+}
+
+std::shared_ptr<Dialer> Links::Impl::findOrOpen(const DialerKey& key)
+{
+    std::uint64_t epoch = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_dialers.find(key);
+        if (it != m_dialers.end())
+            return it->second;
+        if (m_stopped || m_dialers.size() >= maximumPeers)
+            return nullptr;
+        epoch = ++m_lastEpoch;
+    }
+    std::shared_ptr<Dialer> dialer = openDialer(epoch);
+    if (!dialer)
+        return nullptr;
+    std::shared_ptr<Dialer> winner;
+    {
+        const std::lock_guard lock(m_mutex);
+        winner = m_stopped ? nullptr : m_dialers.try_emplace(key, dialer).first->second;
+        if (winner == dialer)
+            m_keyOfId.emplace(dialer->id, key);
+    }
+    if (winner != dialer)
+        closeDialer(*dialer); // another thread was faster, or the links are stopping
+    else
+        nng_dial(dialer->socket, ("tcp://" + key.first).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    return winner;
+}
+
+/// Drops queued messages with the socket.
+void Links::Impl::closeDialer(Dialer& dialer)
+{
+    pipeRegistry().remove(dialer.id);
+    nng_close(dialer.socket);
+}
+
+void Links::Impl::redial(const DialerKey& key, const std::shared_ptr<Dialer>& old)
+{
+    std::uint64_t epoch = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        epoch = ++m_lastEpoch;
+    }
+    std::shared_ptr<Dialer> fresh = openDialer(epoch);
+    bool replaced = false;
+    if (fresh) {
+        const std::lock_guard lock(m_mutex);
+        fresh->state = Dialer::State::Down;
+        fresh->lastUse = old->lastUse;
+        fresh->lastPeerUse = old->lastPeerUse;
+        const auto it = m_dialers.find(key);
+        if (it != m_dialers.end() && it->second == old) {
+            it->second = fresh;
+            m_keyOfId.erase(old->id);
+            m_keyOfId.emplace(fresh->id, key);
+            ++m_counters.redials;
+            replaced = true;
+        }
+    }
+    if (replaced) {
+        closeDialer(*old);
+        nng_dial(fresh->socket, ("tcp://" + key.first).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    } else if (fresh) {
+        closeDialer(*fresh);
+    }
+}
+
+bool Links::Impl::push(const DialerKey& key, const Dialer& dialer, Envelope&& envelope)
+{
+    envelope.from = m_address;
+    envelope.sender = m_settings.sender;
+    envelope.incarnation = m_settings.incarnation;
+    const std::string bytes = encodeWire({ dialer.epoch, key.second, std::move(envelope) });
+    nng_msg* message = nullptr;
+    if (bytes.size() > m_settings.maximumMessageBytes || nng_msg_alloc(&message, 0) != 0)
+        return false;
+    if (nng_msg_append(message, bytes.data(), bytes.size()) != 0
+        || nng_sendmsg(dialer.socket, message, NNG_FLAG_NONBLOCK) != 0) {
+        nng_msg_free(message);
+        return false;
+    }
+    return true;
+}
+
+// ---- Links
+
+Links::Links(asio::io_context& io, LinkSettings settings)
+    : m_impl(std::make_shared<Impl>(io, std::move(settings)))
+{
+    try {
+        m_impl->bind();
+    } catch (...) {
+        m_impl->stop();
+        throw;
+    }
+}
+
+Links::~Links() { m_impl->stop(); }
+
+void Links::onReceive(Handler handler) { m_impl->setHandler(std::move(handler)); }
+
+void Links::onLinkState(StateHandler handler) { m_impl->setStateHandler(std::move(handler)); }
+
+void Links::start() { m_impl->start(); }
+
+void Links::stop() { m_impl->stop(); }
+
+std::string Links::address() const { return m_impl->address(); }
+
+bool Links::send(const std::string& address, Lane lane, Envelope envelope)
+{
+    return m_impl->send(address, lane, std::move(envelope));
+}
+
+LinkCounters Links::counters() const { return m_impl->counters(); }
+
+} // namespace citronplank
