Add the stand-in leaf

Tests need back ends that start cold, fall over, shed, drain, straggle, crash on a marked body, go silent and change their shard layout while queries run.

Decisions: a warm leaf sheds what exceeds its slots; a cold one that gets more than its capacity falls over. A part that finds no free slot waits 5 ms first, because a cancellation on another connection may arrive just after it. The protocol names no place for the operation: the header Operation, the query parameter and the body field are accepted.

--- /dev/null
+++ b/standins/HttpParser.h
@@ -0,0 +1,139 @@
+// HTTP/1.1 messages of the stand-ins, on top of http_parser. Used from one thread.
+#pragma once
+
+#include <cctype>
+#include <cstdint>
+#include <http_parser.h>
+#include <map>
+#include <string>
+
+namespace standins {
+
+struct HttpMessage {
+    std::string method;                         // requests only
+    std::string target;                         // requests only
+    int status = 0;                             // answers only
+    std::map<std::string, std::string> headers; // names in lower case
+    std::string body;
+    bool keepsAlive = false;
+
+    /// The value of a header (name in lower case), or an empty string.
+    std::string header(const std::string& name) const
+    {
+        const auto it = headers.find(name);
+        return it == headers.end() ? std::string() : it->second;
+    }
+    /// A header as a number, or `fallback` if it is absent or no number.
+    std::uint64_t number(const std::string& name, std::uint64_t fallback = 0) const
+    {
+        const auto text = header(name);
+        char* end = nullptr;
+        const auto value = std::strtoull(text.c_str(), &end, 10);
+        return text.empty() || *end ? fallback : value;
+    }
+};
+
+/// Parses messages out of a byte stream, one at a time.
+class HttpParser {
+public:
+    explicit HttpParser(http_parser_type type)
+        : m_type(type)
+    {
+        m_settings.on_url = [](http_parser* parser, const char* data, std::size_t size) {
+            self(parser).m_message.target.append(data, size);
+            return 0;
+        };
+        m_settings.on_header_field = [](http_parser* parser, const char* data, std::size_t size) {
+            auto& it = self(parser);
+            it.finishHeader(false);
+            for (std::size_t i = 0; i < size; ++i)
+                it.m_name += static_cast<char>(std::tolower(static_cast<unsigned char>(data[i])));
+            return 0;
+        };
+        m_settings.on_header_value = [](http_parser* parser, const char* data, std::size_t size) {
+            self(parser).m_value.append(data, size);
+            self(parser).m_hasValue = true;
+            return 0;
+        };
+        m_settings.on_headers_complete = [](http_parser* parser) {
+            self(parser).finishHeader(true);
+            return 0;
+        };
+        m_settings.on_body = [](http_parser* parser, const char* data, std::size_t size) {
+            self(parser).m_message.body.append(data, size);
+            return 0;
+        };
+        m_settings.on_message_complete = [](http_parser* parser) {
+            self(parser).m_isComplete = true;
+            // Pausing keeps the bytes of the next message out of this one.
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        restart();
+    }
+    HttpParser(const HttpParser&) = delete;
+    HttpParser& operator=(const HttpParser&) = delete;
+
+    /// Consumes bytes from the front of `input` until a message is complete or the input is used up.
+    void feed(std::string& input)
+    {
+        if (m_isComplete || m_hasFailed || input.empty())
+            return;
+        const auto used = http_parser_execute(&m_parser, &m_settings, input.data(), input.size());
+        const auto error = HTTP_PARSER_ERRNO(&m_parser);
+        m_hasFailed = error != HPE_OK && error != HPE_PAUSED;
+        input.erase(0, used);
+    }
+
+    bool isComplete() const { return m_isComplete; }
+    bool hasFailed() const { return m_hasFailed; }
+
+    /// The complete message; the parser is then ready for the next. Precondition: `isComplete()`.
+    HttpMessage take()
+    {
+        m_message.keepsAlive = http_should_keep_alive(&m_parser) != 0;
+        if (m_type == HTTP_REQUEST)
+            m_message.method = http_method_str(static_cast<http_method>(m_parser.method));
+        else
+            m_message.status = static_cast<int>(m_parser.status_code);
+        auto message = std::move(m_message);
+        restart();
+        return message;
+    }
+
+    void restart()
+    {
+        http_parser_init(&m_parser, m_type);
+        m_parser.data = this;
+        m_message = {};
+        m_name.clear();
+        m_value.clear();
+        m_hasValue = m_isComplete = m_hasFailed = false;
+    }
+
+private:
+    static HttpParser& self(http_parser* parser) { return *static_cast<HttpParser*>(parser->data); }
+
+    void finishHeader(bool isLast)
+    {
+        if (!m_hasValue && !isLast)
+            return;
+        if (!m_name.empty())
+            m_message.headers[m_name] = m_value;
+        m_name.clear();
+        m_value.clear();
+        m_hasValue = false;
+    }
+
+    http_parser_type m_type;
+    http_parser m_parser {};
+    http_parser_settings m_settings {};
+    HttpMessage m_message;
+    std::string m_name;
+    std::string m_value;
+    bool m_hasValue = false;
+    bool m_isComplete = false;
+    bool m_hasFailed = false;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/leaf/Announcer.h
@@ -0,0 +1,29 @@
+// Sends the announcements of one leaf. Used from one thread.
+#pragma once
+
+#include "standins/HttpClient.h"
+#include "standins/leaf/Leaf.h"
+
+namespace standins {
+
+/// Announces a leaf every 500 ms to one of `addresses`; on a failure it tries the next one at once, and each at most
+/// once for one announcement.
+class Announcer {
+public:
+    Announcer(asio::io_context& io, Leaf& leaf, std::vector<tcp::endpoint> addresses, std::size_t firstAddress);
+    void start(std::chrono::milliseconds delay);
+    std::uint64_t failures() const { return m_failures; } // announcements that no address took
+
+private:
+    void announce();
+    void send(const std::shared_ptr<const std::string>& body, std::size_t triesLeft);
+
+    asio::io_context& m_io;
+    Leaf& m_leaf;
+    std::vector<tcp::endpoint> m_addresses;
+    std::size_t m_current;
+    asio::steady_timer m_timer;
+    std::uint64_t m_failures = 0;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/leaf/LeafControl.h
@@ -0,0 +1,30 @@
+// Control endpoint of the stand-in leaves: switches behaviour at run time.
+#pragma once
+
+#include "standins/leaf/Leaf.h"
+
+#include <memory>
+
+namespace standins {
+
+/// GET /leaves lists all leaves. POST /control applies one JSON command to the leaves that match all of its filters
+/// `leaf`, `service` and `zone`, and answers {"matched":N}:
+///   {"do":"crash"|"fall_over"|"cold"|"drain"|"stop"|"boot"|"silence", "exit_ms":5000 (drain)}
+///   {"set":{"straggle_rate":0.01, "straggle_ms":200, "shed_rate":0, "fail_rate":0, "announces":true,
+///           "health_is_true":false, "restart_ms":1000, "hang_ms":500, "cold_shed_ms":1000,
+///           "crash_marker":"crash-back-end", "time":"fixed:8"}}
+///   {"repartition":{"version":2, "shards":25, "keep_ms":5000, "stagger_ms":20}}
+class LeafControl {
+public:
+    LeafControl(asio::io_context& io, const std::string& address, std::vector<std::unique_ptr<Leaf>>& leaves);
+
+private:
+    void handle(const HttpMessage& request, const std::shared_ptr<HttpSession>& session);
+    std::size_t apply(const std::string& body);
+
+    asio::io_context& m_io;
+    std::vector<std::unique_ptr<Leaf>>& m_leaves;
+    HttpServer m_server;
+};
+
+} // namespace standins
