Add the control shell, the control client and the configuration table

Cause: the control log is a core without threads or sockets. Ruled out: running it on the workers' pool; its syncs would hold a worker. Before: no process could run the log. After: one thread owns the replica; any daemon can submit a command once and learns whether it was applied, was certainly not applied, or is unknown. RuleChange is shared by rules/ and coordination/, so it stands in the public header once. Conclusion: builds; exercised when the daemon is wired.

--- a/coordination/ControlMessages.h
+++ b/coordination/ControlMessages.h
@@ -33,12 +33,6 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Commands. Each can be submitted again after a lost answer without being applied twice.
 
-struct RuleChange {
-    std::string key;
-    std::optional<RuleLine> line; // absent: the line is removed
-    bool operator==(const RuleChange&) const = default;
-};
-
 struct EditRules {
     std::string submissionId; // a resend with the same identity gets the first answer
     std::string author;
--- /dev/null
+++ b/daemon/ConfigurationTable.cpp
@@ -0,0 +1,136 @@
+#include "daemon/ConfigurationTable.h"
+
+#include "rules/RulesFile.h"
+
+#include <msgpack.hpp>
+
+namespace citronplank {
+
+namespace {
+
+std::shared_ptr<const Configuration> makeConfiguration(PublishedState published, const Configuration& before)
+{
+    auto made = std::make_shared<Configuration>();
+    for (const auto& it : published.lines)
+        made->lines.push_back(it.line);
+    for (const auto& it : published.views)
+        made->views.emplace(it.zone, it);
+    made->rules = before.rules;
+    try {
+        made->rules = toRules(made->lines, published.rulesVersion);
+    } catch (const Error& error) {
+        made->rulesError = error.what();
+    }
+    made->published = std::move(published);
+    return made;
+}
+
+} // namespace
+
+std::string encodeFreshness(const FreshnessNotice& notice)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, std::make_tuple(notice.cluster, notice.publishedVersion, notice.timestampMs, notice.leader));
+    return { buf.data(), buf.size() };
+}
+
+FreshnessNotice decodeFreshness(std::string_view bytes)
+{
+    try {
+        auto fields = msgpack::unpack(bytes.data(), bytes.size())
+                          .get()
+                          .as<std::tuple<ClusterId, std::uint64_t, std::uint64_t, std::string>>();
+        return { std::get<0>(fields), std::get<1>(fields), std::get<2>(fields), std::get<3>(fields) };
+    } catch (const std::exception&) {
+        throw Error(ErrorKind::BadRequest, "malformed freshness notice");
+    }
+}
+
+ConfigurationTable::ConfigurationTable()
+    : m_state(LockRank::Configuration)
+{
+}
+
+std::shared_ptr<const Configuration> ConfigurationTable::current() const
+{
+    return m_state.with([](State& state) { return state.current; });
+}
+
+bool ConfigurationTable::apply(const PublishedDifference& difference)
+{
+    return m_state.with([&](State& state) {
+        auto published = state.current->published;
+        if (!applyDifference(published, difference))
+            return false;
+        state.current = makeConfiguration(std::move(published), *state.current);
+        state.history[state.current->published.rulesVersion] = state.current->lines;
+        while (state.history.size() > ruleVersionsKept)
+            state.history.erase(state.history.begin());
+        return true;
+    });
+}
+
+PublishedDifference ConfigurationTable::differenceFor(std::uint64_t version) const
+{
+    auto configuration = current();
+    const auto& published = configuration->published;
+    PublishedDifference difference;
+    difference.cluster = published.cluster;
+    difference.fromVersion = version;
+    difference.version = published.version;
+    difference.rulesVersion = published.rulesVersion;
+    difference.full = true;
+    difference.lines = published.lines;
+    difference.views = published.views;
+    difference.blocked = published.blocked;
+    return difference;
+}
+
+std::optional<std::vector<RuleLine>> ConfigurationTable::linesAt(std::uint64_t rulesVersion) const
+{
+    return m_state.with([&](State& state) -> std::optional<std::vector<RuleLine>> {
+        if (rulesVersion == 0)
+            return std::vector<RuleLine> {};
+        auto it = state.history.find(rulesVersion);
+        if (it == state.history.end())
+            return std::nullopt;
+        return it->second;
+    });
+}
+
+bool ConfigurationTable::noteFreshness(const FreshnessNotice& notice, TimePoint now)
+{
+    return m_state.with([&](State& state) {
+        auto cluster = state.current->published.cluster;
+        if (cluster != 0 && notice.cluster != cluster)
+            return false;
+        if (notice.timestampMs <= state.notice.timestampMs)
+            return false;
+        state.notice = notice;
+        state.noticedAt = now;
+        if (notice.publishedVersion <= state.current->published.version)
+            state.completeAt = now;
+        return true;
+    });
+}
+
+bool ConfigurationTable::isFresh(TimePoint now) const
+{
+    return m_state.with([&](State& state) { return state.completeAt && now - *state.completeAt < freshnessLimit; });
+}
+
+std::optional<Duration> ConfigurationTable::freshnessAge(TimePoint now) const
+{
+    return m_state.with([&](State& state) -> std::optional<Duration> {
+        if (!state.noticedAt)
+            return std::nullopt;
+        return now - *state.noticedAt;
+    });
+}
+
+FreshnessNotice ConfigurationTable::lastNotice() const
+{
+    return m_state.with([](State& state) { return state.notice; });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/ControlClient.cpp
@@ -0,0 +1,105 @@
+#include "daemon/ControlClient.h"
+
+namespace citronplank {
+
+ControlClient::ControlClient(std::vector<std::string> members, Sender sender)
+    : m_members(std::move(members))
+    , m_sender(std::move(sender))
+    , m_table(LockRank::Requests)
+{
+}
+
+ControlClient::Offer ControlClient::prepareOffer(Table& table, std::uint64_t id, Pending& it, TimePoint now)
+{
+    it.sent = true;
+    it.offerAt.reset();
+    it.answerDue = now + proposalAnswerTimeout;
+    auto member = table.leader;
+    if (member.empty())
+        member = m_members[table.nextMember++ % m_members.size()];
+    return { member, { id, it.command } };
+}
+
+void ControlClient::submit(Command command, milliseconds timeout, Handler handler, TimePoint now)
+{
+    if (m_members.empty()) {
+        handler({ ProposeStatus::NotLeader, 0, {} });
+        return;
+    }
+    auto offer = m_table.with([&](Table& table) {
+        auto id = ++table.lastId;
+        auto& it = table.pending[id];
+        it.command = std::move(command);
+        it.handler = std::move(handler);
+        it.giveUpAt = now + timeout;
+        return prepareOffer(table, id, it, now);
+    });
+    sendOffers({ std::move(offer) }, now);
+}
+
+void ControlClient::sendOffers(std::vector<Offer> offers, TimePoint now)
+{
+    for (const auto& offer : offers) {
+        if (!m_sender(offer.member, offer.proposal))
+            onAnswer({ offer.proposal.proposalId, ProposeStatus::NotLeader, {}, 0, {} }, now);
+    }
+}
+
+void ControlClient::onAnswer(const ProposeAnswer& answer, TimePoint now)
+{
+    Handler handler;
+    m_table.with([&](Table& table) {
+        auto found = table.pending.find(answer.proposalId);
+        if (found == table.pending.end() || !found->second.sent)
+            return;
+        if (answer.status != ProposeStatus::NotLeader) {
+            handler = std::move(found->second.handler);
+            table.pending.erase(found);
+            return;
+        }
+        table.leader = answer.leader;
+        found->second.sent = false;
+        found->second.offerAt = now + leaderRetryInterval;
+    });
+    if (handler)
+        handler({ answer.status, answer.index, answer.result });
+}
+
+void ControlClient::onTimer(TimePoint now)
+{
+    std::vector<Offer> offers;
+    Finished finished;
+    m_table.with([&](Table& table) {
+        for (auto it = table.pending.begin(); it != table.pending.end();) {
+            auto& pending = it->second;
+            bool isLost = pending.sent && now >= pending.answerDue;
+            bool isTooLate = !pending.sent && now >= pending.giveUpAt;
+            if (isLost || isTooLate) {
+                auto status = isLost ? ProposeStatus::Unknown : ProposeStatus::NotLeader;
+                finished.emplace_back(std::move(pending.handler), SubmitResult { status, 0, {} });
+                if (isLost)
+                    table.leader.clear();
+                it = table.pending.erase(it);
+                continue;
+            }
+            if (pending.offerAt && now >= *pending.offerAt)
+                offers.push_back(prepareOffer(table, it->first, pending, now));
+            ++it;
+        }
+    });
+    for (auto& [handler, result] : finished)
+        handler(result);
+    sendOffers(std::move(offers), now);
+}
+
+void ControlClient::noteLeader(const std::string& name)
+{
+    m_table.with([&](Table& table) { table.leader = name; });
+}
+
+std::string ControlClient::leader() const
+{
+    return m_table.with([](Table& table) { return table.leader; });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/ControlService.cpp
@@ -0,0 +1,231 @@
+#include "daemon/ControlService.h"
+
+#include <asio.hpp>
+#include <future>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace citronplank {
+
+namespace {
+
+constexpr milliseconds tickInterval { 20 };
+
+std::uint64_t wallTimeMs(TimePoint at)
+{
+    // Both clocks are read together so that a step of the wall clock shows at once.
+    auto wall = std::chrono::system_clock::now() + (at - Clock::now());
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wall.time_since_epoch()).count());
+}
+
+ControlLogSettings logSettings(const ControlServiceSettings& settings)
+{
+    std::random_device random;
+    ControlLogSettings made;
+    made.name = settings.name;
+    made.configuredMembers = settings.members;
+    made.seed = (std::uint64_t { random() } << 32U) | random();
+    made.wallTimeMs = wallTimeMs;
+    return made;
+}
+
+} // namespace
+
+class ControlService::Impl {
+public:
+    Impl(const ControlServiceSettings& settings, ControlServiceHandlers handlers)
+        : m_handlers(std::move(handlers))
+        , m_storage(settings.dataFolder)
+        , m_replica(m_storage, logSettings(settings), Clock::now())
+        , m_timer(m_io)
+        , m_work(asio::make_work_guard(m_io))
+    {
+        updateStatus();
+    }
+
+    void start()
+    {
+        m_thread = std::thread([this] { m_io.run(); });
+        post([this] {
+            publish();
+            scheduleTick();
+        });
+    }
+
+    void stop()
+    {
+        m_io.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    void post(std::function<void()> task) { asio::post(m_io, std::move(task)); }
+
+    void receive(const std::string& from, ControlMessage message)
+    {
+        post([this, from, message = std::move(message)] {
+            perform(m_replica.receive(from, message, Clock::now()));
+            scheduleFlush();
+        });
+    }
+
+    void propose(Command command, AnswerHandler handler)
+    {
+        post([this, command = std::move(command), handler = std::move(handler)]() mutable {
+            auto id = ++m_lastId;
+            m_answers.emplace(id, std::move(handler));
+            m_replica.propose(std::move(command), id);
+            scheduleFlush();
+        });
+    }
+
+    void confirmLeadership(std::function<void(bool)> handler)
+    {
+        post([this, handler = std::move(handler)]() mutable {
+            auto id = ++m_lastId;
+            m_reads.emplace(id, std::move(handler));
+            perform(m_replica.confirmLeadership(id, Clock::now()));
+        });
+    }
+
+    std::optional<std::vector<RuleLine>> linesAt(std::uint64_t version)
+    {
+        auto promise = std::make_shared<std::promise<std::optional<std::vector<RuleLine>>>>();
+        auto future = promise->get_future();
+        post([this, promise, version] { promise->set_value(m_replica.state().ruleLinesAt(version)); });
+        if (future.wait_for(seconds(2)) != std::future_status::ready)
+            return std::nullopt;
+        return future.get();
+    }
+
+    ControlServiceStatus status() const
+    {
+        std::lock_guard lock(m_statusMutex);
+        return m_status;
+    }
+
+    bool isLeader() const { return m_replica.log().isLeader(); }
+    const ControlState& state() const { return m_replica.state(); }
+
+private:
+    void scheduleTick()
+    {
+        m_timer.expires_after(tickInterval);
+        m_timer.async_wait([this](const asio::error_code& ec) {
+            if (ec)
+                return;
+            perform(m_replica.tick(Clock::now()));
+            m_handlers.tick();
+            scheduleTick();
+        });
+    }
+
+    /// Proposals that arrive together are stored with one sync.
+    void scheduleFlush()
+    {
+        if (std::exchange(m_flushScheduled, true))
+            return;
+        post([this] {
+            m_flushScheduled = false;
+            perform(m_replica.flush(Clock::now()));
+        });
+    }
+
+    void perform(ReplicaOutput output)
+    {
+        for (const auto& it : output.messages)
+            m_handlers.send(it.to, encode(it.message));
+        if (!output.failure.empty())
+            m_failure = output.failure;
+        if (output.publishedChanged || output.restored)
+            publish();
+        for (const auto& it : output.answers) {
+            if (auto node = m_answers.extract(it.id))
+                node.mapped()(it);
+        }
+        for (const auto& it : output.reads) {
+            if (auto node = m_reads.extract(it.id))
+                node.mapped()(it.confirmed && m_replica.state().appliedIndex() >= it.readIndex);
+        }
+        if (output.freshness)
+            m_handlers.freshness(*output.freshness);
+        updateStatus();
+    }
+
+    void publish()
+    {
+        const auto& state = m_replica.state();
+        m_handlers.published(state.differenceSince(m_publishedVersion));
+        m_publishedVersion = state.publishedVersion();
+        std::vector<ZoneView> views;
+        for (const auto& [zone, view] : state.views())
+            views.push_back(view);
+        m_handlers.views(views, m_publishedVersion);
+    }
+
+    void updateStatus()
+    {
+        ControlServiceStatus status { m_replica.log().status(), m_replica.state().publishedVersion(),
+            m_replica.state().rulesVersion(), m_replica.state().requestCount(), m_failure };
+        std::lock_guard lock(m_statusMutex);
+        m_status = std::move(status);
+    }
+
+    ControlServiceHandlers m_handlers;
+    FileControlStorage m_storage;
+    ControlReplica<FileControlStorage> m_replica;
+    asio::io_context m_io { 1 };
+    asio::steady_timer m_timer;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+    bool m_flushScheduled = false;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_publishedVersion = 0;
+    std::map<std::uint64_t, AnswerHandler> m_answers;
+    std::map<std::uint64_t, std::function<void(bool)>> m_reads;
+    std::string m_failure;
+    mutable std::mutex m_statusMutex; // a leaf lock: nothing else is acquired under it
+    ControlServiceStatus m_status;
+};
+
+ControlService::ControlService(ControlServiceSettings settings, ControlServiceHandlers handlers)
+    : m_impl(std::make_unique<Impl>(settings, std::move(handlers)))
+{
+}
+
+ControlService::~ControlService() { m_impl->stop(); }
+
+void ControlService::start() { m_impl->start(); }
+
+void ControlService::stop() { m_impl->stop(); }
+
+void ControlService::receive(const std::string& from, ControlMessage message)
+{
+    m_impl->receive(from, std::move(message));
+}
+
+void ControlService::propose(Command command, AnswerHandler handler)
+{
+    m_impl->propose(std::move(command), std::move(handler));
+}
+
+void ControlService::confirmLeadership(std::function<void(bool)> handler)
+{
+    m_impl->confirmLeadership(std::move(handler));
+}
+
+void ControlService::post(std::function<void()> task) { m_impl->post(std::move(task)); }
+
+std::optional<std::vector<RuleLine>> ControlService::linesAt(std::uint64_t rulesVersion)
+{
+    return m_impl->linesAt(rulesVersion);
+}
+
+ControlServiceStatus ControlService::status() const { return m_impl->status(); }
+
+bool ControlService::isLeader() const { return m_impl->isLeader(); }
+
+const ControlState& ControlService::state() const { return m_impl->state(); }
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/ControlService.h
@@ -0,0 +1,75 @@
+// Shell of the control member: one thread that owns the replica of the control log and waits for its disk.
+#pragma once
+
+#include "coordination/ControlReplica.h"
+
+#include <functional>
+#include <memory>
+
+namespace citronplank {
+
+struct ControlServiceSettings {
+    std::string name;
+    std::vector<std::string> members; // names of all configured control members, this one included
+    std::string dataFolder;
+};
+
+/// What a status page shows of the control role.
+struct ControlServiceStatus {
+    ControlLogStatus log;
+    std::uint64_t publishedVersion = 0;
+    std::uint64_t rulesVersion = 0;
+    std::size_t requestKeys = 0;
+    std::string failure; // why the control role stopped; empty while it runs
+};
+
+/// All handlers run on the control thread and must not wait.
+struct ControlServiceHandlers {
+    std::function<void(const std::string& name, std::string bytes)> send; // one control message to a daemon
+    std::function<void(PublishedDifference)> published;                   // the published state changed
+    std::function<void(const Freshness&)> freshness; // this member is leader, confirmed by a quorum
+    std::function<void(const std::vector<ZoneView>&, std::uint64_t version)> views; // after any change of the state
+    std::function<void()> tick;                                                     // every 20 ms on the control thread
+};
+
+class ControlService {
+public:
+    using AnswerHandler = std::function<void(const LocalAnswer&)>;
+
+    /// Precondition: `settings.name` is among the members. Throws StorageError if the data folder cannot be read.
+    ControlService(ControlServiceSettings, ControlServiceHandlers);
+    /// Stops the thread; queued work is dropped.
+    ~ControlService();
+    ControlService(const ControlService&) = delete;
+    ControlService& operator=(const ControlService&) = delete;
+
+    /// Starts the thread. Precondition: called once.
+    void start();
+    /// Stops the thread. May be called twice; not from the control thread.
+    void stop();
+
+    /// Hands over one received message. Thread safe.
+    void receive(const std::string& from, ControlMessage message);
+    /// Proposes a command; `handler` runs once on the control thread. Thread safe.
+    void propose(Command, AnswerHandler handler);
+    /// Confirms by a quorum round, started after this call, that this member is leader; `handler` runs on the control
+    /// thread. Thread safe.
+    void confirmLeadership(std::function<void(bool confirmed)> handler);
+    /// Runs `task` on the control thread. Thread safe.
+    void post(std::function<void()> task);
+    /// Rule lines of an older version. Thread safe; waits for the control thread for at most 2 s and must not be called
+    /// on it.
+    std::optional<std::vector<RuleLine>> linesAt(std::uint64_t rulesVersion);
+    /// Thread safe.
+    ControlServiceStatus status() const;
+
+    /// Precondition: called on the control thread.
+    bool isLeader() const;
+    const ControlState& state() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace citronplank
