--- /dev/null
+++ b/coordination/Gossip.h
@@ -0,0 +1,217 @@
+// Membership and dissemination: SWIM failure detection with suspicion and Lifeguard's local health, and an epidemic
+// store of versioned items that travels on the same datagrams, with anti-entropy by digest.
+//
+//     auto gossip = GossipBuilder().self(instance).seeds({ "10.0.0.1:7000" }).randomSeed(n).build();
+//     auto out = gossip.tick(now);                       // every 10 to 50 ms
+//     out = gossip.receive(fromAddress, bytes, now);     // for each datagram
+//     out = gossip.publish("freshness", payload, now);   // replaces the older version everywhere
+//     // then send out.datagrams and act on out.changedItems and out.memberEvents
+//
+// A key has one current version. A publisher gives its version a sequence above every version of the key that it knows,
+// so a key may change its publisher; two publishers that do not know of each other's version are ordered by incarnation
+// and sequence.
+#pragma once
+
+#include "coordination/GossipMessages.h"
+#include "coordination/GossipStore.h"
+
+#include <deque>
+#include <random>
+
+namespace citronplank {
+
+struct Member {
+    Instance instance;
+    MemberStatus status = MemberStatus::Alive;
+};
+
+/// A member that joined (Alive), or whose status changed.
+struct MemberEvent {
+    Instance instance;
+    MemberStatus status = MemberStatus::Alive;
+};
+
+struct GossipItem {
+    std::string key;
+    std::string payload;
+    std::string publisher; // name of the member that published this version
+    bool removed = false;
+};
+
+struct GossipSettings {
+    milliseconds period { 200 };               // one probe is started in each
+    milliseconds ackTimeout { 150 };           // per attempt; multiplied by the local health score + 1
+    milliseconds suspicionTimeout { 2000 };    // lower bound; see suspicionPerDoubling
+    milliseconds suspicionPerDoubling { 300 }; // times log2(members), when that is longer
+    milliseconds syncInterval { 3000 };        // between two digests when the last exchange found little to repair
+    milliseconds rejoinInterval { 2000 };      // between two attempts to reach a seed or a lost member
+    seconds removalLifetime { 3600 };          // removals and lost members are remembered this long; bounds a partition
+    seconds lostItemLifetime { 900 };    // items of lost members are kept this long; a blocked fingerprint needs 600 s
+    std::uint32_t relays = 3;            // members asked to ping a silent one
+    double sendsPerDoubling = 1.5;       // an update is passed on this often, times log2(members)
+    std::uint32_t bytesPerSecond = 1600; // upper bound of what is sent, IP and UDP headers included
+    std::uint32_t burstBytes = 8000;     // may be sent at once after a quiet period
+};
+
+constexpr std::size_t datagramHeaderBytes = 28; // IPv4 and UDP
+constexpr std::size_t maxItemBytes = 1000;      // key and payload; one record has to fit into a datagram
+
+struct GossipCounters {
+    std::uint64_t malformed = 0;   // datagrams dropped
+    std::uint64_t overBudget = 0;  // datagrams not sent because of bytesPerSecond
+    std::uint64_t suspicions = 0;  // raised by this member's own probes
+    std::uint64_t refutations = 0; // of suspicions about this member
+    std::uint64_t datagramsSent = 0;
+    std::uint64_t bytesSent = 0; // headers included
+};
+
+class Gossip {
+public:
+    struct Datagram {
+        std::string address; // "IP:PORT"
+        std::string bytes;   // at most gossipDatagramBytes
+    };
+    struct Output {
+        std::vector<Datagram> datagrams;
+        std::vector<GossipItem> changedItems;  // published by others
+        std::vector<MemberEvent> memberEvents; // about others
+    };
+
+    /// Runs timers. Call every 10 to 50 ms; a longer gap counts as a freeze of this process. Callers serialize calls.
+    Output tick(TimePoint now);
+    /// Handles one datagram. Malformed ones are counted and dropped. Callers serialize calls.
+    Output receive(std::string_view fromAddress, std::string_view bytes, TimePoint now);
+    /// Publishes a new version of an item. Throws Error (BadRequest) when key and payload exceed maxItemBytes or the
+    /// key is empty. Callers serialize calls.
+    Output publish(std::string_view key, std::string_view payload, TimePoint now);
+    /// Publishes the removal of an item, also of one published by another member. Callers serialize calls.
+    Output remove(std::string_view key, TimePoint now);
+    /// Planned stop: announces that this member leaves. Keep ticking for about a second so that it spreads; the member
+    /// starts no more probes and is not suspected. Callers serialize calls.
+    Output leave(TimePoint now);
+
+    /// Takes over the records of exportRecords() of another member, for a quick start. Malformed records are counted
+    /// and skipped. Callers serialize calls.
+    Output importRecords(std::string_view bytes, TimePoint now);
+    /// All live records, for a starting member. Callers serialize calls.
+    std::string exportRecords() const;
+
+    /// All present items, ordered by key. Callers serialize calls.
+    std::vector<GossipItem> items() const;
+    /// One item, if present. Callers serialize calls.
+    std::optional<GossipItem> item(std::string_view key) const;
+    /// All members known, this one included, ordered by name. Callers serialize calls.
+    std::vector<Member> members() const;
+    const Instance& self() const { return m_self; }
+    const GossipCounters& counters() const { return m_counters; }
+    /// Lifeguard's score: 0 is healthy; timeouts are multiplied by the score + 1.
+    std::uint32_t localHealth() const { return m_localHealth; }
+
+private:
+    friend class GossipBuilder;
+    struct Probe {
+        std::string target;
+        TimePoint attemptEnds;
+        int attempts = 1;
+        std::uint32_t nacksExpected = 0;
+        std::uint32_t nacks = 0;
+    };
+    struct Relay {
+        std::string address; // of the member that asked
+        std::uint64_t number = 0;
+        TimePoint nackAt;
+        bool nackSent = false;
+        TimePoint ends;
+    };
+    Gossip(Instance self, std::vector<std::string> seeds, GossipSettings, std::uint64_t randomSeed);
+
+    struct Sender; // where an answer goes
+
+    void start(TimePoint now);
+    void handleFreeze(Duration gap, TimePoint now);
+    void refillBudget(TimePoint now);
+    void runPeriod(TimePoint now, Output&);
+    void startProbe(TimePoint now, Output&);
+    void advanceProbes(TimePoint now, Output&);
+    void retryProbe(std::uint64_t number, Probe&, TimePoint now, Output&);
+    void failProbe(const Probe&, TimePoint now, Output&);
+    void advanceRelays(TimePoint now, Output&);
+    void expireSuspicions(TimePoint now, Output&);
+    void sendDigest(TimePoint now, Output&);
+    void rejoin(Output&);
+    bool helpStarter(const GossipDigest&, const Sender&, Output&);
+    bool sendBytes(const std::string& address, const std::string& bytes, std::size_t keepBytes, Output&);
+    bool sendFull(const std::string& address, const std::vector<const GossipRecord*>&, bool isSync, Output&);
+
+    void handle(const GossipPing&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipAck&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipNack&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipPingRequest&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipDigest&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipSummary&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipWant&, const Sender&, TimePoint now, Output&);
+    void handle(const GossipRecords&, const Sender&, TimePoint now, Output&);
+
+    /// Returns the record that the sender should have instead, if it sent an older one.
+    const GossipRecord* accept(const GossipRecord&, bool isSync, TimePoint now, Output&);
+    void acceptSelf(const GossipRecord&, TimePoint now);
+    void noteChange(const GossipRecord&, const GossipRecord* before, TimePoint now, Output&);
+    void tellSuspect(const Instance&, Output&);
+    void setStatus(const std::string& name, MemberStatus, TimePoint now, Output&);
+    void putSelf(MemberStatus, TimePoint now);
+    void putItem(std::string_view key, std::string_view payload, std::uint8_t status, TimePoint now);
+
+    enum class Extra : std::uint8_t { Queued, None };
+    bool send(const std::string& address, const std::string& receiver, GossipBody, Output&, Extra = Extra::Queued);
+    std::optional<Instance> instanceOf(std::string_view name) const;
+    std::vector<std::string> randomMembers(std::size_t count, std::string_view except);
+    void updateMemberCount();
+    void raiseLocalHealth(std::uint32_t by);
+    Duration attemptTimeout() const { return m_settings.ackTimeout * (m_localHealth + 1); }
+    Duration suspicionTimeout() const;
+
+    Instance m_self;
+    std::uint64_t m_selfSequence = 0;
+    std::vector<std::string> m_seeds;
+    GossipSettings m_settings;
+    std::mt19937_64 m_random;
+    GossipStore m_store;
+    GossipCounters m_counters;
+    bool m_started = false;
+    bool m_left = false;
+    bool m_joining = true; // until a peer's digest was nearly equal
+    std::uint32_t m_localHealth = 0;
+    double m_budgetBytes = 0;
+    TimePoint m_lastTick {};
+    TimePoint m_nextPeriod {};
+    TimePoint m_nextSync {};
+    TimePoint m_nextRejoin {};
+    TimePoint m_nextCleanup {};
+    std::uint64_t m_nextNumber = 1;
+    std::map<std::string, Instance, std::less<>> m_alive; // alive and suspect members without this one
+    std::deque<std::string> m_probeOrder;
+    std::map<std::uint64_t, Probe> m_probes;
+    std::map<std::uint64_t, Relay> m_relays;
+    std::map<std::string, TimePoint> m_suspicions; // when a suspect is declared dead
+};
+
+class GossipBuilder {
+public:
+    /// Required: the instance of this member, with name and gossipAddress.
+    GossipBuilder& self(Instance);
+    /// Gossip addresses of members to join by; this member's own address may be among them.
+    GossipBuilder& seeds(std::vector<std::string>);
+    GossipBuilder& settings(GossipSettings);
+    /// Seed of the random choices; give each member another one.
+    GossipBuilder& randomSeed(std::uint64_t);
+    /// Throws Error (BadRequest) when the instance has no name or gossip address.
+    Gossip build() const;
+
+private:
+    Instance m_self;
+    std::vector<std::string> m_seeds;
+    GossipSettings m_settings;
+    std::uint64_t m_randomSeed = 1;
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/GossipMessages.h
@@ -0,0 +1,109 @@
+// Messages of the gossip protocol and the versioned records that travel with them. A datagram is one encoded message
+// followed by any number of encoded records, so that records can be appended while they fit.
+#pragma once
+
+#include "citronplank.h"
+
+#include <tuple>
+#include <variant>
+
+namespace citronplank {
+
+constexpr std::size_t gossipDatagramBytes = 1200;
+constexpr std::size_t gossipBucketCount = 128; // 512 bytes of digest; about 58 records a bucket at 860 daemons
+
+enum class GossipRecordKind : std::uint8_t { Member, Item };
+
+/// A member's status. The order is the precedence at equal incarnation and sequence.
+enum class MemberStatus : std::uint8_t { Alive, Suspect, Dead, Left };
+std::string_view memberStatusName(MemberStatus); // "alive", "suspect", "dead", "left"
+
+/// The status of an item's record. A removal has its own sequence, so the order never matters for items.
+constexpr std::uint8_t itemPresent = 0;
+constexpr std::uint8_t itemRemoved = 1;
+
+/// One version of a member (`key` is its name) or of an item.
+struct GossipRecord {
+    GossipRecordKind kind = GossipRecordKind::Item;
+    std::string key;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint8_t status = 0;            // MemberStatus, or itemPresent or itemRemoved
+    std::string publisher;              // items only
+    std::optional<std::string> payload; // absent in the short form of a member that the receiver should know
+
+    auto version() const { return std::tie(incarnation, sequence, status, publisher); }
+    bool isNewerThan(const GossipRecord& other) const { return version() > other.version(); }
+    /// False for a removed item and for a dead or left member.
+    bool isLive() const { return kind == GossipRecordKind::Item ? status == itemPresent : status < 2; }
+};
+
+/// Asks `target` for an ack. The name guards against an ack by another member that now uses the address.
+struct GossipPing {
+    std::uint64_t number = 0;
+    std::string target;
+};
+struct GossipAck {
+    std::uint64_t number = 0;
+};
+/// The relay could not get an ack from the target in time; it shows that the relay itself was reached.
+struct GossipNack {
+    std::uint64_t number = 0;
+};
+struct GossipPingRequest {
+    std::uint64_t number = 0;
+    std::string target;
+    std::string targetAddress;
+};
+/// One 32-bit hash for each bucket of live records.
+struct GossipDigest {
+    std::vector<std::uint32_t> buckets;
+};
+/// The version hashes of all live records in some buckets; answers a digest.
+struct GossipSummary {
+    std::vector<std::uint16_t> buckets;
+    std::vector<std::uint64_t> hashes;
+};
+/// Version hashes that the sender lacks; its own records for the same buckets travel along.
+struct GossipWant {
+    std::vector<std::uint64_t> hashes;
+};
+/// Records only: spreads updates, or answers a want.
+struct GossipRecords {
+    bool isSync = false; // true: answer a record that is older than yours with yours
+};
+
+using GossipBody = std::variant<GossipPing, GossipAck, GossipNack, GossipPingRequest, GossipDigest, GossipSummary,
+    GossipWant, GossipRecords>;
+
+struct GossipMessage {
+    std::string from; // name of the sender
+    GossipBody body;
+};
+
+struct GossipDatagram {
+    GossipMessage message;
+    std::vector<GossipRecord> records;
+};
+
+/// Encodes a message, without records. Thread safe.
+std::string encodeGossipMessage(const GossipMessage&);
+/// Encodes a record; the short form leaves the payload out. Thread safe.
+std::string encodeGossipRecord(const GossipRecord&, bool shortForm = false);
+/// Decodes a datagram. Returns nothing when it is malformed. Thread safe.
+std::optional<GossipDatagram> decodeGossipDatagram(std::string_view bytes);
+
+/// Decodes records that follow each other, as of Gossip::exportRecords(). Nothing when malformed. Thread safe.
+std::optional<std::vector<GossipRecord>> decodeGossipRecords(std::string_view bytes);
+
+/// Encodes what other members need to know of an instance; `incarnation` travels in the record. Thread safe.
+std::string encodeInstance(const Instance&);
+/// Returns nothing when the payload is malformed. Thread safe.
+std::optional<Instance> decodeInstance(const std::string& name, std::uint64_t incarnation, std::string_view payload);
+
+/// Hash of key and version. Thread safe.
+std::uint64_t gossipVersionHash(const GossipRecord&);
+/// Bucket of a record's key. Thread safe.
+std::size_t gossipBucket(GossipRecordKind, std::string_view key);
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/LeafDirectory.cpp
@@ -0,0 +1,312 @@
+#include "coordination/LeafDirectory.h"
+
+#include <algorithm>
+#include <msgpack.hpp>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::uint32_t renewalsToTakeOver = 3;
+constexpr std::size_t maxRecordBytes = 900; // below maxItemBytes, with room for the key
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+auto freshness(const Announcement& announcement) { return std::pair(announcement.boot, announcement.sequence); }
+
+bool hasSameContent(const Announcement& a, const Announcement& b)
+{
+    return a.leaf == b.leaf && a.service == b.service && a.zone == b.zone && a.address == b.address && a.boot == b.boot
+        && a.slots == b.slots && a.connections == b.connections && a.versions == b.versions && a.draining == b.draining;
+}
+
+void pack(Packer& packer, const Announcement& announcement)
+{
+    packer.pack_array(10);
+    packer.pack(announcement.leaf);
+    packer.pack(announcement.service);
+    packer.pack(announcement.zone);
+    packer.pack(announcement.address);
+    packer.pack(announcement.boot);
+    packer.pack(announcement.sequence);
+    packer.pack(announcement.slots);
+    packer.pack(announcement.connections);
+    packer.pack(announcement.draining);
+    packer.pack_array(static_cast<std::uint32_t>(announcement.versions.size() * 3));
+    for (const auto& it : announcement.versions) {
+        packer.pack(it.version);
+        packer.pack(it.shard);
+        packer.pack(it.of);
+    }
+}
+
+template <typename Value>
+Value valueAt(const msgpack::object& object, std::size_t i)
+{
+    if (object.type != msgpack::type::ARRAY || i >= object.via.array.size)
+        throw msgpack::type_error();
+    return object.via.array.ptr[i].as<Value>();
+}
+
+Announcement announcementFrom(const msgpack::object& object)
+{
+    Announcement announcement;
+    announcement.leaf = valueAt<std::string>(object, 0);
+    announcement.service = valueAt<std::string>(object, 1);
+    announcement.zone = valueAt<std::string>(object, 2);
+    announcement.address = valueAt<std::string>(object, 3);
+    announcement.boot = valueAt<std::uint64_t>(object, 4);
+    announcement.sequence = valueAt<std::uint64_t>(object, 5);
+    announcement.slots = valueAt<std::uint32_t>(object, 6);
+    announcement.connections = valueAt<std::uint32_t>(object, 7);
+    announcement.draining = valueAt<bool>(object, 8);
+    const auto numbers = valueAt<std::vector<std::uint64_t>>(object, 9);
+    if (numbers.size() % 3 != 0)
+        throw msgpack::type_error();
+    for (std::size_t i = 0; i < numbers.size(); i += 3)
+        announcement.versions.push_back(
+            { numbers[i], static_cast<std::uint32_t>(numbers[i + 1]), static_cast<std::uint32_t>(numbers[i + 2]) });
+    return announcement;
+}
+
+void check(const Announcement& announcement)
+{
+    if (announcement.leaf.empty() || announcement.service.empty() || announcement.zone.empty()
+        || announcement.address.empty())
+        throw Error(ErrorKind::BadRequest, "an announcement needs leaf, service, zone and address");
+    if (announcement.slots == 0)
+        throw Error(ErrorKind::BadRequest, "leaf " + announcement.leaf + " announces no slots");
+    for (const auto& it : announcement.versions)
+        if (it.of == 0 || it.shard >= it.of)
+            throw Error(ErrorKind::BadRequest, "leaf " + announcement.leaf + " announces a shard outside its layout");
+}
+
+} // namespace
+
+LeafDirectory::LeafDirectory(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+std::string LeafDirectory::encodeRecord(const Announcement& announcement, std::string_view registrar)
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    packer.pack_array(2);
+    packer.pack(registrar);
+    pack(packer, announcement);
+    return { buffer.data(), buffer.size() };
+}
+
+std::optional<LeafDirectory::Record> LeafDirectory::decodeRecord(std::string_view bytes, std::size_t& offset)
+{
+    try {
+        const msgpack::unpack_limit limit(3000, 16, maxRecordBytes, maxRecordBytes, 16, 8);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
+        Record record { announcementFrom(valueAt<msgpack::object>(handle.get(), 1)),
+            valueAt<std::string>(handle.get(), 0) };
+        check(record.announcement);
+        return record;
+    } catch (const std::exception&) {
+        return std::nullopt; // msgpack reports each kind of malformed input by an exception of its own
+    }
+}
+
+bool LeafDirectory::hasRenewal(const Entry& entry, TimePoint now) const
+{
+    return entry.renewed && now < *entry.renewed + announcementLapse;
+}
+
+void LeafDirectory::publish(Entry& entry, Output& out)
+{
+    entry.registrar = m_self;
+    entry.registrarLost.reset();
+    out.items.push_back(
+        { std::string(leafKeyPrefix) + entry.announcement.leaf, encodeRecord(entry.announcement, m_self), false });
+}
+
+LeafDirectory::Entries::iterator LeafDirectory::erase(Entries::iterator it, Output& out)
+{
+    out.changed = true;
+    return m_entries.erase(it);
+}
+
+LeafDirectory::Output LeafDirectory::announce(const Announcement& announcement, TimePoint now)
+{
+    check(announcement);
+    if (encodeRecord(announcement, m_self).size() > maxRecordBytes)
+        throw Error(ErrorKind::BadRequest, "the announcement of leaf " + announcement.leaf + " is too long");
+    Output out;
+    const auto [it, isNew] = m_entries.try_emplace(announcement.leaf);
+    auto& entry = it->second;
+    if (!isNew && freshness(announcement) < freshness(entry.announcement))
+        return out;
+    const bool hasNewContent = isNew || !hasSameContent(entry.announcement, announcement);
+    const bool isNext = entry.renewed && announcement.sequence == entry.announcement.sequence + 1;
+    entry.renewalsInRow = isNext && hasRenewal(entry, now) ? entry.renewalsInRow + 1 : 1;
+    entry.renewed = now;
+    entry.announcement = announcement;
+    const bool takesOver
+        = entry.registrar != m_self && (entry.renewalsInRow >= renewalsToTakeOver || entry.registrarLost.has_value());
+    if (hasNewContent || takesOver)
+        publish(entry, out);
+    out.changed = hasNewContent;
+    return out;
+}
+
+LeafDirectory::Output LeafDirectory::applyItem(
+    std::string_view key, std::string_view payload, bool removed, TimePoint now)
+{
+    Output out;
+    if (!key.starts_with(leafKeyPrefix))
+        return out;
+    if (removed) {
+        const auto it = m_entries.find(key.substr(leafKeyPrefix.size()));
+        if (it == m_entries.end())
+            return out;
+        // The remover has not heard from the leaf for 2 s, but this daemon has.
+        if (hasRenewal(it->second, now))
+            publish(it->second, out);
+        else
+            erase(it, out);
+        return out;
+    }
+    std::size_t offset = 0;
+    if (auto record = decodeRecord(payload, offset); record
+        && leafKeyPrefix.size() + record->announcement.leaf.size() == key.size()
+        && key.ends_with(record->announcement.leaf))
+        applyRecord(std::move(*record), now, out);
+    return out;
+}
+
+void LeafDirectory::applyRecord(Record record, TimePoint now, Output& out)
+{
+    const auto [it, isNew] = m_entries.try_emplace(record.announcement.leaf);
+    auto& entry = it->second;
+    const bool isOlder = !isNew && freshness(record.announcement) < freshness(entry.announcement);
+    if (isOlder && hasRenewal(entry, now)) {
+        // A registrar that lags behind has overwritten this daemon's item, or knows less than this daemon.
+        if (entry.registrar == m_self || !hasSameContent(entry.announcement, record.announcement))
+            publish(entry, out);
+        else
+            entry.registrar = record.registrar;
+        return;
+    }
+    if (isOlder && entry.announcement.boot != record.announcement.boot)
+        return;
+    if (record.registrar == m_self && !hasRenewal(entry, now)) {
+        // An item of an earlier run of this daemon: it counts as lost unless the leaf announces itself again.
+        entry.registrarLost = now;
+    } else {
+        const bool isLost
+            = m_registrarsKnown && record.registrar != m_self && !m_liveRegistrars.contains(record.registrar);
+        entry.registrarLost = isLost ? std::optional(now) : std::nullopt;
+    }
+    out.changed = isNew || !hasSameContent(entry.announcement, record.announcement);
+    entry.registrar = std::move(record.registrar);
+    if (!isOlder)
+        entry.announcement = std::move(record.announcement);
+}
+
+LeafDirectory::Output LeafDirectory::setLiveRegistrars(const std::set<std::string, std::less<>>& names, TimePoint now)
+{
+    Output out;
+    m_liveRegistrars = names;
+    m_registrarsKnown = true;
+    for (auto& [name, entry] : m_entries) {
+        if (entry.registrar == m_self)
+            continue;
+        if (names.contains(entry.registrar)) {
+            entry.registrarLost.reset();
+        } else if (hasRenewal(entry, now)) {
+            publish(entry, out);
+        } else if (!entry.registrarLost) {
+            entry.registrarLost = now;
+        }
+    }
+    return out;
+}
+
+LeafDirectory::Output LeafDirectory::expire(TimePoint now)
+{
+    Output out;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        const auto& entry = it->second;
+        const bool isOwn = entry.registrar == m_self && entry.renewed && !entry.registrarLost;
+        if (isOwn && !hasRenewal(entry, now)) {
+            out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
+            it = erase(it, out);
+        } else if (entry.registrarLost && now >= *entry.registrarLost + announcementLapse && !hasRenewal(entry, now)) {
+            // The item of this daemon's earlier run has no other owner that could remove it.
+            if (entry.registrar == m_self)
+                out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
+            it = erase(it, out);
+        } else {
+            ++it;
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> LeafDirectory::services() const
+{
+    std::set<std::string> names;
+    for (const auto& [name, entry] : m_entries)
+        names.insert(entry.announcement.service);
+    return { names.begin(), names.end() };
+}
+
+std::vector<Announcement> LeafDirectory::replicasOf(std::string_view service) const
+{
+    std::vector<Announcement> replicas;
+    for (const auto& [name, entry] : m_entries)
+        if (entry.announcement.service == service)
+            replicas.push_back(entry.announcement);
+    return replicas;
+}
+
+std::optional<Announcement> LeafDirectory::leaf(std::string_view name) const
+{
+    const auto it = m_entries.find(name);
+    return it == m_entries.end() ? std::nullopt : std::optional(it->second.announcement);
+}
+
+std::uint64_t LeafDirectory::contentHash() const
+{
+    std::uint64_t hash = 0;
+    for (const auto& [name, entry] : m_entries) {
+        auto announcement = entry.announcement;
+        announcement.sequence = 0;
+        hash = hash64(encodeRecord(announcement, {}), hash);
+    }
+    return hash;
+}
+
+std::string LeafDirectory::exportAll() const
+{
+    std::string bytes;
+    for (const auto& [name, entry] : m_entries)
+        bytes += encodeRecord(entry.announcement, entry.registrar);
+    return bytes;
+}
+
+LeafDirectory::Output LeafDirectory::importAll(std::string_view bytes, TimePoint now)
+{
+    Output out;
+    std::vector<Record> records;
+    for (std::size_t offset = 0; offset < bytes.size();) {
+        auto record = decodeRecord(bytes, offset);
+        if (!record)
+            throw Error(ErrorKind::BadRequest, "the exported directory is malformed");
+        records.push_back(std::move(*record));
+    }
+    bool changed = false;
+    for (auto& record : records) {
+        applyRecord(std::move(record), now, out);
+        changed = changed || out.changed;
+    }
+    out.changed = changed;
+    return out;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/tests/LeafDirectoryTests.cpp
@@ -0,0 +1,162 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "coordination/LeafDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace citronplank;
+
+namespace {
+
+Announcement announcementOf(std::uint64_t boot, std::uint64_t sequence)
+{
+    Announcement it;
+    it.leaf = "atl-1";
+    it.service = "loandesk";
+    it.zone = "atl";
+    it.address = "10.0.0.9:80";
+    it.boot = boot;
+    it.sequence = sequence;
+    it.slots = 2;
+    it.versions = { { 7, 0, 20 } };
+    return it;
+}
+
+const TimePoint begin { seconds(100) };
+TimePoint at(int ms) { return begin + milliseconds(ms); }
+
+// Hands what one directory publishes to another.
+bool pass(const LeafDirectory::Output& out, LeafDirectory& to, TimePoint now)
+{
+    bool changed = false;
+    for (const auto& item : out.items)
+        changed = to.applyItem(item.key, item.payload, item.removed, now).changed || changed;
+    return changed;
+}
+
+} // namespace
+
+// Guards against renewals that flood the gossip, and against changes that are held back.
+TEST_CASE("only changes are published")
+{
+    LeafDirectory directory("a");
+    CHECK(directory.announce(announcementOf(1, 1), at(0)).items.size() == 1);
+    const auto hash = directory.contentHash();
+    for (int i = 2; i < 10; ++i)
+        CHECK(directory.announce(announcementOf(1, static_cast<std::uint64_t>(i)), at(500 * i)).items.empty());
+    CHECK(directory.contentHash() == hash);
+    auto changed = announcementOf(1, 10);
+    changed.draining = true;
+    CHECK(directory.announce(changed, at(5000)).items.size() == 1);
+    changed.sequence = 11;
+    changed.versions.push_back({ 8, 0, 20 });
+    CHECK(directory.announce(changed, at(5500)).items.size() == 1);
+    CHECK(directory.contentHash() != hash);
+}
+
+// Guards against a delayed announcement of an earlier run that replaces that of the present run.
+TEST_CASE("newer boot and sequence win")
+{
+    LeafDirectory directory("a");
+    directory.announce(announcementOf(2, 1), at(0));
+    auto old = announcementOf(1, 99);
+    old.address = "10.0.0.8:80";
+    CHECK_FALSE(directory.announce(old, at(100)).changed);
+    LeafDirectory other("b");
+    CHECK_FALSE(pass(other.announce(old, at(0)), directory, at(200)));
+    CHECK(directory.leaf("atl-1")->address == "10.0.0.9:80");
+}
+
+// Guards against a silent leaf that keeps getting work, at its registrar and elsewhere.
+TEST_CASE("the registrar expires a silent leaf after 2 s and publishes the removal")
+{
+    LeafDirectory registrar("a");
+    LeafDirectory other("b");
+    CHECK(pass(registrar.announce(announcementOf(1, 1), at(0)), other, at(0)));
+    CHECK(registrar.expire(at(1999)).items.empty());
+    const auto out = registrar.expire(at(2000));
+    REQUIRE(out.items.size() == 1);
+    CHECK(out.items[0].removed);
+    CHECK(other.expire(at(60'000)).items.empty()); // only the registrar knows of renewals
+    CHECK(other.leafCount() == 1);
+    CHECK(pass(out, other, at(60'000)));
+    CHECK(other.leafCount() == 0);
+}
+
+// Guards against leaves of a lost registrar that stay for ever, or vanish although another daemon hears them.
+TEST_CASE("leaves of a lost registrar expire unless another registrar takes over")
+{
+    LeafDirectory registrar("a");
+    LeafDirectory other("b");
+    LeafDirectory successor("c");
+    const auto out = registrar.announce(announcementOf(1, 1), at(0));
+    pass(out, other, at(0));
+    pass(out, successor, at(0));
+    CHECK(successor.announce(announcementOf(1, 2), at(500)).items.empty());
+    other.setLiveRegistrars({ "b", "c" }, at(1000));
+    CHECK(other.expire(at(2999)).changed == false);
+    SUBCASE("nobody takes over")
+    {
+        CHECK(other.expire(at(3000)).changed);
+        CHECK(other.leafCount() == 0);
+    }
+    SUBCASE("another registrar takes over")
+    {
+        const auto takeover = successor.setLiveRegistrars({ "b", "c" }, at(1000));
+        REQUIRE(takeover.items.size() == 1);
+        pass(takeover, other, at(1100));
+        other.expire(at(9000));
+        CHECK(other.leafCount() == 1);
+    }
+    SUBCASE("the registrar returns")
+    {
+        other.setLiveRegistrars({ "a", "b", "c" }, at(2000));
+        other.expire(at(9000));
+        CHECK(other.leafCount() == 1);
+    }
+}
+
+// Guards against a leaf that vanishes because its old registrar removes it after the leaf has moved.
+TEST_CASE("a leaf that announces itself elsewhere is not removed")
+{
+    LeafDirectory old("a");
+    LeafDirectory current("b");
+    pass(old.announce(announcementOf(1, 1), at(0)), current, at(0));
+    CHECK(current.announce(announcementOf(1, 2), at(500)).items.empty());
+    CHECK(current.announce(announcementOf(1, 3), at(1000)).items.empty());
+    SUBCASE("the new registrar takes over in time")
+    {
+        const auto out = current.announce(announcementOf(1, 4), at(1500));
+        REQUIRE(out.items.size() == 1);
+        pass(out, old, at(1550));
+        CHECK(old.expire(at(5000)).items.empty());
+        CHECK(old.leafCount() == 1);
+    }
+    SUBCASE("the removal comes first")
+    {
+        const auto removal = old.expire(at(2000));
+        REQUIRE(removal.items.size() == 1);
+        const auto repair = current.applyItem(removal.items[0].key, {}, true, at(2050));
+        CHECK(current.leafCount() == 1);
+        REQUIRE(repair.items.size() == 1);
+        CHECK_FALSE(repair.items[0].removed);
+    }
+}
+
+// Guards against a starting daemon that takes over a directory with gaps or in a damaged form.
+TEST_CASE("an exported directory is imported whole")
+{
+    LeafDirectory source("a");
+    for (int i = 0; i < 50; ++i) {
+        auto it = announcementOf(1, 1);
+        it.leaf = "leaf-" + std::to_string(i);
+        it.service = "service-" + std::to_string(i % 3);
+        source.announce(it, at(0));
+    }
+    LeafDirectory target("b");
+    const auto bytes = source.exportAll();
+    CHECK(target.importAll(bytes, at(10)).changed);
+    CHECK(target.contentHash() == source.contentHash());
+    CHECK(target.services().size() == 3);
+    CHECK(target.replicasOf("service-0").size() == 17);
+    CHECK_THROWS_AS(LeafDirectory("c").importAll(bytes.substr(0, bytes.size() - 3), at(10)), Error);
+}
--- /dev/null
+++ b/tests/SimulatedGossip.h
@@ -0,0 +1,157 @@
+// Gossip members in one process with simulated time, latency, loss and partitions. Used by tests and benchmarks.
+#pragma once
+
+#include "coordination/Gossip.h"
+
+#include <functional>
+#include <queue>
+
+namespace citronplank {
+
+class SimulatedGossip {
+public:
+    struct Node {
+        std::optional<Gossip> gossip; // nothing while the process is down
+        Instance instance;
+        TimePoint nextTick;
+        TimePoint frozenUntil {};
+        std::vector<std::string> sent; // addresses, when recording is on
+        std::map<std::string, GossipItem> changes;
+        std::vector<MemberEvent> events;
+    };
+
+    SimulatedGossip(std::size_t count, std::uint64_t seed, double loss, GossipSettings settings = {})
+        : m_settings(settings)
+        , m_random(seed)
+        , m_loss(loss)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            addNode();
+    }
+
+    TimePoint now() const { return m_now; }
+    std::vector<Node>& nodes() { return m_nodes; }
+    Gossip& at(std::size_t i) { return *m_nodes.at(i).gossip; }
+    /// Tells whether a datagram from node a to node b gets through.
+    void setReachable(std::function<bool(std::size_t, std::size_t)> reachable) { m_reachable = std::move(reachable); }
+    void setLoss(double loss) { m_loss = loss; }
+
+    std::size_t addNode()
+    {
+        const auto i = m_nodes.size();
+        Node node;
+        node.instance.name = "entry-" + std::to_string(i);
+        node.instance.region = "georgia";
+        node.instance.zone = "zone-" + std::to_string(i % 4);
+        node.instance.linkAddress = "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200) + ":7001";
+        node.instance.gossipAddress = "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200) + ":7002";
+        node.instance.adminAddress = "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200) + ":7003";
+        m_nodes.push_back(std::move(node));
+        m_byAddress[m_nodes[i].instance.gossipAddress] = i;
+        start(i);
+        return i;
+    }
+
+    /// Starts or restarts the process of a node.
+    void start(std::size_t i)
+    {
+        auto& node = m_nodes[i];
+        ++node.instance.incarnation;
+        node.gossip.emplace(GossipBuilder()
+                                .self(node.instance)
+                                .seeds({ "10.0.0.0:7002", "10.0.0.1:7002", "10.0.0.2:7002" })
+                                .settings(m_settings)
+                                .randomSeed(m_random())
+                                .build());
+        node.nextTick = m_now + milliseconds(m_random() % 20);
+    }
+
+    void stop(std::size_t i) { m_nodes[i].gossip.reset(); }
+    void freeze(std::size_t i, Duration duration) { m_nodes[i].frozenUntil = m_now + duration; }
+
+    void run(Duration duration)
+    {
+        for (const auto end = m_now + duration; m_now < end; m_now += milliseconds(5))
+            step();
+    }
+
+    /// Runs until the condition holds at all running nodes. Returns the time taken, or nothing after `limit`.
+    std::optional<Duration> runUntil(const std::function<bool(Gossip&)>& condition, Duration limit)
+    {
+        const auto begin = m_now;
+        for (; m_now < begin + limit; m_now += milliseconds(5)) {
+            step();
+            bool all = true;
+            for (auto& node : m_nodes)
+                all = all && (!node.gossip || condition(*node.gossip));
+            if (all)
+                return m_now - begin;
+        }
+        return std::nullopt;
+    }
+
+    void take(std::size_t from, Gossip::Output out)
+    {
+        auto& node = m_nodes[from];
+        for (auto& item : out.changedItems)
+            node.changes[item.key] = item;
+        node.events.insert(node.events.end(), out.memberEvents.begin(), out.memberEvents.end());
+        for (auto& datagram : out.datagrams) {
+            const auto it = m_byAddress.find(datagram.address);
+            const bool isLost = std::uniform_real_distribution<>(0, 1)(m_random) < m_loss;
+            if (it == m_byAddress.end() || isLost || (m_reachable && !m_reachable(from, it->second)))
+                continue;
+            const auto latency = std::chrono::microseconds(500 + m_random() % 2000);
+            m_flights.push({ m_now + latency, m_nextFlight++, from, it->second, std::move(datagram.bytes) });
+        }
+    }
+
+private:
+    struct Flight {
+        TimePoint arrives;
+        std::uint64_t order;
+        std::size_t from;
+        std::size_t to;
+        std::string bytes;
+        bool operator<(const Flight& other) const
+        {
+            return arrives != other.arrives ? arrives > other.arrives : order > other.order;
+        }
+    };
+
+    void step()
+    {
+        while (!m_flights.empty() && m_flights.top().arrives <= m_now) {
+            Flight flight = m_flights.top();
+            m_flights.pop();
+            auto& node = m_nodes[flight.to];
+            if (!node.gossip)
+                continue;
+            if (node.frozenUntil > m_now) { // it stays in the socket until the process runs again
+                flight.arrives = node.frozenUntil + milliseconds(5);
+                m_flights.push(flight);
+                continue;
+            }
+            take(flight.to, node.gossip->receive(m_nodes[flight.from].instance.gossipAddress, flight.bytes, m_now));
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            auto& node = m_nodes[i];
+            if (!node.gossip || node.nextTick > m_now || node.frozenUntil > m_now)
+                continue;
+            node.nextTick = m_now + milliseconds(20);
+            take(i, node.gossip->tick(m_now));
+        }
+    }
+
+    GossipSettings m_settings;
+    std::mt19937_64 m_random;
+    double m_loss;
+    TimePoint m_now { std::chrono::hours(1) };
+    std::vector<Node> m_nodes;
+    std::map<std::string, std::size_t> m_byAddress;
+    std::function<bool(std::size_t, std::size_t)> m_reachable;
+    std::priority_queue<Flight> m_flights;
+    std::uint64_t m_nextFlight = 0;
+};
+
+} // namespace citronplank
