Add the policies, layout choice, query and keyed execution, and leaf gates

Cause: the daemon needs the decisions on sending as cores without sockets, threads or clocks, so that they can be tested with simulated time.

Ruled out: a callback from a running query into the layout table. It would take the directory's lock after the request table's; the query asks with `needsLayout` instead. Also ruled out: blocking a fingerprint at any second crash. A failed rack ends many parts of one harmless query at once, so only a crash of a part that was dispatched as a suspect blocks it.

Before: no query code. Keyed execution, gates and policies have no tests yet.

Conclusion: the interfaces can be wired into the daemon.

--- /dev/null
+++ b/policy/ReplicaChooser.h
@@ -0,0 +1,74 @@
+// Choice of the replica that runs a part.
+#pragma once
+
+#include "citronplank.h"
+
+#include <unordered_map>
+
+namespace citronplank {
+
+enum class ReplicaRule : std::uint8_t {
+    PowerOfTwo, // of two replicas drawn at random, the one with the smaller estimated wait
+    Random,     // baseline
+};
+
+struct ReplicaChooserSettings {
+    ReplicaRule rule = ReplicaRule::PowerOfTwo;
+    bool ejection = true;                   // leave out failing leaves for a while
+    std::uint32_t failuresToEject = 3;      // in a row; two can be one unlucky moment of a healthy leaf
+    milliseconds firstEjection { 1000 };    // doubled at each further ejection
+    milliseconds longestEjection { 30000 }; // a repaired leaf gets work again after at most this long
+    milliseconds latencyHalfLife { 5000 };  // an old estimate fades, so a slow replica is tried again
+};
+
+/// Chooses replicas by what this daemon itself observed: its own parts in flight and their recent latency. Announced
+/// health is not used, because it lags. Leaves that fail several times in a row are ejected for a growing time; when
+/// all replicas of a shard are ejected, all of them are used, so ejection never takes away a shard.
+/// Not thread safe; callers serialize calls.
+class ReplicaChooser {
+public:
+    explicit ReplicaChooser(ReplicaChooserSettings settings = {})
+        : m_settings(settings)
+    {
+    }
+
+    /// Index of the chosen candidate; `random` is a fresh random number. Precondition: `candidates` is not empty.
+    std::size_t choose(std::span<const Announcement* const> candidates, std::uint64_t random, TimePoint now);
+    /// A part was sent to the leaf. Each call is followed by exactly one of the next four.
+    void onSent(const std::string& leaf, TimePoint now);
+    /// The leaf answered after this time.
+    void onAnswered(const std::string& leaf, Duration latency, TimePoint now);
+    /// The part failed in a way that speaks against the leaf: crash, no connection, no answer by the deadline.
+    void onFailed(const std::string& leaf, TimePoint now);
+    /// The leaf or its gate refused the part. A leaf that refuses at once would otherwise look idle and attract work.
+    void onRefused(const std::string& leaf, TimePoint now);
+    /// The part ended without a statement about the leaf. `elapsed` is a lower bound of its latency, or zero.
+    void onAbandoned(const std::string& leaf, Duration elapsed, TimePoint now);
+    bool isEjected(const std::string& leaf, TimePoint now) const;
+    std::uint32_t inFlight(const std::string& leaf) const;
+    /// Removes leaves without parts in flight that were not used since `before`.
+    void forgetUnused(TimePoint before);
+
+private:
+    struct Leaf {
+        std::uint32_t inFlight = 0;
+        double latencySeconds = 0; // 0: nothing observed
+        TimePoint observedAt;
+        TimePoint usedAt;
+        std::uint32_t failures = 0;  // in a row
+        std::uint32_t ejections = 0; // without a success in between
+        TimePoint ejectedUntil;
+    };
+
+    Leaf& finish(const std::string& leaf, TimePoint now);
+    void observe(Leaf&, Duration latency, TimePoint now);
+    double estimatedLatency(const Leaf&, TimePoint now) const;
+    double cost(const std::string& leaf, double unknownLatency, TimePoint now) const;
+    std::size_t chooseByCost(
+        std::span<const Announcement* const> candidates, std::uint64_t random, TimePoint now) const;
+
+    ReplicaChooserSettings m_settings;
+    std::unordered_map<std::string, Leaf> m_leaves;
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/policy/RetryBudget.h
@@ -0,0 +1,53 @@
+// Token buckets that bound extra parts to a percentage of the parts sent.
+#pragma once
+
+#include <algorithm>
+
+namespace citronplank {
+
+/// Token bucket: each ordinary part adds `percent`/100 tokens, each extra part takes one.
+/// Not thread safe; callers serialize calls.
+class PercentBudget {
+public:
+    /// `burst` is the greatest number of tokens saved up, `initial` the number at the start.
+    /// A percentage of 0 or less never gives a token.
+    explicit PercentBudget(double percent, double burst, double initial)
+        : m_percent(percent)
+        , m_burst(burst)
+        , m_tokens(percent > 0 ? std::min(initial, burst) : 0)
+    {
+    }
+
+    /// Counts one ordinary part.
+    void onPart() { m_tokens = std::min(m_burst, m_tokens + std::max(0.0, m_percent) / 100.0); }
+    /// Takes one token; false means that the extra part must not be sent.
+    bool take()
+    {
+        if (m_percent <= 0 || m_tokens < 1)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+    /// Changes the percentage, for example after a change of the rules; saved tokens are kept.
+    void setPercent(double percent) { m_percent = percent; }
+    double tokens() const { return m_tokens; }
+
+private:
+    double m_percent;
+    double m_burst;
+    double m_tokens;
+};
+
+/// Budget of retries for one service. A burst of 20 lets one query over 20 shards retry each part after a zone is lost;
+/// it starts full because failures right after a restart are as likely as later.
+class RetryBudget : public PercentBudget {
+public:
+    static constexpr double burstTokens = 20.0;
+
+    explicit RetryBudget(double percent)
+        : PercentBudget(percent, burstTokens, burstTokens)
+    {
+    }
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/query/LeafGates.cpp
@@ -0,0 +1,416 @@
+#include "query/LeafGates.h"
+
+#include <algorithm>
+
+namespace citronplank {
+
+LeafGates::Gate& LeafGates::gateOf(const std::string& leaf)
+{
+    auto [it, isNew] = m_gates.try_emplace(leaf);
+    if (isNew) {
+        it->second.leaf.leaf = leaf;
+        it->second.slowStart = SlowStart(m_settings.slowStart);
+        it->second.isGone = true;
+    }
+    return it->second;
+}
+
+GateActions LeafGates::setLeaf(const Announcement& it, TimePoint now)
+{
+    GateActions actions;
+    auto& gate = gateOf(it.leaf);
+    const bool isOlder = it.boot < gate.leaf.boot || (it.boot == gate.leaf.boot && it.sequence < gate.leaf.sequence);
+    if (!gate.isGone && isOlder)
+        return settle(std::move(actions), now);
+    // A leaf that was gone may have restarted or stalled; its own load is unknown.
+    if (gate.isGone || it.boot != gate.leaf.boot)
+        gate.slowStart.reset();
+    gate.leaf = it;
+    gate.isGone = false;
+    pump(gate, actions, now);
+    return settle(std::move(actions), now);
+}
+
+GateActions LeafGates::removeLeaf(const std::string& leaf, TimePoint now)
+{
+    GateActions actions;
+    const auto it = m_gates.find(leaf);
+    if (it != m_gates.end()) {
+        it->second.isGone = true;
+        pump(it->second, actions, now);
+        if (it->second.running.empty())
+            m_gates.erase(it);
+    }
+    return settle(std::move(actions), now);
+}
+
+GateActions LeafGates::setRules(const Rules& rules, TimePoint now)
+{
+    GateActions actions;
+    m_rules = rules;
+    for (auto& [leaf, gate] : m_gates)
+        pump(gate, actions, now);
+    return settle(std::move(actions), now);
+}
+
+GateActions LeafGates::setAllowance(const std::string& leaf, const LeafAllowance& allowance, TimePoint now)
+{
+    GateActions actions;
+    auto& gate = gateOf(leaf);
+    const auto isValid = [now](const LeafAllowance& it) { return it.limit > 0 && now < it.until; };
+    // Another owner may have sent in between.
+    if (isValid(allowance) && !isValid(gate.allowance))
+        gate.slowStart.reset();
+    gate.allowance = allowance;
+    pump(gate, actions, now);
+    return settle(std::move(actions), now);
+}
+
+std::uint32_t LeafGates::limitOf(const Gate& gate, TimePoint now) const
+{
+    if (gate.isGone || now >= gate.allowance.until)
+        return 0;
+    auto limit = std::min({ gate.leaf.slots, gate.leaf.connections, gate.allowance.limit });
+    const auto rule = m_rules.leaves.find(gate.leaf.leaf);
+    if (rule != m_rules.leaves.end() && rule->second.limit)
+        limit = std::min(limit, *rule->second.limit);
+    return std::min(limit, gate.slowStart.limit(gate.leaf.slots));
+}
+
+/// Parts in flight at the present boot; the parts of an earlier boot ended with its process.
+std::uint32_t LeafGates::runningOf(const Gate& gate) const
+{
+    return static_cast<std::uint32_t>(std::count_if(gate.running.begin(), gate.running.end(),
+        [&](std::uint64_t id) { return m_running.at(id).boot == gate.leaf.boot; }));
+}
+
+bool LeafGates::runsSuspect(const Gate& gate) const
+{
+    return std::any_of(
+        gate.running.begin(), gate.running.end(), [&](std::uint64_t id) { return m_running.at(id).asSuspect; });
+}
+
+bool LeafGates::mayStart(const Gate& gate, TimePoint now) const
+{
+    const auto rule = m_rules.leaves.find(gate.leaf.leaf);
+    const bool isLeafOut = rule != m_rules.leaves.end() && rule->second.out;
+    return !gate.leaf.draining && !isLeafOut && !m_rules.zonesOut.contains(gate.leaf.zone) && limitOf(gate, now) > 0;
+}
+
+/// True if the part can probably end in time behind those that are due before it. An idle gate always tries: the
+/// learned latency may be out of date, and only a completion corrects it.
+bool LeafGates::meetsDeadline(const Gate& gate, std::uint32_t limit, TimePoint deadline, TimePoint now) const
+{
+    const auto latency = gate.slowStart.learnedLatency();
+    const auto queued = std::distance(gate.queue.begin(), gate.queue.upper_bound(deadline));
+    const auto ahead = static_cast<std::int64_t>(gate.running.size()) + queued;
+    if (!m_settings.estimateWait || !latency || ahead == 0)
+        return true;
+    return now + *latency * ahead / limit + *latency <= deadline;
+}
+
+GateActions LeafGates::submit(const std::string& sender, const Part& part, TimePoint now)
+{
+    GateActions actions;
+    const PartKey key { sender, part.partId };
+    if (m_queuedLeaves.contains(key) || m_runningIds.contains(key)) {
+        ++m_counters.duplicateParts;
+        return settle(std::move(actions), now);
+    }
+    QueuedPart queued { .sender = sender, .part = part, .deadline = now + part.remaining };
+    const auto found = m_gates.find(part.leaf);
+    const bool isBlocked = m_suspicions.stateOf(part.fingerprint, now) == Suspicion::Blocked;
+    if (found == m_gates.end() || !mayStart(found->second, now)) {
+        ++m_counters.refusedRules;
+        refuse(queued, PartStatus::Refused, actions);
+    } else if (isBlocked) {
+        ++m_counters.refusedBlocked;
+        refuse(queued, PartStatus::Blocked, actions);
+    } else if (found->second.queue.size() >= m_settings.queueLimit) {
+        ++m_counters.refusedQueueFull;
+        refuse(queued, PartStatus::Refused, actions);
+    } else if (!meetsDeadline(found->second, limitOf(found->second, now), queued.deadline, now)) {
+        ++m_counters.refusedWait;
+        refuse(queued, PartStatus::Refused, actions);
+    } else {
+        m_queuedLeaves[key] = part.leaf;
+        found->second.queue.emplace(queued.deadline, std::move(queued));
+        pump(found->second, actions, now);
+    }
+    return settle(std::move(actions), now);
+}
+
+/// Answers a part that was never started and never will be. The caller has removed it from its queue.
+void LeafGates::refuse(const QueuedPart& it, PartStatus status, GateActions& actions)
+{
+    m_queuedLeaves.erase({ it.sender, it.part.partId });
+    actions.answers.push_back({ .sender = it.sender,
+        .result = { .partId = it.part.partId, .status = status, .outcome = Outcome::NotRun, .shard = it.part.shard } });
+}
+
+/// Expires and starts queued parts as far as the gate allows at this moment.
+void LeafGates::pump(Gate& gate, GateActions& actions, TimePoint now)
+{
+    expire(gate, actions, now);
+    if (!mayStart(gate, now)) {
+        m_counters.refusedRules += gate.queue.size();
+        for (const auto& [deadline, it] : gate.queue)
+            refuse(it, PartStatus::Refused, actions);
+        gate.queue.clear();
+        return;
+    }
+    while (startFirst(gate, actions, now)) { }
+}
+
+void LeafGates::expire(Gate& gate, GateActions& actions, TimePoint now)
+{
+    while (!gate.queue.empty() && gate.queue.begin()->first <= now) {
+        ++m_counters.expiredInQueue;
+        refuse(gate.queue.begin()->second, PartStatus::Deadline, actions);
+        gate.queue.erase(gate.queue.begin());
+    }
+}
+
+/// Deals with the first queued part; false if it has to wait or there is none.
+bool LeafGates::startFirst(Gate& gate, GateActions& actions, TimePoint now)
+{
+    if (gate.queue.empty())
+        return false;
+    const auto first = gate.queue.begin();
+    const auto suspicion = m_suspicions.stateOf(first->second.part.fingerprint, now);
+    if (suspicion == Suspicion::Blocked) {
+        ++m_counters.refusedBlocked;
+        refuse(first->second, PartStatus::Blocked, actions);
+        gate.queue.erase(first);
+        return true;
+    }
+    const auto limit = limitOf(gate, now);
+    const auto running = runningOf(gate);
+    const bool isSuspect = suspicion == Suspicion::Suspect;
+    if (running >= limit || gate.running.size() >= gate.leaf.connections || runsSuspect(gate)
+        || (isSuspect && !gate.running.empty()))
+        return false;
+    auto part = std::move(first->second);
+    gate.queue.erase(first);
+    // In overload, a part that cannot end in time any more would only take the slot from one that can.
+    const auto latency = gate.slowStart.learnedLatency();
+    if (m_settings.estimateWait && latency && !gate.queue.empty() && now + *latency > part.deadline) {
+        ++m_counters.expiredInQueue;
+        refuse(part, PartStatus::Deadline, actions);
+        return true;
+    }
+    start(gate, std::move(part), isSuspect, limit, actions, now);
+    return true;
+}
+
+void LeafGates::start(
+    Gate& gate, QueuedPart it, bool asSuspect, std::uint32_t limit, GateActions& actions, TimePoint now)
+{
+    const auto id = m_nextId++;
+    const PartKey key { it.sender, it.part.partId };
+    const bool isKeyed = !it.part.requestKey.empty();
+    m_queuedLeaves.erase(key);
+    m_runningIds[key] = id;
+    gate.running.insert(id);
+    m_running[id] = { .sender = it.sender,
+        .partId = it.part.partId,
+        .leaf = gate.leaf.leaf,
+        .boot = gate.leaf.boot,
+        .fingerprint = it.part.fingerprint,
+        .shard = it.part.shard.shard,
+        .startedAt = now,
+        .deadline = isKeyed ? it.deadline + m_settings.keyedGrace : it.deadline,
+        .isKeyed = isKeyed,
+        .asSuspect = asSuspect,
+        .atLimit = runningOf(gate) >= limit };
+    ++m_counters.dispatched;
+    it.part.partId = id;
+    it.part.remaining = std::chrono::ceil<milliseconds>(it.deadline - now);
+    actions.dispatches.push_back({ .part = std::move(it.part), .address = gate.leaf.address });
+}
+
+GateActions LeafGates::onResult(const PartResult& result, TimePoint now)
+{
+    GateActions actions;
+    const auto found = m_running.find(result.partId);
+    if (found == m_running.end()) {
+        ++m_counters.unknownResults;
+        return settle(std::move(actions), now);
+    }
+    const auto part = std::move(found->second);
+    const auto gateIt = m_gates.find(part.leaf);
+    auto& gate = gateIt->second;
+    m_running.erase(found);
+    m_runningIds.erase({ part.sender, part.partId });
+    gate.running.erase(result.partId);
+    if (!part.isCancelled)
+        learn(gate, part, result, actions, now);
+    if (!part.isAnswered)
+        actions.answers.push_back({ .sender = part.sender, .result = answerOf(part, result, now) });
+    pump(gate, actions, now);
+    if (gate.isGone && gate.running.empty())
+        m_gates.erase(gateIt);
+    return settle(std::move(actions), now);
+}
+
+PartResult LeafGates::answerOf(const RunningPart& part, PartResult result, TimePoint now)
+{
+    result.partId = part.partId;
+    if (result.leafTime.count() == 0)
+        result.leafTime = std::chrono::duration_cast<std::chrono::microseconds>(now - part.startedAt);
+    // The gate closed the connection itself, so its end is no crash.
+    if (part.isCancelled && (result.status == PartStatus::Crashed || result.status == PartStatus::Unreachable))
+        result.status = PartStatus::Deadline;
+    switch (result.status) {
+    case PartStatus::Ok:
+    case PartStatus::Failed:
+        result.outcome = Outcome::Ran;
+        break;
+    case PartStatus::Crashed:
+        result.outcome = Outcome::MayHaveRun;
+        break;
+    case PartStatus::Deadline:
+        if (part.isCancelled)
+            result.outcome = Outcome::MayHaveRun;
+        break;
+    default:
+        break;
+    }
+    return result;
+}
+
+void LeafGates::learn(
+    Gate& gate, const RunningPart& part, const PartResult& result, GateActions& actions, TimePoint now)
+{
+    const bool isPresentBoot = part.boot == gate.leaf.boot;
+    switch (result.status) {
+    case PartStatus::Ok:
+    case PartStatus::Failed:
+        if (isPresentBoot)
+            gate.slowStart.onCompleted(now - part.startedAt, part.atLimit, gate.leaf.slots);
+        if ((part.asSuspect || part.isCompanion) && m_suspicions.onCompleted(part.fingerprint, part.shard))
+            actions.suspicions.push_back({ .fingerprint = part.fingerprint, .shard = part.shard });
+        return;
+    case PartStatus::Crashed:
+        if (isPresentBoot)
+            gate.slowStart.onConnectionLost();
+        onCrash(gate, part, actions, now);
+        return;
+    case PartStatus::Refused:
+        if (isPresentBoot)
+            gate.slowStart.onRefused();
+        return;
+    case PartStatus::Unreachable:
+        if (isPresentBoot)
+            gate.slowStart.onConnectionLost();
+        return;
+    case PartStatus::Deadline:
+        if (isPresentBoot)
+            gate.slowStart.onTimedOut();
+        return;
+    default:
+        return;
+    }
+}
+
+/// Makes the part and all others that ran on the leaf suspects. The part is removed from `gate.running` already.
+void LeafGates::onCrash(Gate& gate, const RunningPart& part, GateActions& actions, TimePoint now)
+{
+    bool alone = !part.isCompanion;
+    for (const auto id : gate.running) {
+        auto& other = m_running.at(id);
+        if (other.boot != part.boot)
+            continue;
+        alone = false;
+        if (other.isCompanion)
+            continue;
+        other.isCompanion = true;
+        const auto state = m_suspicions.onCrash({ .fingerprint = other.fingerprint, .shard = other.shard }, now);
+        actions.suspicions.push_back({ .fingerprint = other.fingerprint, .shard = other.shard, .state = state });
+    }
+    const CrashReport report {
+        .fingerprint = part.fingerprint, .shard = part.shard, .alone = alone, .asSuspect = part.asSuspect
+    };
+    const auto state = m_suspicions.onCrash(report, now);
+    actions.suspicions.push_back(
+        { .fingerprint = part.fingerprint, .shard = part.shard, .alone = alone, .state = state });
+}
+
+GateActions LeafGates::cancel(const std::string& sender, std::uint64_t partId, bool queuedOnly, TimePoint now)
+{
+    GateActions actions;
+    const PartKey key { sender, partId };
+    const auto queued = m_queuedLeaves.find(key);
+    if (queued != m_queuedLeaves.end()) {
+        auto& gate = m_gates.at(queued->second);
+        const auto it = std::find_if(gate.queue.begin(), gate.queue.end(),
+            [&](const auto& entry) { return entry.second.sender == sender && entry.second.part.partId == partId; });
+        const auto part = std::move(it->second);
+        gate.queue.erase(it);
+        refuse(part, PartStatus::Refused, actions);
+        pump(gate, actions, now);
+        return settle(std::move(actions), now);
+    }
+    const auto running = m_runningIds.find(key);
+    if (running != m_runningIds.end() && !queuedOnly) {
+        auto& part = m_running.at(running->second);
+        if (!part.isCancelled)
+            actions.cancelRunning.push_back(running->second);
+        part.isCancelled = true;
+        part.isAnswered = true;
+    }
+    return settle(std::move(actions), now);
+}
+
+GateActions LeafGates::onTimer(TimePoint now)
+{
+    GateActions actions;
+    for (auto& [id, part] : m_running) {
+        if (part.isCancelled || part.deadline > now)
+            continue;
+        part.isCancelled = true;
+        actions.cancelRunning.push_back(id);
+        auto& gate = m_gates.at(part.leaf);
+        if (part.boot == gate.leaf.boot)
+            gate.slowStart.onTimedOut();
+        // A keyed part is answered once its end is known, with what the leaf may still have said.
+        if (part.isKeyed)
+            continue;
+        part.isAnswered = true;
+        actions.answers.push_back({ .sender = part.sender,
+            .result = { .partId = part.partId, .status = PartStatus::Deadline, .outcome = Outcome::MayHaveRun } });
+    }
+    for (auto& [leaf, gate] : m_gates)
+        pump(gate, actions, now);
+    return settle(std::move(actions), now);
+}
+
+GateActions LeafGates::settle(GateActions actions, TimePoint now) const
+{
+    std::optional<TimePoint>& timer = actions.nextTimer;
+    const auto include = [&](TimePoint it) { timer = timer ? std::min(*timer, it) : it; };
+    for (const auto& [leaf, gate] : m_gates) {
+        if (!gate.queue.empty())
+            include(std::min(gate.queue.begin()->first, gate.allowance.until));
+    }
+    for (const auto& [id, part] : m_running) {
+        if (!part.isCancelled)
+            include(part.deadline);
+    }
+    if (timer)
+        timer = std::max(*timer, now);
+    return actions;
+}
+
+std::vector<GateStatus> LeafGates::status(TimePoint now) const
+{
+    std::vector<GateStatus> list;
+    for (const auto& [leaf, gate] : m_gates)
+        list.push_back({ .leaf = leaf,
+            .limit = limitOf(gate, now),
+            .running = static_cast<std::uint32_t>(gate.running.size()),
+            .queued = gate.queue.size() });
+    return list;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/query/QueryExecution.cpp
@@ -0,0 +1,7 @@
+#include "query/QueryExecutionImpl.h"
+
+namespace citronplank {
+
+template class QueryExecution<ReplicaStatistics>;
+
+} // namespace citronplank
--- /dev/null
+++ b/query/QueryExecution.h
@@ -0,0 +1,165 @@
+// One running query: fan-out, hedges, retries, version change, merging and coverage.
+#pragma once
+
+#include "policy/StopRule.h"
+#include "query/LayoutChooser.h"
+#include "query/PartActions.h"
+#include "query/QueryPolicies.h"
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+
+namespace citronplank {
+
+using QueryOutcome = std::variant<QueryAnswer, Error>;
+
+/// What the caller of QueryExecution has to do after a call, in this order.
+struct QueryActions {
+    std::vector<PartCancel> cancels;
+    std::vector<PartSend> sends;
+    bool needsLayout = false;           // choose the layout again and call `onLayout`
+    std::optional<QueryOutcome> finish; // set exactly once per query
+    std::optional<TimePoint> nextTimer; // when to call `onTimer`; replaces the earlier one, absent after the finish
+};
+
+/// Events of one query, for the counters of the daemon.
+struct QueryCounters {
+    std::uint32_t parts = 0; // ordinary parts
+    std::uint32_t hedges = 0;
+    std::uint32_t retries = 0;
+    std::uint32_t restarts = 0;
+    std::uint32_t lateResults = 0;      // of a shard that was already merged, or after the finish
+    std::uint32_t duplicateResults = 0; // of a part that had already ended
+    std::uint32_t unknownResults = 0;   // of a part that this query never sent
+    std::uint32_t foreignResults = 0;   // of another version, shard or layout than the part asked for
+};
+
+/// What one query runs with.
+struct QueryContext {
+    Query query;
+    std::uint64_t queryId = 0;                  // unique per entry instance, below 2^44
+    std::shared_ptr<const PinnedLayout> layout; // null: no version of the service is known
+    ServiceRules rules;
+};
+
+/// Runs one query and finishes exactly once. Every shard is merged at most once, and only from a part that was computed
+/// on the pinned version, shard and shard count.
+/// Not thread safe: callers serialize the calls and hold the lock of the policies, which must outlive this object.
+template <QueryPolicies Policies>
+class QueryExecution {
+public:
+    static constexpr std::uint32_t greatestAttempts = 8; // per shard and layout; bounds the part identities
+
+    QueryExecution(QueryContext context, Policies& policies)
+        : m_context(std::move(context))
+        , m_policies(policies)
+    {
+    }
+    QueryExecution(const QueryExecution&) = delete;
+    QueryExecution& operator=(const QueryExecution&) = delete;
+
+    /// Sends the first parts, or finishes with a refusal that is "not run". Precondition: called once, before the other
+    /// methods.
+    QueryActions start(TimePoint now);
+    /// A part ended. Results of unknown or ended parts are counted and ignored.
+    QueryActions onResult(const PartResult&, TimePoint now);
+    /// Hedges, stops waiting or meets the deadline. May be called early or late.
+    QueryActions onTimer(TimePoint now);
+    /// The answer to `needsLayout`. A layout that is not newer than the pinned one changes nothing.
+    QueryActions onLayout(std::shared_ptr<const PinnedLayout>, TimePoint now);
+    /// The caller has gone: cancels all parts. There is no finish action after it.
+    QueryActions cancel(TimePoint now);
+
+    bool isFinished() const { return m_finished; }
+    const QueryCounters& counters() const { return m_counters; }
+
+private:
+    struct Attempt {
+        std::uint32_t shard = 0;
+        std::uint32_t replica = 0; // index in the layout's list
+        TimePoint sentAt;
+        bool ended = false;
+        bool isFirst = false; // ordinary part, which may be hedged
+    };
+    enum class ShardState : std::uint8_t { NotSent, Running, AwaitsLayout, Answered, Missing };
+    struct Shard {
+        ShardState state = ShardState::NotSent;
+        MissingReason reason = MissingReason::Deadline;
+        std::uint32_t running = 0; // attempts
+        std::uint32_t sent = 0;    // attempts
+        bool wasShed = false;
+        std::vector<bool> tried; // by replica
+        std::string body;
+    };
+
+    /// What was merged on the layout that a restart left. It is answered if the new layout ends up covering less.
+    struct Snapshot {
+        std::shared_ptr<const PinnedLayout> layout;
+        std::vector<Shard> shards;
+        std::uint32_t answered = 0;
+    };
+
+    void beginLayout(QueryActions&, TimePoint now);
+    void sendNextSuspect(QueryActions&, TimePoint now);
+    ReplicaList untried(const Shard&, std::uint32_t shard, std::vector<std::uint32_t>& indices) const;
+    bool sendAttempt(std::uint32_t shard, bool isHedge, bool isRetry, QueryActions&, TimePoint now);
+    void endAttempt(Attempt&, const PartResult&, bool merges, TimePoint now);
+    void merge(std::uint32_t shard, const PartResult&, QueryActions&, TimePoint now);
+    void cancelAttempts(std::optional<std::uint32_t> shard, QueryActions&, TimePoint now);
+    void onCrashed(const Attempt&, QueryActions&, TimePoint now);
+    void onFailedAttempt(std::uint32_t shard, PartStatus, const PartResult&, QueryActions&, TimePoint now);
+    bool retry(std::uint32_t shard, PartStatus, const PartResult&, QueryActions&, TimePoint now);
+    void setMissing(std::uint32_t shard, MissingReason);
+    void giveUpOnLayout();
+    void hedge(QueryActions&, TimePoint now);
+    QueryActions settle(QueryActions, TimePoint now);
+    TimePoint nextTimer(TimePoint now);
+    bool isPreviousBetter() const;
+    void finish(QueryActions&, TimePoint now);
+    QueryOutcome outcome();
+    std::optional<Error> errorWithoutAnswer() const;
+    const Layout& layout() const { return m_context.layout->layout; }
+
+    QueryContext m_context;
+    Policies& m_policies;
+    std::uint64_t m_partCounter = 0;
+    std::uint64_t m_fingerprint = 0;
+    std::optional<StopRule> m_stop;
+    std::optional<Duration> m_hedgeDelay;
+    std::vector<Shard> m_shards;
+    std::optional<Snapshot> m_previous;
+    std::unordered_map<std::uint64_t, Attempt> m_attempts;
+    std::deque<std::uint64_t> m_hedgeQueue; // ordinary parts in the order of sending
+    std::uint32_t m_answered = 0;
+    std::uint32_t m_open = 0; // shards neither answered nor missing
+    std::uint32_t m_nextSuspectShard = 0;
+    bool m_isSuspect = false; // runs on one leaf at a time
+    bool m_crashed = false;   // a leaf crashed: nothing more is sent
+    bool m_layoutAsked = false;
+    bool m_finished = false;
+    std::set<PartStatus> m_failures; // seen on missing shards
+    QueryCounters m_counters;
+};
+
+/// Builds a query step by step; `build` needs at least `query`, `queryId` and `layout`.
+class QueryBuilder {
+public:
+    QueryBuilder& query(Query it) { return m_context.query = std::move(it), *this; }
+    QueryBuilder& layout(std::shared_ptr<const PinnedLayout> it) { return m_context.layout = std::move(it), *this; }
+    QueryBuilder& rules(const ServiceRules& it) { return m_context.rules = it, *this; }
+    QueryBuilder& queryId(std::uint64_t it) { return m_context.queryId = it, *this; }
+    template <QueryPolicies Policies>
+    std::unique_ptr<QueryExecution<Policies>> build(Policies& policies) const
+    {
+        return std::make_unique<QueryExecution<Policies>>(m_context, policies);
+    }
+
+private:
+    QueryContext m_context;
+};
+
+extern template class QueryExecution<ReplicaStatistics>;
+
+} // namespace citronplank
--- /dev/null
+++ b/query/QueryExecutionImpl.h
@@ -0,0 +1,490 @@
+// Definitions of QueryExecution, for instantiation with policies other than ReplicaStatistics.
+#pragma once
+
+#include "query/QueryExecution.h"
+
+#include <algorithm>
+
+namespace citronplank {
+
+template <QueryPolicies Policies>
+QueryActions QueryExecution<Policies>::start(TimePoint now)
+{
+    QueryActions actions;
+    const auto& query = m_context.query;
+    m_stop.emplace(query.deadline, m_context.rules, now);
+    m_fingerprint = fingerprintOf(query.service, query.operation, query.body);
+    const auto suspicion = m_policies.suspicionOf(m_fingerprint, now);
+    m_isSuspect = suspicion == Suspicion::Suspect;
+    std::optional<Error> refusal;
+    if (m_context.rules.nonIdempotent.contains(query.operation))
+        refusal.emplace(ErrorKind::KeyMissing,
+            "operation " + query.operation + " of " + query.service + " is not idempotent and needs a request key");
+    else if (suspicion == Suspicion::Blocked)
+        refusal.emplace(ErrorKind::RequestBlocked, "this request crashed back ends and is blocked for 10 minutes");
+    else if (!m_context.layout || m_context.layout->coveredShards == 0)
+        refusal.emplace(ErrorKind::NoReplica, "no replica of " + query.service + " can be used");
+    if (refusal) {
+        m_finished = true;
+        actions.finish = *refusal;
+        return actions;
+    }
+    beginLayout(actions, now);
+    return settle(std::move(actions), now);
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::beginLayout(QueryActions& actions, TimePoint now)
+{
+    const auto count = layout().shardCount;
+    m_shards.assign(count, {});
+    m_answered = 0;
+    m_open = count;
+    m_nextSuspectShard = 0;
+    m_hedgeQueue.clear();
+    m_failures.clear();
+    m_hedgeDelay = m_isSuspect ? std::nullopt : m_policies.hedgeDelay(m_context.query.service);
+    for (std::uint32_t shard = 0; shard < count; ++shard) {
+        m_shards[shard].tried.resize(layout().replicas[shard].size());
+        if (layout().replicas[shard].empty())
+            setMissing(shard, m_context.layout->emptyReasons[shard]);
+        else if (!m_isSuspect)
+            sendAttempt(shard, false, false, actions, now);
+    }
+}
+
+/// Sends the next shard of a suspect query, which has at most one part running.
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::sendNextSuspect(QueryActions& actions, TimePoint now)
+{
+    const bool busy
+        = std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& it) { return !it.second.ended; });
+    while (!busy && m_nextSuspectShard < m_shards.size()) {
+        const auto shard = m_nextSuspectShard++;
+        if (m_shards[shard].state == ShardState::NotSent && sendAttempt(shard, false, false, actions, now))
+            return;
+    }
+}
+
+template <QueryPolicies Policies>
+ReplicaList QueryExecution<Policies>::untried(
+    const Shard& it, std::uint32_t shard, std::vector<std::uint32_t>& indices) const
+{
+    ReplicaList list;
+    const auto& replicas = layout().replicas[shard];
+    for (std::uint32_t i = 0; i < replicas.size(); ++i) {
+        if (!it.tried[i]) {
+            list.push_back(&replicas[i]);
+            indices.push_back(i);
+        }
+    }
+    return list;
+}
+
+/// Sends one part to a replica that this shard has not tried; false if there is none.
+template <QueryPolicies Policies>
+bool QueryExecution<Policies>::sendAttempt(
+    std::uint32_t shard, bool isHedge, bool isRetry, QueryActions& actions, TimePoint now)
+{
+    auto& it = m_shards[shard];
+    std::vector<std::uint32_t> indices;
+    const auto candidates = untried(it, shard, indices);
+    if (candidates.empty() || it.sent >= greatestAttempts || now >= m_stop->deadline())
+        return false;
+    const auto chosen = m_policies.chooseReplica(candidates, now);
+    const auto& replica = *candidates[chosen];
+    it.tried[indices[chosen]] = true;
+    it.state = ShardState::Running;
+    ++it.running;
+    ++it.sent;
+    PartSend send;
+    send.part = { .queryId = m_context.queryId,
+        .partId = partIdOf(m_context.queryId, m_partCounter++),
+        .service = m_context.query.service,
+        .operation = m_context.query.operation,
+        .leaf = replica.leaf,
+        .shard = { .version = layout().version, .shard = shard, .of = layout().shardCount },
+        .remaining = std::chrono::ceil<milliseconds>(m_stop->deadline() - now),
+        .fingerprint = m_fingerprint,
+        .body = m_context.query.body };
+    send.zone = replica.zone;
+    send.address = replica.address;
+    send.isHedge = isHedge;
+    const bool isFirst = !isHedge && !isRetry;
+    m_attempts[send.part.partId]
+        = { .shard = shard, .replica = indices[chosen], .sentAt = now, .ended = false, .isFirst = isFirst };
+    if (isHedge) {
+        m_policies.onHedgeSent(replica.leaf, now);
+        ++m_counters.hedges;
+    } else if (isRetry) {
+        m_policies.onRetrySent(replica.leaf, now);
+        ++m_counters.retries;
+    } else {
+        m_policies.onPartSent(m_context.query.service, replica.leaf, now);
+        ++m_counters.parts;
+        m_hedgeQueue.push_back(send.part.partId);
+    }
+    actions.sends.push_back(std::move(send));
+    return true;
+}
+
+template <QueryPolicies Policies>
+QueryActions QueryExecution<Policies>::onResult(const PartResult& result, TimePoint now)
+{
+    QueryActions actions;
+    const auto found = m_attempts.find(result.partId);
+    if (found == m_attempts.end()) {
+        // Attempts of the layout before a restart are forgotten, but their results are late, not unknown.
+        const bool isOwn = queryIdOfPart(result.partId) == m_context.queryId
+            && result.partId < partIdOf(m_context.queryId, m_partCounter);
+        ++(isOwn ? m_counters.lateResults : m_counters.unknownResults);
+        return settle(std::move(actions), now);
+    }
+    auto& attempt = found->second;
+    if (attempt.ended) {
+        // Cancelled parts may still end; a second result of an ended part is the fault of a resent message.
+        ++(m_finished || m_shards[attempt.shard].state == ShardState::Answered ? m_counters.lateResults
+                                                                               : m_counters.duplicateResults);
+        return settle(std::move(actions), now);
+    }
+    const ShardVersion asked { .version = layout().version, .shard = attempt.shard, .of = layout().shardCount };
+    auto status = result.status;
+    if (status == PartStatus::Ok && result.shard != asked) {
+        ++m_counters.foreignResults;
+        status = PartStatus::WrongVersion;
+    }
+    PartResult judged { .partId = result.partId, .status = status, .outcome = result.outcome };
+    endAttempt(attempt, judged, status == PartStatus::Ok, now);
+    const auto shard = attempt.shard;
+    if (status == PartStatus::Ok) {
+        merge(shard, result, actions, now);
+        return settle(std::move(actions), now);
+    }
+    if (status == PartStatus::Crashed)
+        onCrashed(attempt, actions, now);
+    onFailedAttempt(shard, status, judged, actions, now);
+    return settle(std::move(actions), now);
+}
+
+/// Ends the bookkeeping of one attempt and tells the policies how it went.
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::endAttempt(Attempt& attempt, const PartResult& result, bool merges, TimePoint now)
+{
+    attempt.ended = true;
+    --m_shards[attempt.shard].running;
+    const auto& leaf = layout().replicas[attempt.shard][attempt.replica].leaf;
+    const auto& service = m_context.query.service;
+    const Duration elapsed = now - attempt.sentAt;
+    const bool speaksAgainstLeaf = result.status == PartStatus::Crashed || result.status == PartStatus::Unreachable
+        || (result.status == PartStatus::Deadline && result.outcome != Outcome::NotRun);
+    if (merges)
+        m_policies.onPartAnswered(service, leaf, elapsed, now);
+    else if (speaksAgainstLeaf)
+        m_policies.onPartFailed(leaf, now);
+    else if (result.status == PartStatus::Refused)
+        m_policies.onPartRefused(leaf, now);
+    else
+        m_policies.onPartAbandoned(service, leaf, Duration::zero(), now);
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::merge(
+    std::uint32_t shard, const PartResult& result, QueryActions& actions, TimePoint now)
+{
+    auto& it = m_shards[shard];
+    if (it.state == ShardState::Answered)
+        return;
+    // A shard may be answered after it was given up, for example while it awaited a new layout.
+    if (it.state != ShardState::Missing)
+        --m_open;
+    it.state = ShardState::Answered;
+    it.body = result.body;
+    ++m_answered;
+    cancelAttempts(shard, actions, now);
+}
+
+/// Cancels the running attempts of one shard, or of all shards.
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::cancelAttempts(std::optional<std::uint32_t> shard, QueryActions& actions, TimePoint now)
+{
+    if (shard && m_shards[*shard].running == 0)
+        return;
+    for (auto& [partId, attempt] : m_attempts) {
+        if (attempt.ended || (shard && attempt.shard != *shard))
+            continue;
+        attempt.ended = true;
+        --m_shards[attempt.shard].running;
+        const auto& replica = layout().replicas[attempt.shard][attempt.replica];
+        m_policies.onPartAbandoned(m_context.query.service, replica.leaf, now - attempt.sentAt, now);
+        actions.cancels.push_back({ .partId = partId, .leaf = replica.leaf, .zone = replica.zone });
+    }
+}
+
+/// Stops what has not reached a leaf yet. Running parts are left alone: their leaves have started them anyway.
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::onCrashed(const Attempt& crashed, QueryActions& actions, TimePoint now)
+{
+    m_policies.onCrash({ .fingerprint = m_fingerprint, .shard = crashed.shard, .asSuspect = m_isSuspect }, now);
+    if (m_crashed)
+        return;
+    m_crashed = true;
+    for (const auto& [partId, attempt] : m_attempts) {
+        if (attempt.ended)
+            continue;
+        const auto& replica = layout().replicas[attempt.shard][attempt.replica];
+        actions.cancels.push_back({ .partId = partId, .leaf = replica.leaf, .zone = replica.zone, .queuedOnly = true });
+    }
+    for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (m_shards[shard].state == ShardState::NotSent || m_shards[shard].state == ShardState::AwaitsLayout)
+            setMissing(shard, MissingReason::Blocked);
+    }
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::onFailedAttempt(
+    std::uint32_t shard, PartStatus status, const PartResult& result, QueryActions& actions, TimePoint now)
+{
+    auto& it = m_shards[shard];
+    if (it.state != ShardState::Running)
+        return;
+    m_failures.insert(status);
+    if (retry(shard, status, result, actions, now) || it.running > 0)
+        return;
+    if (status == PartStatus::WrongVersion && !m_crashed && m_counters.restarts == 0) {
+        it.state = ShardState::AwaitsLayout;
+        actions.needsLayout = !m_layoutAsked;
+        m_layoutAsked = true;
+        return;
+    }
+    switch (status) {
+    case PartStatus::WrongVersion:
+        return setMissing(shard, MissingReason::WrongVersion);
+    case PartStatus::Crashed:
+        return setMissing(shard, MissingReason::Crashed);
+    case PartStatus::Deadline:
+        return setMissing(shard, MissingReason::Deadline);
+    case PartStatus::Blocked:
+        return setMissing(shard, MissingReason::Blocked);
+    case PartStatus::Unreachable:
+        return setMissing(shard, MissingReason::Unreachable);
+    case PartStatus::Refused:
+        // After a crash the queued parts were withdrawn by this query itself.
+        return setMissing(shard, m_crashed ? MissingReason::Blocked : MissingReason::Refused);
+    case PartStatus::Ok:
+    case PartStatus::Failed:
+        return setMissing(shard, MissingReason::Refused);
+    }
+}
+
+/// Sends the shard to another replica if its failure and the budget allow that.
+template <QueryPolicies Policies>
+bool QueryExecution<Policies>::retry(
+    std::uint32_t shard, PartStatus status, const PartResult& result, QueryActions& actions, TimePoint now)
+{
+    auto& it = m_shards[shard];
+    std::vector<std::uint32_t> indices;
+    if (m_crashed || m_isSuspect || it.running > 0 || untried(it, shard, indices).empty())
+        return false;
+    const auto& service = m_context.query.service;
+    bool allowed = false;
+    switch (status) {
+    case PartStatus::WrongVersion:
+        // Not run, so the other replica is the first to do work for this shard.
+        allowed = true;
+        break;
+    case PartStatus::Unreachable:
+        // The budget protects back ends from extra work; a part that certainly did not run caused none.
+        allowed = result.outcome == Outcome::NotRun || m_policies.takeRetry(service);
+        break;
+    case PartStatus::Refused:
+        allowed = !it.wasShed && m_policies.takeRetry(service);
+        it.wasShed = true;
+        break;
+    case PartStatus::Failed:
+        allowed = m_policies.takeRetry(service);
+        break;
+    default:
+        break;
+    }
+    return allowed && sendAttempt(shard, false, true, actions, now);
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::setMissing(std::uint32_t shard, MissingReason reason)
+{
+    auto& it = m_shards[shard];
+    it.state = ShardState::Missing;
+    it.reason = reason;
+    --m_open;
+}
+
+template <QueryPolicies Policies>
+QueryActions QueryExecution<Policies>::onLayout(std::shared_ptr<const PinnedLayout> fresh, TimePoint now)
+{
+    QueryActions actions;
+    if (m_finished || !m_layoutAsked || m_counters.restarts > 0)
+        return settle(std::move(actions), now);
+    const bool isNewer = fresh && fresh->coveredShards > 0 && fresh->layout.version > layout().version;
+    const bool hasTime = now + m_hedgeDelay.value_or(Duration::zero()) < m_stop->deadline();
+    if (m_crashed || !isNewer || !hasTime) {
+        giveUpOnLayout();
+        return settle(std::move(actions), now);
+    }
+    cancelAttempts(std::nullopt, actions, now);
+    m_previous
+        = Snapshot { .layout = std::move(m_context.layout), .shards = std::move(m_shards), .answered = m_answered };
+    m_context.layout = std::move(fresh);
+    ++m_counters.restarts;
+    m_attempts.clear();
+    beginLayout(actions, now);
+    return settle(std::move(actions), now);
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::giveUpOnLayout()
+{
+    m_layoutAsked = false;
+    for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (m_shards[shard].state == ShardState::AwaitsLayout)
+            setMissing(shard, MissingReason::WrongVersion);
+    }
+}
+
+template <QueryPolicies Policies>
+QueryActions QueryExecution<Policies>::onTimer(TimePoint now)
+{
+    QueryActions actions;
+    if (!m_finished)
+        hedge(actions, now);
+    return settle(std::move(actions), now);
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::hedge(QueryActions& actions, TimePoint now)
+{
+    if (!m_hedgeDelay || m_crashed || now >= m_stop->deadline())
+        return;
+    while (!m_hedgeQueue.empty()) {
+        const auto it = m_attempts.find(m_hedgeQueue.front());
+        const bool isOpen = it != m_attempts.end() && !it->second.ended;
+        if (isOpen && it->second.sentAt + *m_hedgeDelay > now)
+            return;
+        m_hedgeQueue.pop_front();
+        if (!isOpen)
+            continue;
+        const auto shard = it->second.shard;
+        std::vector<std::uint32_t> indices;
+        if (!untried(m_shards[shard], shard, indices).empty() && m_policies.takeHedge(m_context.query.service))
+            sendAttempt(shard, true, false, actions, now);
+    }
+}
+
+/// Common end of every call: sends the next part of a suspect query, finishes if due and sets the timer.
+template <QueryPolicies Policies>
+QueryActions QueryExecution<Policies>::settle(QueryActions actions, TimePoint now)
+{
+    if (m_finished)
+        return actions;
+    if (m_isSuspect && !m_crashed)
+        sendNextSuspect(actions, now);
+    if (m_open == 0 || m_stop->shouldStop(now, m_answered, layout().shardCount))
+        finish(actions, now);
+    else
+        actions.nextTimer = nextTimer(now);
+    return actions;
+}
+
+template <QueryPolicies Policies>
+TimePoint QueryExecution<Policies>::nextTimer(TimePoint now)
+{
+    const auto stop = m_stop->nextCheck(now);
+    if (!m_hedgeDelay || m_crashed)
+        return stop;
+    for (; !m_hedgeQueue.empty(); m_hedgeQueue.pop_front()) {
+        const auto it = m_attempts.find(m_hedgeQueue.front());
+        if (it != m_attempts.end() && !it->second.ended)
+            return std::min(stop, it->second.sentAt + *m_hedgeDelay);
+    }
+    return stop;
+}
+
+template <QueryPolicies Policies>
+void QueryExecution<Policies>::finish(QueryActions& actions, TimePoint now)
+{
+    m_finished = true;
+    cancelAttempts(std::nullopt, actions, now);
+    if (m_previous && isPreviousBetter()) {
+        m_context.layout = std::move(m_previous->layout);
+        m_shards = std::move(m_previous->shards);
+        m_answered = m_previous->answered;
+    }
+    for (auto& it : m_shards) {
+        if (it.state == ShardState::Answered || it.state == ShardState::Missing)
+            continue;
+        it.reason = it.state == ShardState::AwaitsLayout ? MissingReason::WrongVersion : MissingReason::Deadline;
+        it.state = ShardState::Missing;
+    }
+    actions.needsLayout = false;
+    actions.nextTimer.reset();
+    actions.finish = outcome();
+}
+
+/// True if the layout before the restart had covered a greater fraction when it was left. Both are one snapshot each.
+template <QueryPolicies Policies>
+bool QueryExecution<Policies>::isPreviousBetter() const
+{
+    return std::uint64_t { m_previous->answered } * layout().shardCount
+        > std::uint64_t { m_answered } * m_previous->layout->layout.shardCount;
+}
+
+template <QueryPolicies Policies>
+QueryOutcome QueryExecution<Policies>::outcome()
+{
+    if (m_answered == 0) {
+        if (const auto error = errorWithoutAnswer())
+            return *error;
+    }
+    const auto total = layout().shardCount;
+    if (!m_stop->isCoverageReached(m_answered, total))
+        return Error(ErrorKind::CoverageTooLow,
+            std::to_string(m_answered) + " of " + std::to_string(total)
+                + " shards answered, below the minimum coverage");
+    QueryAnswer answer;
+    answer.version = layout().version;
+    answer.coverage.total = total;
+    answer.coverage.answered = m_answered;
+    answer.parts.reserve(m_answered);
+    for (std::uint32_t shard = 0; shard < total; ++shard) {
+        if (m_shards[shard].state == ShardState::Answered)
+            answer.parts.push_back(std::move(m_shards[shard].body));
+        else
+            answer.coverage.missing.push_back({ .shard = shard, .reason = m_shards[shard].reason });
+    }
+    return answer;
+}
+
+/// The error that says more than an answer without any shard, where there is one.
+template <QueryPolicies Policies>
+std::optional<Error> QueryExecution<Policies>::errorWithoutAnswer() const
+{
+    if (m_failures.contains(PartStatus::Crashed))
+        return Error(ErrorKind::OutcomeUnknown, "a back end crashed while it ran the request");
+    if (m_failures.contains(PartStatus::Blocked))
+        return Error(ErrorKind::RequestBlocked, "this request crashed back ends and is blocked for 10 minutes");
+    if (m_failures.contains(PartStatus::Failed))
+        return Error(ErrorKind::BackEndFailed, "the back ends answered with an error");
+    return std::nullopt;
+}
+
+template <QueryPolicies Policies>
+QueryActions QueryExecution<Policies>::cancel(TimePoint now)
+{
+    QueryActions actions;
+    if (m_finished)
+        return actions;
+    m_finished = true;
+    cancelAttempts(std::nullopt, actions, now);
+    return actions;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/tests/QueryLayoutTests.cpp
@@ -0,0 +1,81 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "query/LayoutChooser.h"
+
+#include <doctest/doctest.h>
+
+using namespace citronplank;
+
+namespace {
+
+Announcement leaf(const std::string& name, const std::vector<ShardVersion>& versions, const std::string& zone = "atl")
+{
+    return { .leaf = name, .service = "loandesk", .zone = zone, .boot = 1, .slots = 2, .versions = versions };
+}
+
+} // namespace
+
+// Guards against a denominator taken from live servers, which would call a half-list complete.
+TEST_CASE("a shard without a live replica still counts")
+{
+    LayoutChooser chooser;
+    const std::vector<Announcement> leaves { leaf("a", { { 7, 0, 3 } }), leaf("b", { { 7, 2, 3 } }) };
+    const auto pinned = chooser.choose("loandesk", leaves);
+    REQUIRE(pinned);
+    CHECK(pinned->layout.shardCount == 3);
+    CHECK(pinned->coveredShards == 2);
+    CHECK(pinned->layout.replicas.at(1).empty());
+    CHECK(chooser.choose("repairs", leaves) == nullptr);
+}
+
+// Guards against pinning a version in rollout, which would lose the shards that have not moved yet.
+TEST_CASE("the newest complete version is pinned, else the last complete one unless it covers less")
+{
+    LayoutChooser chooser;
+    std::vector<Announcement> leaves { leaf("a", { { 1, 0, 2 } }), leaf("b", { { 1, 1, 2 }, { 2, 1, 2 } }) };
+    CHECK(chooser.choose("loandesk", leaves)->layout.version == 1);
+    leaves[0].versions.push_back({ 2, 0, 2 });
+    CHECK(chooser.choose("loandesk", leaves)->layout.version == 2);
+    leaves.erase(leaves.begin()); // versions 1 and 2 are both at one of two shards now; 2 was the last complete one
+    leaves[0].versions.push_back({ 3, 1, 2 });
+    CHECK(chooser.choose("loandesk", leaves)->layout.version == 2);
+    leaves.push_back(leaf("c", { { 4, 0, 4 } }));
+    leaves.push_back(leaf("d", { { 4, 1, 4 } }));
+    leaves.push_back(leaf("e", { { 4, 3, 4 } }));
+    CHECK(chooser.choose("loandesk", leaves)->layout.version == 4);
+}
+
+// Guards against work for a zone, leaf or process that operators or the leaf itself have taken out, and against the
+// shard count shrinking with it.
+TEST_CASE("zones out, leaves out and draining leaves give no replica but still count")
+{
+    LayoutChooser chooser;
+    std::vector<Announcement> leaves { leaf("a", { { 1, 0, 4 } }), leaf("b", { { 1, 1, 4 } }, "sav"),
+        leaf("c", { { 1, 2, 4 } }), leaf("d", { { 1, 3, 4 } }) };
+    leaves[2].draining = true;
+    Rules rules;
+    rules.zonesOut.insert("sav");
+    rules.leaves["d"].out = true;
+    const auto pinned = chooser.choose("loandesk", leaves, { .rules = &rules });
+    CHECK(pinned->layout.shardCount == 4);
+    CHECK(pinned->coveredShards == 1);
+    CHECK(pinned->emptyReasons.at(1) == MissingReason::ZoneOut);
+    CHECK(pinned->emptyReasons.at(2) == MissingReason::NoReplica);
+    CHECK(pinned->emptyReasons.at(3) == MissingReason::NoReplica);
+    const auto stale = chooser.choose("loandesk", leaves, { .onlyZone = "sav" });
+    CHECK(stale->coveredShards == 1);
+    CHECK(stale->emptyReasons.at(0) == MissingReason::Unreachable);
+}
+
+// Guards against a wrong denominator, and against merging shards cut in different ways.
+TEST_CASE("one version under several shard counts uses the greatest and reports the fault")
+{
+    LayoutChooser chooser;
+    const std::vector<Announcement> leaves { leaf("a", { { 5, 0, 2 } }), leaf("c", { { 5, 0, 3 } }),
+        leaf("b", { { 5, 1, 2 } }), leaf("bad", { { 5, 9, 3 }, { 5, 0, 0 } }) };
+    const auto pinned = chooser.choose("loandesk", leaves);
+    CHECK(pinned->layout.shardCount == 3);
+    CHECK(pinned->coveredShards == 1);
+    REQUIRE(pinned->layout.replicas.at(0).size() == 1);
+    CHECK(pinned->layout.replicas.at(0).front().leaf == "c");
+    CHECK(pinned->faults.size() == 4);
+}
