Add the HTTP server for callers

Cause: half-sent, slow and oversized requests must cost other callers nothing, and a handler answers later. Ruled out: cpp-httplib on this port (one thread for each connection); http_parser's own header limit (global, 80 KB). A refused request is answered from the error table, then the connection lingers so that the answer is not reset. After: 8 cases pass, one with 200 half-sent requests beside a served one.

--- /dev/null
+++ b/tests/HttpServerTests.cpp
@@ -0,0 +1,307 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "transport/HttpServer.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using namespace citronplank;
+
+namespace {
+
+constexpr seconds patience { 20 };
+
+/// A server with two worker threads. Requests to /wait are kept until the test answers them.
+struct Server {
+    explicit Server(HttpServerSettings settings = {})
+        : work(asio::make_work_guard(io))
+    {
+        settings.address = "127.0.0.1:0";
+        http = std::make_unique<HttpServer>(
+            io, settings, [this](const HttpRequest& request, const Responder& responder) {
+                if (request.target == "/drop")
+                    return;
+                if (request.target == "/throw")
+                    throw Error(ErrorKind::NoMajority, "no majority");
+                if (request.target != "/wait") {
+                    responder.answer({ .body = request.method + request.target + ":" + request.body });
+                    return;
+                }
+                responder.onCallerGone([this] { ++gone; });
+                const std::lock_guard lock(mutex);
+                waiting.push_back(responder);
+                changed.notify_all();
+            });
+        http->start();
+        for (int i = 0; i < 2; ++i)
+            threads.emplace_back([this] { io.run(); });
+    }
+    ~Server()
+    {
+        waiting.clear();
+        http.reset();
+        work.reset();
+        io.stop();
+        for (auto& it : threads)
+            it.join();
+    }
+    Responder nextWaiting()
+    {
+        std::unique_lock lock(mutex);
+        REQUIRE(changed.wait_for(lock, patience, [this] { return !waiting.empty(); }));
+        Responder responder = waiting.front();
+        waiting.erase(waiting.begin());
+        return responder;
+    }
+
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<HttpServer> http;
+    std::vector<std::thread> threads;
+    std::atomic<int> gone { 0 };
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<Responder> waiting;
+};
+
+/// A caller that writes raw bytes and reads whole answers.
+class Caller {
+public:
+    explicit Caller(const Server& server)
+        : m_socket(m_io)
+    {
+        const std::string address = server.http->address();
+        m_socket.connect({ asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))) });
+    }
+    void send(std::string_view bytes)
+    {
+        std::error_code ignored; // the server may have closed already; the answer tells
+        asio::write(m_socket, asio::buffer(bytes), ignored);
+    }
+    void close() { m_socket.close(); }
+    /// Header and body of the next answer; empty when the connection ends first.
+    std::string answer()
+    {
+        std::error_code ec;
+        const std::size_t header = asio::read_until(m_socket, asio::dynamic_buffer(m_input), "\r\n\r\n", ec);
+        if (ec)
+            return {};
+        const std::size_t at = m_input.find("Content-Length: ");
+        const std::size_t total = header + (at < header ? std::stoul(m_input.substr(at + 16)) : 0);
+        if (m_input.size() < total)
+            asio::read(m_socket, asio::dynamic_buffer(m_input), asio::transfer_exactly(total - m_input.size()), ec);
+        std::string text = m_input.substr(0, total);
+        m_input.erase(0, total);
+        return text;
+    }
+    bool isClosed()
+    {
+        char byte = 0;
+        std::error_code ec;
+        return asio::read(m_socket, asio::buffer(&byte, 1), ec) == 0 && ec == asio::error::eof;
+    }
+
+private:
+    asio::io_context m_io;
+    asio::ip::tcp::socket m_socket;
+    std::string m_input;
+};
+
+bool contains(const std::string& text, std::string_view part) { return text.find(part) != std::string::npos; }
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    const TimePoint end = Clock::now() + patience;
+    while (Clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+}
+
+void checkError(const std::string& answer, ErrorKind kind)
+{
+    const ErrorAnswer& row = errorAnswer(kind);
+    CHECK(contains(answer, "HTTP/1.1 " + std::to_string(row.httpStatus) + " "));
+    REQUIRE(contains(answer, "\r\n\r\n"));
+    const auto body = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n") + 4));
+    CHECK(body.at("error") == row.name);
+    CHECK(body.at("outcome") == outcomeName(row.outcome));
+    CHECK(body.at("retry") == retryAdviceName(row.retry));
+    CHECK(body.at("message").is_string());
+}
+
+} // namespace
+
+// Guards against answers given to the wrong request when a caller sends several at once, and against lost bodies.
+TEST_CASE("kept-alive and pipelined requests are answered in order")
+{
+    Server server;
+    Caller caller(server);
+    caller.send("POST /wait HTTP/1.1\r\nContent-Length: 0\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz"
+                "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nuv\r\n0\r\n\r\n");
+    CHECK(server.nextWaiting().answer({ .body = "late" }));
+    CHECK(contains(caller.answer(), "late"));
+    CHECK(contains(caller.answer(), "POST/b:xyz"));
+    CHECK(contains(caller.answer(), "POST/c:uv"));
+    caller.send("GET /d HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(contains(caller.answer(), "Connection: close"));
+    CHECK(caller.isClosed());
+}
+
+// Guards against requests beyond a limit that are buffered, run or reset instead of answered.
+TEST_CASE("oversized and malformed requests get the answer of the error table and the connection ends")
+{
+    HttpServerSettings settings;
+    settings.maximumBodyBytes = 100;
+    settings.maximumHeaderBytes = 1000;
+    Server server(settings);
+    const std::string many = "GET / HTTP/1.1\r\n" + std::string(1200, 'h') + ": v\r\n\r\n";
+    const std::vector<std::pair<std::string, ErrorKind>> cases {
+        { "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x'), ErrorKind::RequestTooLarge },
+        { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n",
+            ErrorKind::RequestTooLarge },
+        { many, ErrorKind::RequestTooLarge },
+        { "not http\r\n\r\n", ErrorKind::BadRequest },
+        { "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", ErrorKind::BadRequest },
+        { "CONNECT a:1 HTTP/1.1\r\n\r\n", ErrorKind::BadRequest },
+    };
+    for (const auto& it : cases) {
+        CAPTURE(it.first);
+        Caller caller(server);
+        caller.send(it.first);
+        checkError(caller.answer(), it.second);
+        CHECK(caller.isClosed());
+    }
+    CHECK(server.http->counters().requests == 0);
+    CHECK(server.http->counters().badRequests == cases.size());
+}
+
+// Guards against half-sent requests that hold a connection for good or delay the requests of others.
+TEST_CASE("half-sent requests time out while others are served")
+{
+    HttpServerSettings settings;
+    settings.headerTimeout = milliseconds(400);
+    settings.bodyTimeout = milliseconds(400);
+    settings.idleTimeout = milliseconds(400);
+    Server server(settings);
+    std::vector<std::unique_ptr<Caller>> slow;
+    for (int i = 0; i < 200; ++i) {
+        slow.push_back(std::make_unique<Caller>(server));
+        slow.back()->send(i % 2 ? "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf" : "POST / HT");
+    }
+    Caller caller(server);
+    caller.send("GET /quick HTTP/1.1\r\n\r\n");
+    CHECK(contains(caller.answer(), "GET/quick:"));
+    CHECK(caller.isClosed()); // idle
+    for (auto& it : slow)
+        checkError(it->answer(), ErrorKind::RequestTimeout);
+    Caller silent(server);
+    CHECK(silent.isClosed());
+    CHECK(eventually([&] { return server.http->counters().connections == 0; }));
+}
+
+// Guards against an unbounded number of connections and against a refusal that the caller cannot read.
+TEST_CASE("connections beyond the limit are answered as overloaded")
+{
+    HttpServerSettings settings;
+    settings.maximumConnections = 2;
+    Server server(settings);
+    Caller a(server);
+    Caller b(server);
+    a.send("GET /a HTTP/1.1\r\n\r\n");
+    b.send("GET /b HTTP/1.1\r\n\r\n");
+    CHECK(contains(a.answer(), "GET/a"));
+    CHECK(contains(b.answer(), "GET/b"));
+    Caller c(server);
+    c.send("GET /c HTTP/1.1\r\n\r\n");
+    checkError(c.answer(), ErrorKind::Overloaded);
+    a.close();
+    b.close();
+    CHECK(eventually([&] {
+        Caller d(server);
+        d.send("GET /d HTTP/1.1\r\n\r\n");
+        return contains(d.answer(), "GET/d");
+    }));
+}
+
+// Guards against a second answer on one request, and against a request whose handler forgets it and never answers.
+TEST_CASE("each request gets exactly one answer")
+{
+    Server server;
+    Caller caller(server);
+    caller.send("GET /wait HTTP/1.1\r\n\r\n");
+    const Responder responder = server.nextWaiting();
+    CHECK(responder.answer({ .body = "first" }));
+    CHECK_FALSE(responder.answer({ .body = "second" }));
+    CHECK(contains(caller.answer(), "first"));
+    caller.send("GET /drop HTTP/1.1\r\n\r\n");
+    checkError(caller.answer(), ErrorKind::Internal);
+    caller.send("GET /throw HTTP/1.1\r\n\r\n");
+    checkError(caller.answer(), ErrorKind::NoMajority);
+    CHECK(server.gone == 0);
+}
+
+// Guards against work that goes on for a caller who has closed the connection.
+TEST_CASE("the handler learns that the caller has gone")
+{
+    Server server;
+    Caller caller(server);
+    caller.send("GET /wait HTTP/1.1\r\n\r\n");
+    const Responder responder = server.nextWaiting();
+    CHECK_FALSE(responder.isCallerGone());
+    caller.close();
+    CHECK(eventually([&] { return server.gone == 1; }));
+    CHECK(responder.isCallerGone());
+    CHECK_FALSE(responder.answer({}));
+    std::atomic<int> late { 0 };
+    responder.onCallerGone([&] { ++late; });
+    CHECK(eventually([&] { return late == 1; }));
+}
+
+// Guards against a planned stop that breaks a running request or never ends because of idle connections.
+TEST_CASE("finish answers open requests with close and ends idle connections")
+{
+    Server server;
+    Caller idle(server);
+    idle.send("GET /x HTTP/1.1\r\n\r\n");
+    CHECK_FALSE(contains(idle.answer(), "Connection: close"));
+    Caller busy(server);
+    busy.send("GET /wait HTTP/1.1\r\n\r\n");
+    const Responder responder = server.nextWaiting();
+    std::atomic<bool> done { false };
+    server.http->finish([&] { done = true; });
+    CHECK(idle.isClosed());
+    CHECK_FALSE(done);
+    CHECK(responder.answer({ .body = "finished" }));
+    const std::string answer = busy.answer();
+    CHECK(contains(answer, "finished"));
+    CHECK(contains(answer, "Connection: close"));
+    CHECK(busy.isClosed());
+    busy.close();
+    idle.close();
+    CHECK(eventually([&] { return done.load(); }));
+    CHECK_THROWS(Caller(server));
+}
+
+// Guards against an Expect header that makes common clients wait a second before each large body.
+TEST_CASE("a caller that expects 100-continue gets it")
+{
+    Server server;
+    Caller caller(server);
+    caller.send("POST /e HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    std::thread body([&] {
+        std::this_thread::sleep_for(milliseconds(50));
+        caller.send("ok");
+    });
+    CHECK(contains(caller.answer(), "100 Continue"));
+    CHECK(contains(caller.answer(), "POST/e:ok"));
+    body.join();
+}
--- /dev/null
+++ b/transport/HttpServer.cpp
@@ -0,0 +1,567 @@
+#include "transport/HttpServer.h"
+
+#include "transport/ResponderState.h"
+
+#include <array>
+#include <asio.hpp>
+#include <atomic>
+#include <http_parser.h>
+#include <mutex>
+#include <unordered_map>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::size_t readBytes = 8192;
+constexpr std::size_t maximumHeaders = 128;
+constexpr std::size_t maximumRejections = 64; // connections beyond the limit that still get an answer
+constexpr milliseconds lingerTime { 1000 };
+constexpr milliseconds acceptRetry { 100 };
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Strand>;
+
+std::string renderAnswer(const HttpAnswer& answer, bool close, bool withBody)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " "
+        + http_status_str(static_cast<http_status>(answer.status)) + "\r\nContent-Type: " + answer.contentType
+        + "\r\nContent-Length: " + std::to_string(answer.body.size()) + (close ? "\r\nConnection: close" : "")
+        + "\r\n\r\n";
+    if (withBody)
+        text += answer.body;
+    return text;
+}
+
+} // namespace
+
+// ---- what the connections of a server share
+
+class HttpServer::Shared : public std::enable_shared_from_this<HttpServer::Shared> {
+public:
+    Shared(asio::io_context& io, HttpServerSettings settings, Handler handler)
+        : m_io(io)
+        , m_settings(std::move(settings))
+        , m_handler(std::move(handler))
+        , m_acceptor(asio::make_strand(io))
+        , m_retryTimer(m_acceptor.get_executor())
+    {
+    }
+
+    void bind();
+    void accept();
+    void closeAcceptor();
+    void finish(std::function<void()> done);
+    void shutDown();
+    void remove(std::uint64_t id);
+    template <typename Change>
+    void count(Change change)
+    {
+        const std::lock_guard lock(m_mutex);
+        change(m_counters);
+    }
+    HttpServerCounters counters()
+    {
+        const std::lock_guard lock(m_mutex);
+        HttpServerCounters counters = m_counters;
+        counters.connections = m_connections.size();
+        return counters;
+    }
+
+    const HttpServerSettings& settings() const { return m_settings; }
+    const Handler& handler() const { return m_handler; }
+    const std::string& address() const { return m_address; }
+    bool isDraining() const { return m_draining; }
+    bool isFinishing() const { return m_finishing; }
+    bool isStopped() const { return m_stopped; }
+    void beginDrain() { m_draining = true; }
+
+private:
+    void accepted(Socket&&);
+    std::vector<std::shared_ptr<Connection>> connections();
+
+    asio::io_context& m_io;
+    HttpServerSettings m_settings;
+    Handler m_handler;
+    std::string m_address;
+    asio::basic_socket_acceptor<asio::ip::tcp, Strand> m_acceptor;
+    asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand>
+        m_retryTimer;
+    std::atomic<bool> m_draining { false };
+    std::atomic<bool> m_finishing { false };
+    std::atomic<bool> m_stopped { false };
+
+    std::mutex m_mutex; // guards the members below; never held across I/O or a callback
+    std::unordered_map<std::uint64_t, std::weak_ptr<Connection>> m_connections;
+    std::uint64_t m_lastId = 0;
+    HttpServerCounters m_counters;
+    std::function<void()> m_done;
+};
+
+// ---- one connection; every method runs on the connection's strand
+
+class HttpServer::Connection : public std::enable_shared_from_this<HttpServer::Connection> {
+public:
+    Connection(std::shared_ptr<Shared> shared, Socket&& socket, std::uint64_t id)
+        : m_shared(std::move(shared))
+        , m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_id(id)
+    {
+        m_parser.data = this;
+    }
+
+    Strand strand() { return m_socket.get_executor(); }
+    void start();
+    void reject();
+    void finish();
+    void close();
+
+private:
+    enum class Phase : std::uint8_t { Idle, Header, Body, Handling, Writing, Lingering, Closed };
+
+    static Connection& of(http_parser* parser) { return *static_cast<Connection*>(parser->data); }
+    static const http_parser_settings& callbacks();
+    static int onText(http_parser*, std::string& target, const char* at, std::size_t n);
+    static int onHeaderField(http_parser*, const char* at, std::size_t n);
+    static int onBody(http_parser*, const char* at, std::size_t n);
+
+    void beginRequest();
+    void read();
+    void readDone(const std::error_code&, std::size_t n);
+    void parse();
+    int headersComplete();
+    void handle();
+    void refuse(ErrorKind, std::string_view message);
+    void write(const HttpAnswer&, bool close);
+    void writeDone(const std::error_code&, bool close);
+    void linger();
+    void setTimeout(Phase, milliseconds);
+    void timedOut();
+
+    std::shared_ptr<Shared> m_shared;
+    Socket m_socket;
+    asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand> m_timer;
+    std::uint64_t m_id;
+    Phase m_phase = Phase::Idle;
+    bool m_reading = false;
+    bool m_closeAfterAnswer = false;
+    bool m_lastHeaderWasValue = false;
+    bool m_hasMessage = false;
+    std::size_t m_headerBytes = 0;
+    std::optional<std::pair<ErrorKind, std::string_view>> m_refusal;
+    http_parser m_parser {};
+    std::array<char, readBytes> m_buf {};
+    std::string m_input; // received and not yet parsed
+    std::string m_output;
+    HttpRequest m_request;
+    std::weak_ptr<Responder::State> m_responder;
+};
+
+void HttpServer::Connection::start()
+{
+    m_socket.set_option(asio::ip::tcp::no_delay(true));
+    m_socket.non_blocking(true);
+    beginRequest();
+    // A caller that never sends anything is dropped as early as one that stops in the middle of a header.
+    setTimeout(Phase::Idle, m_shared->settings().headerTimeout);
+    read();
+}
+
+void HttpServer::Connection::reject() { write(errorAnswerOf(ErrorKind::Overloaded, "too many connections"), true); }
+
+void HttpServer::Connection::beginRequest()
+{
+    http_parser_init(&m_parser, HTTP_REQUEST);
+    m_request = {};
+    m_refusal.reset();
+    m_hasMessage = false;
+    m_lastHeaderWasValue = false;
+    m_headerBytes = 0;
+}
+
+void HttpServer::Connection::read()
+{
+    // While a request is handled only one header's worth of the next is buffered; a caller that sends more is held
+    // back by TCP.
+    if (m_reading || m_phase == Phase::Closed || m_input.size() >= m_shared->settings().maximumHeaderBytes)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(asio::buffer(m_buf),
+        [self = shared_from_this()](const std::error_code& ec, std::size_t n) { self->readDone(ec, n); });
+}
+
+void HttpServer::Connection::readDone(const std::error_code& ec, std::size_t n)
+{
+    m_reading = false;
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec) {
+        if (m_phase == Phase::Writing)
+            m_closeAfterAnswer = true; // the caller may have shut down its sending side only
+        else
+            close();
+        return;
+    }
+    if (m_phase == Phase::Lingering) {
+        read(); // discarded
+        return;
+    }
+    m_input.append(m_buf.data(), n);
+    if (m_phase == Phase::Idle || m_phase == Phase::Header || m_phase == Phase::Body)
+        parse();
+    read();
+}
+
+void HttpServer::Connection::parse()
+{
+    if (m_input.empty())
+        return;
+    if (m_phase == Phase::Idle)
+        setTimeout(Phase::Header, m_shared->settings().headerTimeout);
+    const std::size_t n = http_parser_execute(&m_parser, &callbacks(), m_input.data(), m_input.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+    m_input.erase(0, n);
+    if (m_refusal)
+        refuse(m_refusal->first, m_refusal->second);
+    else if (m_hasMessage)
+        handle();
+    else if (error == HPE_HEADER_OVERFLOW)
+        refuse(ErrorKind::RequestTooLarge, "the header is too large");
+    else if (error != HPE_OK)
+        refuse(ErrorKind::BadRequest, "the request is not valid HTTP");
+}
+
+const http_parser_settings& HttpServer::Connection::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings it {};
+        it.on_url = [](http_parser* parser, const char* at, std::size_t n) {
+            return onText(parser, of(parser).m_request.target, at, n);
+        };
+        it.on_header_field = &Connection::onHeaderField;
+        it.on_header_value = [](http_parser* parser, const char* at, std::size_t n) {
+            Connection& self = of(parser);
+            self.m_lastHeaderWasValue = true;
+            return onText(parser, self.m_request.headers.back().second, at, n);
+        };
+        it.on_headers_complete = [](http_parser* parser) { return of(parser).headersComplete(); };
+        it.on_body = &Connection::onBody;
+        it.on_message_complete = [](http_parser* parser) {
+            of(parser).m_hasMessage = true;
+            http_parser_pause(parser, 1); // the next pipelined request is parsed after this one's answer
+            return 0;
+        };
+        return it;
+    }();
+    return settings;
+}
+
+int HttpServer::Connection::onText(http_parser* parser, std::string& target, const char* at, std::size_t n)
+{
+    Connection& self = of(parser);
+    self.m_headerBytes += n;
+    if (self.m_headerBytes > self.m_shared->settings().maximumHeaderBytes) {
+        self.m_refusal = { ErrorKind::RequestTooLarge, "the header is too large" };
+        return 1;
+    }
+    target.append(at, n);
+    return 0;
+}
+
+int HttpServer::Connection::onHeaderField(http_parser* parser, const char* at, std::size_t n)
+{
+    Connection& self = of(parser);
+    auto& headers = self.m_request.headers;
+    if (headers.empty() || self.m_lastHeaderWasValue)
+        headers.emplace_back();
+    self.m_lastHeaderWasValue = false;
+    if (headers.size() > maximumHeaders) {
+        self.m_refusal = { ErrorKind::RequestTooLarge, "too many header lines" };
+        return 1;
+    }
+    return onText(parser, headers.back().first, at, n);
+}
+
+int HttpServer::Connection::headersComplete()
+{
+    m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
+    const bool hasLength = m_parser.content_length != ULLONG_MAX;
+    if (hasLength && m_parser.content_length > m_shared->settings().maximumBodyBytes) {
+        m_refusal = { ErrorKind::RequestTooLarge, "the body is too large" };
+        return -1;
+    }
+    if (m_parser.method == HTTP_CONNECT) {
+        m_refusal = { ErrorKind::BadRequest, "CONNECT is not supported" };
+        return -1;
+    }
+    m_parser.upgrade = 0; // an offer to upgrade is declined by answering in HTTP/1.1
+    if (equalsIgnoringCase(m_request.header("Expect"), "100-continue")) {
+        std::error_code ignored; // a caller that gets no interim answer sends the body after a pause
+        m_socket.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+    }
+    setTimeout(Phase::Body, m_shared->settings().bodyTimeout);
+    return 0;
+}
+
+int HttpServer::Connection::onBody(http_parser* parser, const char* at, std::size_t n)
+{
+    Connection& self = of(parser);
+    if (self.m_request.body.size() + n > self.m_shared->settings().maximumBodyBytes) {
+        self.m_refusal = { ErrorKind::RequestTooLarge, "the body is too large" };
+        return 1;
+    }
+    self.m_request.body.append(at, n);
+    return 0;
+}
+
+void HttpServer::Connection::handle()
+{
+    m_phase = Phase::Handling;
+    m_timer.cancel();
+    m_closeAfterAnswer = http_should_keep_alive(&m_parser) == 0;
+    auto state
+        = std::make_shared<Responder::State>(strand(), [weak = weak_from_this(), strand = strand()](HttpAnswer answer) {
+              asio::post(strand, [weak, answer = std::move(answer)] {
+                  const auto self = weak.lock();
+                  if (self && self->m_phase == Phase::Handling)
+                      self->write(answer, self->m_closeAfterAnswer || self->m_shared->isDraining());
+              });
+          });
+    m_responder = state;
+    m_shared->count([](HttpServerCounters& counters) { ++counters.requests; });
+    if (m_shared->isStopped())
+        return;
+    const Responder responder(std::move(state));
+    try {
+        m_shared->handler()(std::move(m_request), responder);
+    } catch (const Error& error) {
+        responder.fail(error.kind(), error.what());
+    } catch (const std::exception& error) {
+        responder.fail(ErrorKind::Internal, error.what());
+    }
+}
+
+/// Answers a request that never reaches the handler. What follows on the connection cannot be parsed, so it ends.
+void HttpServer::Connection::refuse(ErrorKind kind, std::string_view message)
+{
+    m_shared->count([](HttpServerCounters& counters) { ++counters.badRequests; });
+    m_input.clear();
+    write(errorAnswerOf(kind, message), true);
+}
+
+void HttpServer::Connection::write(const HttpAnswer& answer, bool close)
+{
+    setTimeout(Phase::Writing, m_shared->settings().writeTimeout);
+    m_output = renderAnswer(answer, close, m_parser.method != HTTP_HEAD);
+    asio::async_write(m_socket, asio::buffer(m_output),
+        [self = shared_from_this(), close](const std::error_code& ec, std::size_t) { self->writeDone(ec, close); });
+}
+
+void HttpServer::Connection::writeDone(const std::error_code& ec, bool close)
+{
+    m_output.clear();
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec) {
+        this->close();
+        return;
+    }
+    if (close || m_closeAfterAnswer) {
+        linger();
+        return;
+    }
+    if (m_shared->isFinishing() && m_input.empty()) { // the answer was written before the drain began
+        linger();
+        return;
+    }
+    beginRequest();
+    setTimeout(Phase::Idle, m_shared->settings().idleTimeout);
+    parse();
+    read();
+}
+
+/// Closing with unread input makes TCP reset the connection, and the caller may lose the answer. So the sending side
+/// is shut down first and the rest of the input is read and discarded for a moment.
+void HttpServer::Connection::linger()
+{
+    std::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_input.clear();
+    setTimeout(Phase::Lingering, lingerTime);
+    read();
+}
+
+void HttpServer::Connection::finish()
+{
+    if (m_phase == Phase::Idle)
+        linger();
+}
+
+void HttpServer::Connection::close()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (m_phase == Phase::Handling) {
+        m_shared->count([](HttpServerCounters& counters) { ++counters.callersGone; });
+        if (const auto responder = m_responder.lock())
+            responder->callerGone();
+    }
+    m_phase = Phase::Closed;
+    m_timer.cancel();
+    std::error_code ignored;
+    m_socket.close(ignored);
+    m_shared->remove(m_id);
+}
+
+void HttpServer::Connection::setTimeout(Phase phase, milliseconds timeout)
+{
+    m_phase = phase;
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this()](const std::error_code& ec) {
+        if (!ec && self->m_timer.expiry() <= Clock::now())
+            self->timedOut();
+    });
+}
+
+void HttpServer::Connection::timedOut()
+{
+    if (m_phase == Phase::Header || m_phase == Phase::Body)
+        refuse(ErrorKind::RequestTimeout, "the request did not arrive in time");
+    else if (m_phase != Phase::Handling)
+        close();
+}
+
+// ---- Shared
+
+void HttpServer::Shared::bind()
+{
+    try {
+        const std::size_t colon = m_settings.address.rfind(':');
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_settings.address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(m_settings.address.substr(colon + 1))));
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        m_address = endpoint.address().to_string() + ":" + std::to_string(m_acceptor.local_endpoint().port());
+    } catch (const std::exception& error) {
+        throw Error(ErrorKind::Internal, "cannot listen on " + m_settings.address + ": " + error.what());
+    }
+}
+
+void HttpServer::Shared::accept()
+{
+    m_acceptor.async_accept(
+        asio::make_strand(m_io), [self = shared_from_this()](const std::error_code& ec, Socket socket) {
+            if (ec == asio::error::operation_aborted || !self->m_acceptor.is_open())
+                return;
+            if (!ec) {
+                self->accepted(std::move(socket));
+                self->accept();
+                return;
+            }
+            // Out of file descriptors, for example: the connection stays in the queue, so trying again at once would
+            // spin.
+            self->m_retryTimer.expires_after(acceptRetry);
+            self->m_retryTimer.async_wait([self](const std::error_code& cancelled) {
+                if (!cancelled)
+                    self->accept();
+            });
+        });
+}
+
+void HttpServer::Shared::accepted(Socket&& socket)
+{
+    bool reject = false;
+    std::shared_ptr<Connection> connection;
+    {
+        const std::lock_guard lock(m_mutex);
+        reject = m_connections.size() >= m_settings.maximumConnections;
+        ++(reject ? m_counters.rejected : m_counters.accepted);
+        if (m_connections.size() >= m_settings.maximumConnections + maximumRejections)
+            return; // the socket closes
+        const std::uint64_t id = ++m_lastId;
+        connection = std::make_shared<Connection>(shared_from_this(), std::move(socket), id);
+        m_connections.emplace(id, connection);
+    }
+    asio::post(connection->strand(), [connection, reject] { reject ? connection->reject() : connection->start(); });
+}
+
+void HttpServer::Shared::closeAcceptor()
+{
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+        std::error_code ignored;
+        self->m_acceptor.close(ignored);
+        self->m_retryTimer.cancel();
+    });
+}
+
+std::vector<std::shared_ptr<HttpServer::Connection>> HttpServer::Shared::connections()
+{
+    std::vector<std::shared_ptr<Connection>> list;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [id, weak] : m_connections) {
+        if (auto connection = weak.lock())
+            list.push_back(std::move(connection));
+    }
+    return list;
+}
+
+void HttpServer::Shared::finish(std::function<void()> done)
+{
+    m_draining = true;
+    m_finishing = true;
+    closeAcceptor();
+    // Runs behind the close on the acceptor's strand, so no connection is added afterwards.
+    asio::post(m_acceptor.get_executor(), [self = shared_from_this(), done = std::move(done)]() mutable {
+        {
+            const std::lock_guard lock(self->m_mutex);
+            self->m_done = std::move(done);
+            if (self->m_connections.empty())
+                asio::post(self->m_io, std::exchange(self->m_done, nullptr));
+        }
+        for (const auto& connection : self->connections())
+            asio::post(connection->strand(), [connection] { connection->finish(); });
+    });
+}
+
+void HttpServer::Shared::shutDown()
+{
+    m_stopped = true;
+    closeAcceptor();
+    for (const auto& connection : connections())
+        asio::post(connection->strand(), [connection] { connection->close(); });
+}
+
+void HttpServer::Shared::remove(std::uint64_t id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_connections.erase(id);
+    if (m_connections.empty() && m_done)
+        asio::post(m_io, std::exchange(m_done, nullptr));
+}
+
+// ---- HttpServer
+
+HttpServer::HttpServer(asio::io_context& io, HttpServerSettings settings, Handler handler)
+    : m_shared(std::make_shared<Shared>(io, std::move(settings), std::move(handler)))
+{
+    m_shared->bind();
+}
+
+HttpServer::~HttpServer() { m_shared->shutDown(); }
+
+void HttpServer::start() { m_shared->accept(); }
+
+void HttpServer::beginDrain() { m_shared->beginDrain(); }
+
+void HttpServer::stopAccepting() { m_shared->closeAcceptor(); }
+
+void HttpServer::finish(std::function<void()> done) { m_shared->finish(std::move(done)); }
+
+std::string HttpServer::address() const { return m_shared->address(); }
+
+HttpServerCounters HttpServer::counters() const { return m_shared->counters(); }
+
+} // namespace citronplank
