--- a/query/LeafGates.cpp
+++ b/query/LeafGates.cpp
@@ -209,6 +209,7 @@
     const auto id = m_nextId++;
     const PartKey key { it.sender, it.part.partId };
     const bool isKeyed = !it.part.requestKey.empty();
+    const bool atLimit = runningOf(gate) + 1 >= limit;
     m_queuedLeaves.erase(key);
     m_runningIds[key] = id;
     gate.running.insert(id);
@@ -222,7 +223,7 @@
         .deadline = isKeyed ? it.deadline + m_settings.keyedGrace : it.deadline,
         .isKeyed = isKeyed,
         .asSuspect = asSuspect,
-        .atLimit = runningOf(gate) >= limit };
+        .atLimit = atLimit };
     ++m_counters.dispatched;
     it.part.partId = id;
     it.part.remaining = std::chrono::ceil<milliseconds>(it.deadline - now);
