--- /dev/null
+++ b/standins/load/EntrySender.cpp
@@ -0,0 +1,115 @@
+#include "standins/load/EntrySender.h"
+
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+namespace {
+constexpr std::chrono::milliseconds readinessInterval { 500 };
+constexpr std::chrono::seconds skipTime { 1 };
+} // namespace
+
+EntrySender::EntrySender(asio::io_context& io, const std::vector<std::string>& entries)
+    : m_io(io)
+    , m_readinessTimer(io)
+{
+    for (const auto& text : entries) {
+        const auto slash = text.find('/');
+        Entry entry;
+        entry.name = text.substr(0, slash);
+        entry.address = parseEndpoint(entry.name);
+        if (slash != std::string::npos)
+            entry.adminAddress = parseEndpoint(text.substr(slash + 1));
+        m_entries.push_back(std::move(entry));
+    }
+    if (m_entries.empty())
+        throw std::invalid_argument("no entries given");
+    checkReadiness();
+}
+
+EntrySender::Entry& EntrySender::choose()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        auto& entry = m_entries[m_next++ % m_entries.size()];
+        if (entry.isReady && entry.skipUntil <= now)
+            return entry;
+    }
+    return m_entries[m_next++ % m_entries.size()];
+}
+
+void EntrySender::send(const LoadRequest& request, Callback callback)
+{
+    auto exchange = std::make_shared<Exchange>();
+    exchange->request = request;
+    exchange->callback = std::move(callback);
+    exchange->triesLeft = m_entries.size();
+    exchange->target = request.isKeyed ? "/request" : "/query";
+    exchange->headers = "Content-Type: application/json\r\n";
+    nlohmann::json body { { "service", request.service }, { "operation", request.operation },
+        { "customer", request.customer }, { "deadline_ms", request.deadline.count() }, { "body", request.nonce } };
+    if (request.isKeyed) {
+        exchange->headers += "Request-Key: " + request.key + "\r\n";
+        body["routing"] = request.nonce;
+    }
+    exchange->body = body.dump();
+    attempt(exchange);
+}
+
+void EntrySender::attempt(const std::shared_ptr<Exchange>& exchange)
+{
+    auto& entry = choose();
+    --exchange->triesLeft;
+    std::shared_ptr<HttpClient> client;
+    if (entry.idle.empty())
+        client = std::make_shared<HttpClient>(m_io, entry.address);
+    else {
+        client = entry.idle.back();
+        entry.idle.pop_back();
+    }
+    client->request("POST", exchange->target, exchange->headers, exchange->body,
+        exchange->request.deadline + clientPatience,
+        [this, exchange, &entry, client](const HttpResult& result) { finish(exchange, entry, client, result); });
+}
+
+void EntrySender::finish(const std::shared_ptr<Exchange>& exchange, Entry& entry,
+    const std::shared_ptr<HttpClient>& client, const HttpResult& result)
+{
+    if (client->isConnected())
+        entry.idle.push_back(client);
+    const bool isRefused = result.error == "connect";
+    // An idle connection that the entry closes at the same moment says nothing about the request; a query may be
+    // repeated.
+    const bool isStale = result.error == "closed" && result.wasReused && !exchange->request.isKeyed;
+    if (isRefused)
+        entry.skipUntil = std::chrono::steady_clock::now() + skipTime;
+    if (isStale)
+        entry.idle.clear();
+    if ((isRefused || isStale) && exchange->triesLeft > 0)
+        return attempt(exchange);
+    LoadReply reply;
+    reply.status = result.answer.status;
+    reply.body = result.answer.body;
+    reply.transportError = result.error;
+    reply.entry = entry.name;
+    reply.wasSent = result.wasSent;
+    exchange->callback(std::move(reply));
+}
+
+void EntrySender::checkReadiness()
+{
+    for (auto& entry : m_entries) {
+        if (!entry.adminAddress)
+            continue;
+        const auto client = std::make_shared<HttpClient>(m_io, *entry.adminAddress);
+        client->request("GET", "/ready", "Connection: close\r\n", "", readinessInterval,
+            [&entry](const HttpResult& result) { entry.isReady = result.answer.status == 200; });
+    }
+    m_readinessTimer.expires_after(readinessInterval);
+    m_readinessTimer.async_wait([this](asio::error_code ec) {
+        if (!ec)
+            checkReadiness();
+    });
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/load/EntrySender.h
@@ -0,0 +1,48 @@
+// Sends requests to entries, as a load balancer in front of them does.
+#pragma once
+
+#include "standins/HttpClient.h"
+#include "standins/load/Request.h"
+
+#include <optional>
+#include <vector>
+
+namespace standins {
+
+/// Chooses entries in turn. An entry is skipped while its readiness page (if one is given) does not answer 200, and for
+/// 1 s after a refused connection; the request then goes to the next one, because nothing of it was sent.
+class EntrySender : public Sender {
+public:
+    /// Each entry is "IP:PORT" or "IP:PORT/IP:PORT" with the administration address for readiness.
+    EntrySender(asio::io_context& io, const std::vector<std::string>& entries);
+    void send(const LoadRequest& request, Callback callback) override;
+
+private:
+    struct Entry {
+        tcp::endpoint address;
+        std::optional<tcp::endpoint> adminAddress;
+        std::string name;
+        std::vector<std::shared_ptr<HttpClient>> idle;
+        std::chrono::steady_clock::time_point skipUntil;
+        bool isReady = true;
+    };
+    struct Exchange {
+        LoadRequest request;
+        Callback callback;
+        std::string target, headers, body;
+        std::size_t triesLeft = 0;
+    };
+
+    Entry& choose();
+    void attempt(const std::shared_ptr<Exchange>& exchange);
+    void finish(const std::shared_ptr<Exchange>& exchange, Entry& entry, const std::shared_ptr<HttpClient>& client,
+        const HttpResult& result);
+    void checkReadiness();
+
+    asio::io_context& m_io;
+    std::vector<Entry> m_entries;
+    std::size_t m_next = 0;
+    asio::steady_timer m_readinessTimer;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/load/Generator.cpp
@@ -0,0 +1,151 @@
+#include "standins/load/Generator.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace standins {
+
+namespace {
+
+// An open loop against a system that answers nothing must not exhaust the process's sockets.
+constexpr std::uint64_t maxOutstanding = 10'000;
+constexpr std::chrono::milliseconds resendDelay { 50 };
+
+std::int64_t microseconds(std::chrono::steady_clock::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+}
+
+std::string hexText(std::uint64_t number)
+{
+    char buf[17] = {};
+    std::snprintf(buf, sizeof buf, "%016llx", static_cast<unsigned long long>(number));
+    return buf;
+}
+
+bool isSettled(const Verdict& verdict)
+{
+    const bool mayRunAgain = verdict.outcome == "may_have_run" && verdict.detail != "key_expired";
+    const bool mayRunLater = verdict.kind == Verdict::Kind::Refused && verdict.outcome == "not_run"
+        && (verdict.detail == "no_majority" || verdict.detail == "overloaded" || verdict.detail == "no_replica"
+            || verdict.detail == "stopping" || verdict.detail == "not_ready");
+    return !mayRunAgain && !mayRunLater && verdict.kind != Verdict::Kind::Transport;
+}
+
+} // namespace
+
+Generator::Generator(asio::io_context& io, LoadSettings settings, Sender& sender)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_sender(sender)
+    , m_start(Clock::now())
+    , m_statistics(m_start, m_start + m_settings.warmUp)
+    , m_random(m_settings.seed)
+    , m_timer(io)
+    , m_nextDue(m_start)
+{
+    if (m_settings.history.empty())
+        return;
+    m_history.reset(std::fopen(m_settings.history.c_str(), "a"));
+    if (!m_history)
+        throw std::runtime_error("cannot write the history " + m_settings.history);
+}
+
+void Generator::run()
+{
+    if (m_settings.rate > 0)
+        scheduleNext();
+    else
+        for (int i = 0; i < m_settings.concurrency; ++i)
+            issue(Clock::now());
+    while (!isOver() || m_outstanding > 0)
+        m_io.run_one();
+}
+
+void Generator::scheduleNext()
+{
+    // Exponential gaps, so that requests arrive independently of each other.
+    const auto gap = std::exponential_distribution<double>(m_settings.rate)(m_random);
+    m_nextDue += std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap));
+    m_timer.expires_at(m_nextDue);
+    m_timer.async_wait([this](asio::error_code) {
+        if (isOver())
+            return;
+        // Latency counts from the time at which the request was due, not from when the generator got round to it.
+        issue(m_nextDue);
+        scheduleNext();
+    });
+}
+
+void Generator::issue(Clock::time_point due)
+{
+    auto attempt = std::make_shared<Attempt>();
+    auto& request = attempt->request;
+    attempt->due = due;
+    request.number = ++m_issued;
+    request.deadline = m_settings.deadline;
+    request.customer = "customer-" + std::to_string(m_random() % static_cast<std::uint64_t>(m_settings.customers));
+    request.isKeyed = random() < m_settings.keyedShare;
+    request.nonce = m_settings.body + "-" + hexText(m_random());
+    if (request.isKeyed) {
+        request.service = choose(m_settings.keyedServices);
+        request.operation = m_settings.keyedOperation;
+        request.key = std::to_string(std::time(nullptr)) + "-" + hexText(m_random());
+    } else {
+        request.service = choose(m_settings.services);
+        request.operation = random() < m_settings.echoShare ? "echo" : "list";
+    }
+    ++m_outstanding;
+    if (m_outstanding <= maxOutstanding)
+        return send(attempt);
+    LoadReply reply;
+    reply.transportError = "not sent: too many requests outstanding";
+    asio::post(m_io, [this, attempt, reply] {
+        attempt->number = m_settings.resends;
+        onReply(attempt, reply, Clock::now());
+    });
+}
+
+void Generator::send(const std::shared_ptr<Attempt>& attempt)
+{
+    m_sender.send(attempt->request,
+        [this, attempt, sentAt = Clock::now()](const LoadReply& reply) { onReply(attempt, reply, sentAt); });
+}
+
+void Generator::onReply(const std::shared_ptr<Attempt>& attempt, const LoadReply& reply, Clock::time_point sentAt)
+{
+    const auto verdict = m_check.judge(attempt->request, reply);
+    if (attempt->request.isKeyed)
+        writeHistory(*attempt, reply, verdict, sentAt);
+    if (attempt->request.isKeyed && !isSettled(verdict) && attempt->number < m_settings.resends) {
+        ++attempt->number;
+        auto timer = std::make_shared<asio::steady_timer>(m_io, resendDelay);
+        timer->async_wait([this, timer, attempt](asio::error_code) { send(attempt); });
+        return;
+    }
+    m_statistics.record(attempt->request, verdict, attempt->due, Clock::now());
+    --m_outstanding;
+    if (m_settings.rate > 0 || isOver())
+        return;
+    if (verdict.kind == Verdict::Kind::Whole || verdict.kind == Verdict::Kind::Partial)
+        return issue(Clock::now());
+    // Without a pause, a closed loop against a system that refuses at once would spin.
+    auto timer = std::make_shared<asio::steady_timer>(m_io, resendDelay);
+    timer->async_wait([this, timer](asio::error_code) {
+        if (!isOver())
+            issue(Clock::now());
+    });
+}
+
+void Generator::writeHistory(
+    const Attempt& attempt, const LoadReply& reply, const Verdict& verdict, Clock::time_point sentAt)
+{
+    if (!m_history)
+        return;
+    const nlohmann::json line { { "key", attempt.request.key }, { "attempt", attempt.number },
+        { "invoke", microseconds(sentAt) }, { "return", microseconds(Clock::now()) }, { "entry", reply.entry },
+        { "status", reply.status }, { "detail", verdict.detail }, { "outcome", verdict.outcome } };
+    std::fputs((line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n").c_str(), m_history.get());
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/load/Generator.h
@@ -0,0 +1,72 @@
+// Issues requests in a closed or open loop and records what comes back. Used from one thread.
+#pragma once
+
+#include "standins/load/Statistics.h"
+
+#include <asio.hpp>
+#include <cstdio>
+#include <memory>
+#include <random>
+
+namespace standins {
+
+struct LoadSettings {
+    std::vector<std::string> services { "loandesk" };      // chosen evenly
+    std::vector<std::string> keyedServices { "loandesk" }; // of keyed requests
+    std::string keyedOperation = "charge";
+    double keyedShare = 0; // share of keyed requests
+    double echoShare = 0;  // share of queries that check that each part answers this request
+    int customers = 5;     // named customer-0, customer-1, ...
+    double rate = 0;       // requests per second; 0: closed loop
+    int concurrency = 4;   // requests in flight of the closed loop
+    int resends = 2;       // of a keyed request whose outcome is not settled, with the same key
+    std::chrono::milliseconds deadline { 1000 };
+    std::chrono::milliseconds duration { 10'000 };
+    std::chrono::milliseconds warmUp { 0 };
+    std::string body = "standin-load"; // start of each body
+    std::string history;               // file of keyed requests, one JSON line for each attempt
+    std::uint64_t seed = 1;
+};
+
+class Generator {
+public:
+    Generator(asio::io_context& io, LoadSettings settings, Sender& sender);
+    /// Runs to the end of `duration` and until the last reply.
+    void run();
+    const Statistics& statistics() const { return m_statistics; }
+
+private:
+    using Clock = std::chrono::steady_clock;
+    struct Attempt {
+        LoadRequest request;
+        Clock::time_point due;
+        int number = 0;
+    };
+    struct Closer {
+        void operator()(std::FILE* file) const { std::fclose(file); }
+    };
+
+    void scheduleNext();
+    void issue(Clock::time_point due);
+    void send(const std::shared_ptr<Attempt>& attempt);
+    void onReply(const std::shared_ptr<Attempt>& attempt, const LoadReply& reply, Clock::time_point sentAt);
+    void writeHistory(const Attempt& attempt, const LoadReply& reply, const Verdict& verdict, Clock::time_point sentAt);
+    bool isOver() const { return Clock::now() >= m_start + m_settings.duration; }
+    double random() { return std::uniform_real_distribution<double>()(m_random); }
+    std::string choose(const std::vector<std::string>& names) { return names[m_random() % names.size()]; }
+
+    asio::io_context& m_io;
+    LoadSettings m_settings;
+    Sender& m_sender;
+    Clock::time_point m_start;
+    Statistics m_statistics;
+    AnswerCheck m_check;
+    std::mt19937_64 m_random;
+    asio::steady_timer m_timer;
+    Clock::time_point m_nextDue;
+    std::unique_ptr<std::FILE, Closer> m_history;
+    std::uint64_t m_issued = 0;
+    std::uint64_t m_outstanding = 0;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/load/HistoryCheck.cpp
@@ -0,0 +1,91 @@
+#include "standins/load/HistoryCheck.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace standins {
+
+namespace {
+
+using nlohmann::json;
+
+struct Attempt {
+    std::uint64_t invoke = 0;
+    std::uint64_t end = 0;
+    std::string outcome;
+};
+
+struct KeyRecord {
+    std::vector<Attempt> attempts;
+    std::vector<std::uint64_t> starts;
+    std::string leaves;
+};
+
+template <typename Action>
+void forEachLine(const std::string& path, Action action)
+{
+    std::ifstream in(path);
+    if (!in)
+        throw std::runtime_error("cannot read " + path);
+    for (std::string line; std::getline(in, line);) {
+        const auto value = json::parse(line, nullptr, false);
+        // The last line of a journal can be cut off if its process was killed.
+        if (value.is_object())
+            action(value);
+    }
+}
+
+void checkKey(const std::string& key, const KeyRecord& record, std::vector<std::string>& faults)
+{
+    if (record.attempts.empty()) {
+        faults.push_back(key + ": ran on" + record.leaves + " without a request in the history");
+        return;
+    }
+    if (record.starts.size() > 1)
+        faults.push_back(key + ": ran " + std::to_string(record.starts.size()) + " times, on" + record.leaves);
+    const auto outcomeIs = [](std::string_view outcome) {
+        return [outcome](const Attempt& attempt) { return attempt.outcome == outcome; };
+    };
+    if (record.starts.empty() && std::ranges::any_of(record.attempts, outcomeIs("ran")))
+        faults.push_back(key + ": answered as run, but no leaf ran it");
+    if (record.starts.empty())
+        return;
+    if (std::ranges::all_of(record.attempts, outcomeIs("not_run")))
+        faults.push_back(key + ": every answer says not run, but it ran on" + record.leaves);
+    const auto& last = record.attempts.back();
+    if (last.outcome == "not_run" && record.starts.front() < last.invoke)
+        faults.push_back(key + ": the last answer says not run, but it had run before on" + record.leaves);
+}
+
+} // namespace
+
+HistoryReport checkHistory(const std::string& historyFile, const std::vector<std::string>& journalFiles)
+{
+    std::map<std::string, KeyRecord> records;
+    forEachLine(historyFile, [&](const json& line) {
+        records[line.at("key")].attempts.push_back({ line.at("invoke"), line.at("return"), line.at("outcome") });
+    });
+    HistoryReport report;
+    for (const auto& file : journalFiles)
+        forEachLine(file, [&](const json& line) {
+            const auto key = line.at("key").get<std::string>();
+            if (key.empty() || line.at("event") != "start")
+                return;
+            auto& record = records[key];
+            record.starts.push_back(line.at("t"));
+            record.leaves += " " + line.at("leaf").get<std::string>();
+            ++report.runs;
+        });
+    report.keys = records.size();
+    for (auto& [key, record] : records) {
+        std::ranges::sort(record.attempts, {}, &Attempt::invoke);
+        std::ranges::sort(record.starts);
+        checkKey(key, record, report.faults);
+    }
+    return report;
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/load/Statistics.h
@@ -0,0 +1,46 @@
+// Counts and latencies of one run of the load generator.
+#pragma once
+
+#include "standins/load/AnswerCheck.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <vector>
+
+namespace standins {
+
+class Statistics {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    /// Records that are due before `from` are part of the warm-up and only appear in the timeline.
+    Statistics(TimePoint start, TimePoint from)
+        : m_start(start)
+        , m_from(from)
+    {
+    }
+
+    void record(const LoadRequest& request, const Verdict& verdict, TimePoint due, TimePoint end);
+    nlohmann::json toJson() const;
+    std::string summary() const;
+    std::uint64_t wrongAnswers() const { return m_wrong; }
+
+private:
+    struct Second {
+        std::uint64_t whole = 0, partial = 0, refused = 0, wrong = 0, transport = 0;
+        double coverage = 0; // sum over answered queries
+        std::vector<std::uint32_t> latencies;
+    };
+
+    TimePoint m_start;
+    TimePoint m_from;
+    std::vector<std::uint32_t> m_latencies; // microseconds, of answered requests
+    std::vector<Second> m_seconds;          // by the time at which the request was due
+    std::map<std::string, std::uint64_t> m_refusals;
+    std::map<std::string, std::uint64_t> m_transportErrors;
+    std::map<std::uint64_t, std::uint64_t> m_versions;
+    std::vector<std::string> m_wrongExamples;
+    std::uint64_t m_total = 0, m_whole = 0, m_partial = 0, m_wrong = 0, m_late = 0;
+    double m_coverage = 0;
+};
+
+} // namespace standins
