--- a/coordination/ControlState.cpp
+++ b/coordination/ControlState.cpp
@@ -200,7 +200,10 @@
     if (command.expectedNumber != (known ? found->second.number : 0)) {
         return known ? ViewResult { false, found->second.number, found->second.members } : ViewResult {};
     }
-    ZoneView view { command.zone, command.expectedNumber + 1, command.members, index };
+    ZoneView view { command.zone, command.expectedNumber + 1, command.members, {}, index };
+    std::sort(view.members.begin(), view.members.end());
+    if (known)
+        view.previous = found->second.members;
     m_data.views.insert_or_assign(command.zone, view);
     m_data.publishedVersion = index;
     return ViewResult { true, view.number, view.members };
--- a/coordination/ControlState.h
+++ b/coordination/ControlState.h
@@ -27,14 +27,6 @@
     bool operator==(const VersionedLine&) const = default;
 };
 
-struct ZoneView {
-    std::string zone;
-    std::uint64_t number = 0;
-    std::vector<std::string> members;
-    std::uint64_t version = 0; // log index of the change
-    bool operator==(const ZoneView&) const = default;
-};
-
 struct BlockedFingerprint {
     std::uint64_t fingerprint = 0;
     std::uint64_t expiresMs = 0;
--- a/coordination/ControlStateCodec.cpp
+++ b/coordination/ControlStateCodec.cpp
@@ -15,7 +15,7 @@
 template <typename A>
 void fields(A& archive, ZoneView& it)
 {
-    archive(it.zone, it.number, it.members, it.version);
+    archive(it.zone, it.number, it.members, it.previous, it.version);
 }
 template <typename A>
 void fields(A& archive, BlockedFingerprint& it)
--- /dev/null
+++ b/daemon/EntryService.cpp
@@ -0,0 +1,423 @@
+#include "daemon/EntryService.h"
+
+#include "daemon/CallerApi.h"
+#include "daemon/KeyedMapping.h"
+
+#include <random>
+
+namespace citronplank {
+
+namespace {
+
+constexpr milliseconds submitTimeout { 2000 }; // a leader is found within two election timeouts
+constexpr std::uint64_t keyLeadSeconds = 60;   // a key further in the future is refused
+
+std::uint64_t unixSeconds()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<seconds>(now).count());
+}
+
+ReplicaStatistics::RandomSource randomSource(std::uint64_t seed)
+{
+    return [engine = std::mt19937_64(seed)]() mutable { return engine(); };
+}
+
+} // namespace
+
+EntryService::Table::Table(std::uint64_t seed)
+    : statistics(PolicySettings::adaptive(), randomSource(seed))
+{
+}
+
+EntryService::EntryService(
+    asio::io_context& io, EntrySettings settings, ConfigurationTable& configuration, EntryLinks links)
+    : m_io(io)
+    , m_settings(std::move(settings))
+    , m_configuration(configuration)
+    , m_links(std::move(links))
+    , m_table(LockRank::ReplicaStatistics, std::random_device {}())
+{
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Requests
+
+void EntryService::onRequest(const HttpRequest& request, const Responder& responder)
+{
+    try {
+        auto current = state();
+        if (current == EntryState::Starting)
+            throw Error(ErrorKind::NotReady, "this instance is starting");
+        if (request.target != "/query" && request.target != "/request")
+            throw Error(ErrorKind::BadRequest, "unknown path; use POST /query or POST /request");
+        if (request.method != "POST")
+            throw Error(ErrorKind::BadRequest, "use POST");
+        if (request.target == "/query")
+            startQuery(request, responder);
+        else
+            startKeyed(request, responder);
+    } catch (const Error& error) {
+        fail(responder, error);
+    }
+}
+
+/// The rules of a service; `deadline` becomes the smaller of the caller's and the service's.
+ServiceRules EntryService::rulesOf(
+    const Configuration& configuration, const std::string& service, milliseconds& deadline) const
+{
+    auto it = configuration.rules.services.find(service);
+    auto rules = it == configuration.rules.services.end() ? ServiceRules {} : it->second;
+    if (deadline.count() == 0 || deadline > rules.deadline)
+        deadline = rules.deadline;
+    return rules;
+}
+
+void EntryService::startQuery(const HttpRequest& request, const Responder& responder)
+{
+    auto query = parseQuery(request.body);
+    auto configuration = m_configuration.current();
+    auto rules = rulesOf(*configuration, query.service, query.deadline);
+    if (rules.nonIdempotent.contains(query.operation))
+        throw Error(ErrorKind::KeyMissing, "the operation is not idempotent; use POST /request with a Request-Key");
+    auto layout = layoutOf(query.service);
+    if (!layout)
+        throw Error(ErrorKind::UnknownService, "no back end of service " + query.service + " has announced itself");
+    auto running = admit(query.service, rules, responder);
+    auto id = running->id;
+    auto builder = QueryBuilder().query(std::move(query)).queryId(id).layout(std::move(layout)).rules(rules);
+    advanceQuery(id, [&](Table& table, Running& it) {
+        ++table.counters.queries;
+        it.query = builder.build(table.statistics);
+        return it.query->start(Clock::now());
+    });
+    responder.onCallerGone([this, id] { onCallerGone(id); });
+}
+
+void EntryService::startKeyed(const HttpRequest& request, const Responder& responder)
+{
+    auto keyed = parseKeyedRequest(request.header("Request-Key"), request.body);
+    auto time = parseRequestKey(keyed.key);
+    if (!time || *time > unixSeconds() + keyLeadSeconds)
+        throw Error(ErrorKind::BadRequest, "the header Request-Key must be UNIXSECONDS-RANDOM of the first send");
+    auto configuration = m_configuration.current();
+    auto rules = rulesOf(*configuration, keyed.service, keyed.deadline);
+    auto layout = layoutOf(keyed.service);
+    if (!layout)
+        throw Error(ErrorKind::UnknownService, "no back end of service " + keyed.service + " has announced itself");
+    auto running = admit(keyed.service, rules, responder);
+    KeyedContext context { std::move(keyed), running->id,
+        m_settings.instance + "/" + std::to_string(m_settings.incarnation) + "/" + std::to_string(running->id),
+        std::move(layout), rules };
+    advanceKeyed(running->id, [&](Table& table, Running& it) {
+        ++table.counters.keyedRequests;
+        it.keyed = std::make_unique<KeyedRun>(std::move(context), table.statistics);
+        return it.keyed->start(Clock::now());
+    });
+}
+
+/// The layout is computed again only after a change of the directory, the configuration or the freshness.
+std::shared_ptr<const PinnedLayout> EntryService::layoutOf(const std::string& service)
+{
+    auto configuration = m_configuration.current();
+    auto isFresh = m_configuration.isFresh(Clock::now());
+    auto version = m_links.directoryVersion();
+    auto cached = m_table.with([&](Table& table) -> std::shared_ptr<const PinnedLayout> {
+        auto it = table.layouts.find(service);
+        if (it == table.layouts.end() || it->second.directoryVersion != version
+            || it->second.configuration != configuration || it->second.isFresh != isFresh)
+            return nullptr;
+        return it->second.layout;
+    });
+    if (cached)
+        return cached;
+    auto replicas = m_links.replicasOf(service);
+    if (replicas.empty())
+        return nullptr;
+    ReplicaFilter filter { &configuration->rules, isFresh ? std::string() : m_settings.zone };
+    return m_table.with([&](Table& table) {
+        auto layout = table.chooser.choose(service, replicas, filter);
+        table.layouts[service] = { layout, version, configuration, isFresh };
+        return layout;
+    });
+}
+
+std::shared_ptr<EntryService::Running> EntryService::admit(
+    const std::string& service, const ServiceRules& rules, const Responder& responder)
+{
+    auto running = std::make_shared<Running>(m_io, responder);
+    running->service = service;
+    m_table.with([&](Table& table) {
+        auto& count = table.runningByService[service];
+        if (rules.limit && count >= *rules.limit)
+            throw Error(ErrorKind::Overloaded, "the limit of queries in flight for service " + service + " is reached");
+        ++count;
+        running->id = ++table.lastId;
+        table.running.emplace(running->id, running);
+    });
+    return running;
+}
+
+void EntryService::remove(Table& table, const std::shared_ptr<Running>& it)
+{
+    if (table.running.erase(it->id) == 0)
+        return;
+    auto count = table.runningByService.find(it->service);
+    if (--count->second == 0)
+        table.runningByService.erase(count);
+    it->timer.cancel();
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Events of running requests
+
+/// Calls `function` for a running query under the lock and performs the actions it returns.
+template <typename Function>
+void EntryService::advanceQuery(std::uint64_t id, Function&& function)
+{
+    std::shared_ptr<Running> running;
+    auto actions = m_table.with([&](Table& table) -> std::optional<QueryActions> {
+        auto it = table.running.find(id);
+        if (it == table.running.end())
+            return std::nullopt;
+        running = it->second;
+        auto made = function(table, *running);
+        if (made.finish)
+            remove(table, running);
+        else
+            arm(running, made.nextTimer);
+        return made;
+    });
+    if (actions)
+        performQuery(running, std::move(*actions));
+}
+
+template <typename Function>
+void EntryService::advanceKeyed(std::uint64_t id, Function&& function)
+{
+    std::shared_ptr<Running> running;
+    auto actions = m_table.with([&](Table& table) -> std::optional<KeyedActions> {
+        auto it = table.running.find(id);
+        if (it == table.running.end())
+            return std::nullopt;
+        running = it->second;
+        auto made = function(table, *running);
+        if (running->keyed->isDone())
+            remove(table, running);
+        else
+            arm(running, made.nextTimer);
+        return made;
+    });
+    if (actions)
+        performKeyed(running, std::move(*actions));
+}
+
+/// Precondition: called under the lock of the table, which serializes access to the timer.
+void EntryService::arm(const std::shared_ptr<Running>& running, std::optional<TimePoint> at)
+{
+    if (!at)
+        return;
+    running->timer.expires_at(*at);
+    running->timer.async_wait([this, id = running->id](const asio::error_code& ec) {
+        if (!ec)
+            onTimer(id);
+    });
+}
+
+void EntryService::onTimer(std::uint64_t id)
+{
+    auto isKeyed = m_table.with([&](Table& table) {
+        auto it = table.running.find(id);
+        return it != table.running.end() && it->second->keyed;
+    });
+    auto now = Clock::now();
+    if (isKeyed)
+        advanceKeyed(id, [&](Table&, Running& it) { return it.keyed->onTimer(now); });
+    else
+        advanceQuery(id, [&](Table&, Running& it) { return it.query->onTimer(now); });
+}
+
+void EntryService::onResult(const PartResult& result)
+{
+    auto id = queryIdOfPart(result.partId);
+    auto isKeyed = m_table.with([&](Table& table) -> std::optional<bool> {
+        auto it = table.running.find(id);
+        if (it == table.running.end()) {
+            ++table.counters.lateResults;
+            return std::nullopt;
+        }
+        return it->second->keyed != nullptr;
+    });
+    if (!isKeyed)
+        return;
+    auto now = Clock::now();
+    if (*isKeyed) {
+        advanceKeyed(id, [&](Table&, Running& it) { return it.keyed->onResult(result, now); });
+        return;
+    }
+    auto checked = result;
+    // A body that is no list would make the whole answer unreadable; the shard counts as failed instead.
+    if (checked.status == PartStatus::Ok && !isItemList(checked.body)) {
+        checked.status = PartStatus::Failed;
+        checked.body.clear();
+    }
+    advanceQuery(id, [&](Table&, Running& it) { return it.query->onResult(checked, now); });
+}
+
+void EntryService::onCallerGone(std::uint64_t id)
+{
+    std::shared_ptr<Running> running;
+    auto actions = m_table.with([&](Table& table) -> std::optional<QueryActions> {
+        auto it = table.running.find(id);
+        if (it == table.running.end() || !it->second->query)
+            return std::nullopt;
+        running = it->second;
+        remove(table, running);
+        return running->query->cancel(Clock::now());
+    });
+    if (actions)
+        performQuery(running, std::move(*actions));
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Actions
+
+void EntryService::performQuery(const std::shared_ptr<Running>& running, QueryActions actions)
+{
+    for (const auto& it : actions.cancels)
+        m_links.cancelPart(it);
+    for (const auto& it : actions.sends)
+        m_links.sendPart(it);
+    if (actions.needsLayout) {
+        auto layout = layoutOf(running->service);
+        advanceQuery(running->id, [&](Table&, Running& it) { return it.query->onLayout(layout, Clock::now()); });
+    }
+    if (actions.finish)
+        answerQuery(running, *actions.finish);
+}
+
+void EntryService::performKeyed(const std::shared_ptr<Running>& running, KeyedActions actions)
+{
+    if (actions.propose)
+        propose(running->id, *actions.propose);
+    if (actions.readRecord)
+        readRecord(running->id);
+    for (const auto& it : actions.cancels)
+        m_links.cancelPart(it);
+    if (actions.send)
+        m_links.sendPart(*actions.send);
+    if (actions.finish)
+        answerKeyed(running, *actions.finish);
+}
+
+void EntryService::propose(std::uint64_t id, const KeyedProposal& proposal)
+{
+    if (const auto* begin = std::get_if<BeginKeyed>(&proposal))
+        m_table.with([&](Table& table) {
+            if (auto it = table.running.find(id); it != table.running.end())
+                it->second->begin = *begin;
+        });
+    m_links.submit(toCommand(proposal), submitTimeout, [this, id, proposal](const SubmitResult& result) {
+        auto reply = toReply(result, proposal);
+        advanceKeyed(id, [&](Table&, Running& it) { return it.keyed->onProposal(reply, Clock::now()); });
+    });
+}
+
+void EntryService::readRecord(std::uint64_t id)
+{
+    auto begin = m_table.with([&](Table& table) -> std::optional<BeginKeyed> {
+        auto it = table.running.find(id);
+        return it == table.running.end() ? std::nullopt : it->second->begin;
+    });
+    if (!begin)
+        return;
+    m_links.submit(toCommand(*begin), submitTimeout, [this, id, begin](const SubmitResult& result) {
+        auto reply = toRecord(result, *begin);
+        advanceKeyed(id, [&](Table&, Running& it) { return it.keyed->onRecord(reply, Clock::now()); });
+    });
+}
+
+void EntryService::answerQuery(const std::shared_ptr<Running>& running, const QueryOutcome& outcome)
+{
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+        fail(running->responder, *error);
+        return;
+    }
+    const auto& answer = std::get<QueryAnswer>(outcome);
+    m_table.with([&](Table& table) {
+        auto& counters = table.counters;
+        ++(answer.coverage.isWhole() ? counters.queriesWhole : counters.queriesPartial);
+        const auto& run = running->query->counters();
+        counters.parts += run.parts;
+        counters.hedges += run.hedges;
+        counters.retries += run.retries;
+        counters.restarts += run.restarts;
+        counters.lateResults += run.lateResults;
+        counters.foreignResults += run.foreignResults;
+    });
+    running->responder.answer({ .body = renderAnswer(answer) });
+}
+
+void EntryService::answerKeyed(const std::shared_ptr<Running>& running, const KeyedOutcome& outcome)
+{
+    if (const auto* error = std::get_if<Error>(&outcome)) {
+        fail(running->responder, *error);
+        return;
+    }
+    m_table.with([](Table& table) { ++table.counters.keyedRan; });
+    running->responder.answer({ .body = renderKeyedAnswer(std::get<KeyedAnswer>(outcome).body) });
+}
+
+void EntryService::fail(const Responder& responder, const Error& error)
+{
+    m_table.with([&](Table& table) { ++table.counters.errors[error.kind()]; });
+    responder.fail(error.kind(), error.what());
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// State
+
+void EntryService::onConfiguration()
+{
+    auto configuration = m_configuration.current();
+    m_table.with([&](Table& table) { table.statistics.setRules(configuration->rules); });
+}
+
+void EntryService::adoptSuspicion(const SuspicionEvent& event, TimePoint until)
+{
+    m_table.with([&](Table& table) {
+        auto& suspicions = table.statistics.suspicions();
+        if (event.state == Suspicion::Blocked)
+            suspicions.adoptBlocked(event.fingerprint, until);
+        else if (event.state == Suspicion::Suspect)
+            suspicions.adoptSuspect(event.fingerprint, event.shard, event.alone, Clock::now());
+        else
+            suspicions.adoptCleared(event.fingerprint);
+    });
+}
+
+void EntryService::setState(EntryState state)
+{
+    m_table.with([&](Table& table) { table.state = state; });
+}
+
+EntryState EntryService::state() const
+{
+    return m_table.with([](Table& table) { return table.state; });
+}
+
+EntryCounters EntryService::counters() const
+{
+    return m_table.with([](Table& table) {
+        auto counters = table.counters;
+        counters.running = table.running.size();
+        return counters;
+    });
+}
+
+std::uint64_t EntryService::runningCount() const
+{
+    return m_table.with([](Table& table) { return table.running.size(); });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/EntryService.h
@@ -0,0 +1,133 @@
+// Entry side of requests: admits callers' requests, runs them and answers.
+#pragma once
+
+#include "daemon/ConfigurationTable.h"
+#include "daemon/ControlClient.h"
+#include "daemon/OrderedMutex.h"
+#include "query/KeyedExecution.h"
+#include "query/LeafGates.h"
+#include "query/QueryExecution.h"
+#include "transport/HttpServer.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace citronplank {
+
+/// How the entry reaches other parts of the daemon. All are thread safe and called without a lock of the entry.
+struct EntryLinks {
+    std::function<void(const PartSend&)> sendPart;
+    std::function<void(const PartCancel&)> cancelPart;
+    std::function<void(Command, milliseconds timeout, ControlClient::Handler)> submit;
+    std::function<std::vector<Announcement>(const std::string& service)> replicasOf;
+    std::function<std::uint64_t()> directoryVersion; // counts changes of the leaf directory
+};
+
+struct EntrySettings {
+    std::string instance; // name of this daemon
+    std::string zone;
+    std::uint64_t incarnation = 0;
+};
+
+struct EntryCounters {
+    std::uint64_t queries = 0;
+    std::uint64_t queriesWhole = 0;
+    std::uint64_t queriesPartial = 0;
+    std::uint64_t keyedRequests = 0;
+    std::uint64_t keyedRan = 0;
+    std::uint64_t parts = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t restarts = 0;
+    std::uint64_t lateResults = 0;
+    std::uint64_t foreignResults = 0;
+    std::uint64_t running = 0;
+    std::map<ErrorKind, std::uint64_t> errors;
+};
+
+enum class EntryState : std::uint8_t { Starting, Ready, Stopping };
+
+/// Every method is thread safe; the table has rank LockRank::ReplicaStatistics and also covers running requests.
+class EntryService {
+public:
+    /// Precondition: `io` and `configuration` outlive this object.
+    EntryService(asio::io_context& io, EntrySettings, ConfigurationTable& configuration, EntryLinks);
+
+    /// Handles one request of the callers' port.
+    void onRequest(const HttpRequest&, const Responder&);
+    /// The result of a part that this entry sent.
+    void onResult(const PartResult&);
+    /// Takes changed rules over into the policies.
+    void onConfiguration();
+    /// Adopts what a gate or another instance says of a fingerprint.
+    void adoptSuspicion(const SuspicionEvent&, TimePoint until);
+
+    void setState(EntryState);
+    EntryState state() const;
+    EntryCounters counters() const;
+    std::uint64_t runningCount() const;
+
+private:
+    using Execution = QueryExecution<ReplicaStatistics>;
+    using KeyedRun = KeyedExecution<ReplicaStatistics>;
+    struct Running {
+        Running(asio::io_context& io, Responder it)
+            : responder(std::move(it))
+            , timer(io)
+        {
+        }
+        std::uint64_t id = 0;
+        std::string service;
+        Responder responder;
+        asio::steady_timer timer;
+        std::unique_ptr<Execution> query;
+        std::unique_ptr<KeyedRun> keyed;
+        std::optional<BeginKeyed> begin; // the last one proposed; read again by proposing it again
+    };
+    struct CachedLayout {
+        std::shared_ptr<const PinnedLayout> layout;
+        std::uint64_t directoryVersion = 0;
+        std::shared_ptr<const Configuration> configuration;
+        bool isFresh = false;
+    };
+    struct Table {
+        explicit Table(std::uint64_t seed);
+        ReplicaStatistics statistics;
+        LayoutChooser chooser;
+        std::map<std::string, CachedLayout, std::less<>> layouts;
+        std::unordered_map<std::uint64_t, std::shared_ptr<Running>> running;
+        std::map<std::string, std::uint32_t, std::less<>> runningByService;
+        std::uint64_t lastId = 0;
+        EntryCounters counters;
+        EntryState state = EntryState::Starting;
+    };
+
+    void startQuery(const HttpRequest&, const Responder&);
+    void startKeyed(const HttpRequest&, const Responder&);
+    ServiceRules rulesOf(const Configuration&, const std::string& service, milliseconds& deadline) const;
+    std::shared_ptr<const PinnedLayout> layoutOf(const std::string& service);
+    std::shared_ptr<Running> admit(const std::string& service, const ServiceRules&, const Responder&);
+    void remove(Table&, const std::shared_ptr<Running>&);
+    void onCallerGone(std::uint64_t id);
+    void arm(const std::shared_ptr<Running>&, std::optional<TimePoint>);
+    void onTimer(std::uint64_t id);
+
+    template <typename Function>
+    void advanceQuery(std::uint64_t id, Function&&);
+    template <typename Function>
+    void advanceKeyed(std::uint64_t id, Function&&);
+    void performQuery(const std::shared_ptr<Running>&, QueryActions);
+    void performKeyed(const std::shared_ptr<Running>&, KeyedActions);
+    void answerQuery(const std::shared_ptr<Running>&, const QueryOutcome&);
+    void answerKeyed(const std::shared_ptr<Running>&, const KeyedOutcome&);
+    void fail(const Responder&, const Error&);
+    void propose(std::uint64_t id, const KeyedProposal&);
+    void readRecord(std::uint64_t id);
+
+    asio::io_context& m_io;
+    EntrySettings m_settings;
+    ConfigurationTable& m_configuration;
+    EntryLinks m_links;
+    mutable Guarded<Table> m_table;
+};
+
+} // namespace citronplank
--- a/daemon/PartMessages.cpp
+++ b/daemon/PartMessages.cpp
@@ -83,9 +83,13 @@
     return result;
 }
 
-std::string encodePartCancel(std::uint64_t partId) { return pack(partId); }
+std::string encodePartCancel(const PartCancelMessage& message) { return pack(message.partId, message.queuedOnly); }
 
-std::uint64_t decodePartCancel(std::string_view bytes) { return std::get<0>(unpack<std::tuple<std::uint64_t>>(bytes)); }
+PartCancelMessage decodePartCancel(std::string_view bytes)
+{
+    auto packed = unpack<std::tuple<std::uint64_t, bool>>(bytes);
+    return { std::get<0>(packed), std::get<1>(packed) };
+}
 
 std::string encodeConfigurationFetch(const ConfigurationFetch& fetch) { return pack(fetch.sinceVersion); }
 
--- a/daemon/PartMessages.h
+++ b/daemon/PartMessages.h
@@ -28,14 +28,20 @@
     std::uint64_t sinceVersion = 0;
 };
 
+/// Cancels a part at the owner of its leaf.
+struct PartCancelMessage {
+    std::uint64_t partId = 0;
+    bool queuedOnly = false; // leave the part alone if the leaf already runs it
+};
+
 /// Serialization of the structs above and of parts; `decode...` throws Error(ErrorKind::BadRequest) on malformed input.
 /// All functions are thread safe.
 std::string encodePart(const Part&);
 Part decodePart(std::string_view);
 std::string encodePartResult(const PartResult&);
 PartResult decodePartResult(std::string_view);
-std::string encodePartCancel(std::uint64_t partId);
-std::uint64_t decodePartCancel(std::string_view);
+std::string encodePartCancel(const PartCancelMessage&);
+PartCancelMessage decodePartCancel(std::string_view);
 std::string encodeConfigurationFetch(const ConfigurationFetch&);
 ConfigurationFetch decodeConfigurationFetch(std::string_view);
 
--- /dev/null
+++ b/daemon/PartService.h
@@ -0,0 +1,51 @@
+// Owner side of parts: the gates of the leaves that this daemon owns, joined with the connections to them.
+#pragma once
+
+#include "backend/LeafClient.h"
+#include "daemon/OrderedMutex.h"
+#include "query/LeafGates.h"
+
+#include <functional>
+
+namespace citronplank {
+
+/// Handlers run on the io_context, without a lock.
+struct PartServiceHandlers {
+    std::function<void(const std::string& sender, const PartResult&)> answer; // to the sender of the part
+    std::function<void(const SuspicionEvent&)> suspicion;                     // to all instances
+};
+
+/// Every method is thread safe; the table has rank LockRank::LeafGates.
+class PartService {
+public:
+    /// Precondition: `client` outlives this object, and callbacks of `client` end before it is destroyed.
+    PartService(LeafClient& client, PartServiceHandlers, LeafGatesSettings settings = {});
+
+    /// Takes a part of `sender`, the entry instance in its incarnation.
+    void submit(const std::string& sender, const Part&);
+    void cancel(const std::string& sender, std::uint64_t partId, bool queuedOnly);
+
+    void setLeaf(const Announcement&);
+    void removeLeaf(const std::string& leaf);
+    void setRules(const Rules&);
+    void setAllowance(const std::string& leaf, const LeafAllowance&);
+    /// Adopts what another instance or the control log says of a fingerprint.
+    void adoptSuspicion(const SuspicionEvent&, TimePoint until);
+    /// Call it every 10 ms or so.
+    void onTimer(TimePoint now);
+
+    std::vector<GateStatus> status() const;
+    GateCounters counters() const;
+    /// True while no part is queued or running.
+    bool isIdle() const;
+
+private:
+    void perform(GateActions);
+
+    LeafClient& m_client;
+    PartServiceHandlers m_handlers;
+    mutable Guarded<LeafGates> m_gates;
+    mutable Guarded<std::map<std::string, std::uint32_t>> m_connections; // accepted by each leaf
+};
+
+} // namespace citronplank
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -150,6 +150,16 @@
     bool controlMember = false;    // holds a replica of the control log
 };
 
+/// The daemons of one zone that own its leaves. Owners follow from the member names.
+struct ZoneView {
+    std::string zone;
+    std::uint64_t number = 0;          // 0: the zone has no view yet
+    std::vector<std::string> members;  // sorted
+    std::vector<std::string> previous; // members of the view with number - 1; sorted
+    std::uint64_t version = 0;         // log index of the change; 0 before it is committed
+    bool operator==(const ZoneView&) const = default;
+};
+
 // ---------------------------------------------------------------------------------------------------------------
 // Rules in force, as parsed from the rules file. Absent values mean the default.
 
