Add the membership shell

Cause: gossip and the leaf directory are cores without sockets or threads. Ruled out: applying changes on any worker; two workers that apply a removal and a new announcement of one leaf in the wrong order lose the leaf for good. Before: no process had members or leaves. After: one strand applies changes. Conclusion: builds; exercised when the daemon is wired.

--- /dev/null
+++ b/daemon/MembershipService.cpp
@@ -0,0 +1,223 @@
+#include "daemon/MembershipService.h"
+
+#include <random>
+
+namespace citronplank {
+
+namespace {
+
+constexpr milliseconds tickInterval { 20 };
+
+Gossip makeGossip(const Instance& self, std::vector<std::string> seeds)
+{
+    std::random_device random;
+    return GossipBuilder().self(self).seeds(std::move(seeds)).randomSeed(random()).build();
+}
+
+} // namespace
+
+MembershipService::MembershipService(
+    asio::io_context& io, Instance self, std::vector<std::string> seeds, MembershipHandlers handlers)
+    : m_self(self.name)
+    , m_handlers(std::move(handlers))
+    , m_gossip(LockRank::Members, makeGossip(self, std::move(seeds)))
+    , m_directory(LockRank::Directory, self.name)
+    , m_strand(asio::make_strand(io))
+    , m_timer(m_strand)
+    , m_socket(io, self.gossipAddress, [this](const std::string& from, std::string_view bytes) {
+        change([this, from, datagram = std::string(bytes)] {
+            perform(m_gossip.with([&](Gossip& it) { return it.receive(from, datagram, Clock::now()); }));
+        });
+    })
+{
+}
+
+/// Runs `call` on the strand. Input that a core refuses changes nothing.
+void MembershipService::change(std::function<void()> call)
+{
+    asio::post(m_strand, [this, call = std::move(call)] {
+        if (m_stopped)
+            return;
+        try {
+            call();
+        } catch (const Error&) {
+            ++m_refusedInputs;
+        }
+    });
+}
+
+void MembershipService::start() { scheduleTick(); }
+
+void MembershipService::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const asio::error_code& ec) {
+        if (ec || m_stopped)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void MembershipService::tick()
+{
+    auto now = Clock::now();
+    perform(m_gossip.with([&](Gossip& it) { return it.tick(now); }));
+    perform(m_directory.with([&](LeafDirectory& it) { return it.expire(now); }));
+}
+
+void MembershipService::leave()
+{
+    change([this] { perform(m_gossip.with([](Gossip& it) { return it.leave(Clock::now()); })); });
+}
+
+void MembershipService::stop()
+{
+    m_stopped = true;
+    m_socket.close();
+}
+
+void MembershipService::announce(const Announcement& announcement)
+{
+    change([this, announcement] {
+        perform(m_directory.with([&](LeafDirectory& it) { return it.announce(announcement, Clock::now()); }));
+    });
+}
+
+void MembershipService::publish(std::string key, std::string payload)
+{
+    change([this, key = std::move(key), payload = std::move(payload)] {
+        perform(m_gossip.with([&](Gossip& it) { return it.publish(key, payload, Clock::now()); }));
+    });
+}
+
+void MembershipService::removeItem(std::string key)
+{
+    change([this, key = std::move(key)] {
+        perform(m_gossip.with([&](Gossip& it) { return it.remove(key, Clock::now()); }));
+    });
+}
+
+std::vector<GossipItem> MembershipService::items()
+{
+    return m_gossip.with([](Gossip& it) { return it.items(); });
+}
+
+void MembershipService::perform(Gossip::Output output)
+{
+    for (const auto& it : output.datagrams)
+        m_socket.send(it.address, it.bytes);
+    auto now = Clock::now();
+    for (const auto& it : output.changedItems) {
+        if (std::string_view(it.key).starts_with(leafKeyPrefix))
+            perform(m_directory.with(
+                [&](LeafDirectory& directory) { return directory.applyItem(it.key, it.payload, it.removed, now); }));
+        else
+            m_handlers.itemChanged(it);
+    }
+    if (output.memberEvents.empty())
+        return;
+    std::set<std::string, std::less<>> live { m_self };
+    for (const auto& it : livePeers())
+        live.insert(it.name);
+    perform(m_directory.with([&](LeafDirectory& directory) { return directory.setLiveRegistrars(live, now); }));
+    m_handlers.membersChanged();
+}
+
+void MembershipService::perform(LeafDirectory::Output output)
+{
+    if (output.changed)
+        ++m_directoryVersion;
+    for (const auto& it : output.items) {
+        if (it.removed)
+            removeItem(it.key);
+        else
+            publish(it.key, it.payload);
+    }
+    if (output.changed)
+        m_handlers.directoryChanged();
+}
+
+std::vector<Member> MembershipService::members() const
+{
+    return m_gossip.with([](Gossip& it) { return it.members(); });
+}
+
+std::vector<Instance> MembershipService::livePeers() const
+{
+    std::vector<Instance> peers;
+    for (auto& it : members()) {
+        bool isLive = it.status == MemberStatus::Alive || it.status == MemberStatus::Suspect;
+        if (isLive && it.instance.name != m_self)
+            peers.push_back(std::move(it.instance));
+    }
+    return peers;
+}
+
+std::set<std::string> MembershipService::liveNamesIn(std::string_view zone) const
+{
+    std::set<std::string> names;
+    for (const auto& it : members()) {
+        if (it.instance.zone == zone && (it.status == MemberStatus::Alive || it.status == MemberStatus::Suspect))
+            names.insert(it.instance.name);
+    }
+    return names;
+}
+
+std::string MembershipService::linkAddressOf(std::string_view name) const
+{
+    for (const auto& it : members()) {
+        if (it.instance.name == name)
+            return it.instance.linkAddress;
+    }
+    return {};
+}
+
+std::vector<std::string> MembershipService::services() const
+{
+    return m_directory.with([](LeafDirectory& it) { return it.services(); });
+}
+
+std::vector<Announcement> MembershipService::replicasOf(std::string_view service) const
+{
+    return m_directory.with([&](LeafDirectory& it) { return it.replicasOf(service); });
+}
+
+std::vector<Announcement> MembershipService::leavesIn(std::string_view zone) const
+{
+    return m_directory.with([&](LeafDirectory& directory) {
+        std::vector<Announcement> leaves;
+        for (const auto& service : directory.services()) {
+            for (auto& it : directory.replicasOf(service)) {
+                if (it.zone == zone)
+                    leaves.push_back(std::move(it));
+            }
+        }
+        return leaves;
+    });
+}
+
+std::uint64_t MembershipService::directoryHash() const
+{
+    return m_directory.with([](LeafDirectory& it) { return it.contentHash(); });
+}
+
+std::string MembershipService::exportDirectory() const
+{
+    return m_directory.with([](LeafDirectory& it) { return it.exportAll(); });
+}
+
+void MembershipService::importDirectory(std::string bytes, std::function<void()> done)
+{
+    change([this, bytes = std::move(bytes), done = std::move(done)] {
+        perform(m_directory.with([&](LeafDirectory& it) { return it.importAll(bytes, Clock::now()); }));
+        done();
+    });
+}
+
+GossipCounters MembershipService::counters() const
+{
+    return m_gossip.with([](Gossip& it) { return it.counters(); });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/MembershipService.h
@@ -0,0 +1,85 @@
+// Shell of gossip and the leaf directory: one UDP socket, one timer, two tables.
+#pragma once
+
+#include "coordination/Gossip.h"
+#include "coordination/LeafDirectory.h"
+#include "daemon/OrderedMutex.h"
+#include "transport/GossipSocket.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <atomic>
+
+namespace citronplank {
+
+/// Handlers run one after the other on the service's strand, without a lock.
+struct MembershipHandlers {
+    std::function<void(const GossipItem&)> itemChanged; // items of other parts than the directory
+    std::function<void()> membersChanged;
+    std::function<void()> directoryChanged;
+};
+
+/// Every method is thread safe. Changes are applied one after the other on a strand: two workers that applied a removal
+/// and a new announcement of one leaf in the wrong order would lose the leaf for good. Tables: gossip with rank
+/// LockRank::Members, directory with LockRank::Directory.
+class MembershipService {
+public:
+    /// Binds the gossip address of `self`. Precondition: `io` outlives this object. Throws Error(Internal).
+    MembershipService(asio::io_context& io, Instance self, std::vector<std::string> seeds, MembershipHandlers);
+
+    /// Starts the timer. Precondition: called once.
+    void start();
+    /// Announces that this instance leaves; keep running for about a second so that it spreads.
+    void leave();
+    /// Stops timer and socket.
+    void stop();
+
+    /// A leaf announced itself to this instance. Invalid announcements are ignored.
+    void announce(const Announcement&);
+    void publish(std::string key, std::string payload);
+    void removeItem(std::string key);
+    std::vector<GossipItem> items();
+
+    std::vector<Member> members() const;
+    /// Members that are alive or suspected, without this instance.
+    std::vector<Instance> livePeers() const;
+    /// Names of the live instances of a zone, this one included if it is in it.
+    std::set<std::string> liveNamesIn(std::string_view zone) const;
+    /// Empty if the instance is not known.
+    std::string linkAddressOf(std::string_view name) const;
+
+    std::vector<std::string> services() const;
+    std::vector<Announcement> replicasOf(std::string_view service) const;
+    std::vector<Announcement> leavesIn(std::string_view zone) const;
+    /// Counts changes of the directory.
+    std::uint64_t directoryVersion() const { return m_directoryVersion.load(); }
+    std::uint64_t directoryHash() const;
+    std::string exportDirectory() const;
+    /// Takes over another instance's exportDirectory(), then calls `done` on the strand; malformed bytes are ignored.
+    void importDirectory(std::string bytes, std::function<void()> done);
+
+    GossipCounters counters() const;
+    /// Announcements, items and directories that were refused as malformed.
+    std::uint64_t refusedInputs() const { return m_refusedInputs.load(); }
+
+private:
+    void scheduleTick();
+    void tick();
+    void change(std::function<void()>);
+    void perform(Gossip::Output);
+    void perform(LeafDirectory::Output);
+
+    std::string m_self;
+    MembershipHandlers m_handlers;
+    mutable Guarded<Gossip> m_gossip;
+    mutable Guarded<LeafDirectory> m_directory;
+    std::atomic<std::uint64_t> m_directoryVersion { 0 };
+    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::steady_timer m_timer;
+    std::atomic<std::uint64_t> m_refusedInputs { 0 };
+    std::atomic<bool> m_stopped { false };
+    GossipSocket m_socket;
+};
+
+} // namespace citronplank
