Add the daemon's settings

Cause: a daemon with a wrong zone, address or control list must not start at all. One table drives the parser, the environment and the manual, so that none of them can miss a setting.

--- /dev/null
+++ b/daemon/Settings.cpp
@@ -0,0 +1,211 @@
+#include "daemon/Settings.h"
+
+#include "daemon/SettingsChecks.h"
+#include "daemon/Version.h"
+
+#include <array>
+#include <popt.h>
+#include <thread>
+
+namespace citronplank {
+
+namespace {
+
+/// One setting. The same table drives the parser, the environment and the manual.
+struct Row {
+    const char* group;
+    const char* flag;
+    const char* argument;
+    const char* text;
+    const char* fallback; // shown in the manual; empty: required, or absent by default
+    void (*assign)(Settings&, const std::string& value);
+};
+
+const std::array<Row, 14> rows { {
+    { "Instance", "name", "NAME", "name of this instance; keep it across restarts", "",
+        [](Settings& s, const std::string& value) { s.name = checkedName(value); } },
+    { "Instance", "region", "NAME", "region of this instance", "",
+        [](Settings& s, const std::string& value) { s.region = checkedName(value); } },
+    { "Instance", "zone", "NAME", "availability zone of this instance", "",
+        [](Settings& s, const std::string& value) { s.zone = checkedName(value); } },
+    { "Addresses", "caller-address", "IP:PORT", "TCP, callers: /query and /request", "",
+        [](Settings& s, const std::string& value) { s.callerAddress = checkedAddress(value, true); } },
+    { "Addresses", "admin-address", "IP:PORT", "TCP, operators and leaves: /ready /announce /status /dump /metrics", "",
+        [](Settings& s, const std::string& value) { s.adminAddress = checkedAddress(value, false); } },
+    { "Addresses", "link-address", "IP:PORT", "TCP, links from other daemons, which dial this address", "",
+        [](Settings& s, const std::string& value) { s.linkAddress = checkedAddress(value, false); } },
+    { "Addresses", "gossip-address", "IP:PORT", "UDP, gossip from other daemons", "",
+        [](Settings& s, const std::string& value) { s.gossipAddress = checkedAddress(value, false); } },
+    { "Cluster", "seeds", "IP:PORT,...", "gossip addresses to join by; any live daemon will do", "none",
+        [](Settings& s, const std::string& value) { s.seeds = checkedAddressList(value); } },
+    { "Cluster", "control-members", "NAME=IP:PORT,...", "link addresses of all control members, 3, 5 or 7", "none",
+        [](Settings& s, const std::string& value) { s.controlMembers = checkedMembers(value); } },
+    { "Cluster", "data-dir", "FOLDER", "existing folder on a disk; control members need it, others must not have it",
+        "none", [](Settings& s, const std::string& value) { s.dataDir = checkedDataDir(value); } },
+    { "Operation", "rules", "FILE", "rules file to follow; its folder must exist", "none",
+        [](Settings& s, const std::string& value) { s.rulesFile = checkedRulesFile(value); } },
+    { "Operation", "workers", "THREADS", "worker threads, 1 to 256", "one for each processor",
+        [](Settings& s, const std::string& value) { s.workers = checkedNumber(value, 1, 256); } },
+    { "Operation", "drain-delay", "TIME", "time to serve on after SIGTERM while not ready, 0s to 60s (units: ms, s)",
+        "3s", [](Settings& s, const std::string& value) { s.drainDelay = checkedTime(value, seconds(60)); } },
+    { "Operation", "log-level", "LEVEL", "debug, info, warning, error or off", "info",
+        [](Settings& s, const std::string& value) { s.logLevel = checkedLogLevel(value); } },
+} };
+
+constexpr int helpOption = 1000;
+constexpr int versionOption = 1001;
+
+std::string environmentName(std::string_view flag)
+{
+    std::string name = "CITRONPLANK_";
+    for (const char c : flag)
+        name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    return name;
+}
+
+bool isRequired(const Row& row) { return row.fallback[0] == '\0'; }
+
+/// Values as given, by row.
+struct GivenValues {
+    std::array<std::optional<std::string>, rows.size()> values;
+    bool wantsHelp = false;
+    bool wantsVersion = false;
+};
+
+void addFlag(GivenValues& given, std::size_t row, const std::string& value)
+{
+    auto& slot = given.values.at(row);
+    if (slot && *slot != value)
+        throw SettingsError(std::string("--") + rows.at(row).flag, "is given twice, as " + *slot + " and " + value);
+    slot = value;
+}
+
+/// The flag in an argument such as "--flag=value".
+std::string flagOf(const std::string& argument) { return argument.substr(0, argument.find('=')); }
+
+GivenValues readFlags(int argc, const char* const* argv)
+{
+    std::vector<poptOption> options;
+    for (std::size_t i = 0; i < rows.size(); ++i)
+        options.push_back({ rows.at(i).flag, 0, POPT_ARG_STRING, nullptr, static_cast<int>(i) + 1, nullptr, nullptr });
+    options.push_back({ "help", 'h', POPT_ARG_NONE, nullptr, helpOption, nullptr, nullptr });
+    options.push_back({ "version", 0, POPT_ARG_NONE, nullptr, versionOption, nullptr, nullptr });
+    options.push_back(POPT_TABLEEND);
+    const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+        poptGetContext("citronplankd", argc, const_cast<const char**>(argv), options.data(), 0), poptFreeContext);
+    GivenValues given;
+    int option = 0;
+    while ((option = poptGetNextOpt(context.get())) > 0) {
+        if (option == helpOption) {
+            given.wantsHelp = true;
+        } else if (option == versionOption) {
+            given.wantsVersion = true;
+        } else {
+            const std::unique_ptr<char, void (*)(void*)> value(poptGetOptArg(context.get()), std::free);
+            addFlag(given, static_cast<std::size_t>(option) - 1, value ? value.get() : "");
+        }
+    }
+    if (option < -1)
+        throw SettingsError(flagOf(poptBadOption(context.get(), 0)), poptStrerror(option));
+    if (const char* extra = poptPeekArg(context.get()))
+        throw SettingsError(extra, "is not a flag");
+    return given;
+}
+
+/// Adds the environment. An instance whose zone or region is set in two ways was probably copied from another zone,
+/// and a daemon in the wrong zone would own its leaves.
+void addEnvironment(GivenValues& given, const EnvironmentReader& environment)
+{
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const std::string flag = rows.at(i).flag;
+        const char* value = environment(environmentName(flag).c_str());
+        auto& slot = given.values.at(i);
+        if (!value || value[0] == '\0')
+            continue;
+        if (slot && *slot != value && (flag == "zone" || flag == "region"))
+            throw SettingsError(
+                "--" + flag, "is " + *slot + " and contradicts " + environmentName(flag) + ", which is " + value);
+        if (!slot)
+            slot = value;
+    }
+}
+
+Settings assignAll(const GivenValues& given)
+{
+    Settings settings;
+    settings.workers = std::clamp(std::thread::hardware_concurrency(), 1U, 256U);
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const Row& row = rows.at(i);
+        const std::string flag = std::string("--") + row.flag;
+        const auto& value = given.values.at(i);
+        if (!value) {
+            if (isRequired(row))
+                throw SettingsError(flag, "is missing (or set " + environmentName(row.flag) + ")");
+            continue;
+        }
+        try {
+            row.assign(settings, *value);
+        } catch (const std::invalid_argument& error) {
+            throw SettingsError(flag, error.what());
+        }
+    }
+    return settings;
+}
+
+std::string oneLine(std::string text)
+{
+    for (char& c : text) {
+        if (static_cast<unsigned char>(c) < 0x20)
+            c = ' ';
+    }
+    return text;
+}
+
+} // namespace
+
+std::string settingsManual()
+{
+    std::string text = "Usage: citronplankd [FLAG]...\n"
+                       "Runs one instance of the query tier.\n";
+    const char* group = "";
+    for (const Row& row : rows) {
+        if (std::string_view(group) != row.group)
+            text += std::string("\n") + row.group + ":\n";
+        group = row.group;
+        text += std::string("  --") + row.flag + "=" + row.argument + "\n        " + row.text + "\n        "
+            + (isRequired(row) ? std::string("Required") : std::string("Default: ") + row.fallback)
+            + ". Environment: " + environmentName(row.flag) + "\n";
+    }
+    text
+        += "\nOther:\n"
+           "  -h, --help\n        Print this text and exit\n"
+           "  --version\n        Print the version and exit\n"
+           "\nA flag wins over its environment variable, except that zone and region must agree where both are given.\n"
+           "Names have 1 to 64 letters, digits, '-', '_' or '.'. Addresses are IPv4 addresses with a port.\n"
+           "\nSignals:\n"
+           "  SIGTERM  planned stop: not ready, serve for the drain delay, finish running requests, exit\n"
+           "\nExit codes:\n"
+           "  0  planned stop, or --help or --version\n"
+           "  1  the daemon could not start, or failed\n"
+           "  2  a setting is wrong; one line on stderr names it and nothing was started\n";
+    return text;
+}
+
+SettingsOutcome readSettings(int argc, const char* const* argv, const EnvironmentReader& environment)
+{
+    try {
+        GivenValues given = readFlags(argc, argv);
+        if (given.wantsHelp)
+            return { std::nullopt, exitStopped, settingsManual() };
+        if (given.wantsVersion)
+            return { std::nullopt, exitStopped, std::string("citronplankd ") + versionText() + "\n" };
+        addEnvironment(given, environment);
+        Settings settings = assignAll(given);
+        checkTogether(settings);
+        return { std::move(settings), exitStopped, "" };
+    } catch (const SettingsError& error) {
+        return { std::nullopt, exitWrongSettings, "citronplankd: " + oneLine(error.what()) + "\n" };
+    }
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/Settings.h
@@ -0,0 +1,58 @@
+// Settings of the daemon: flags and environment variables, checked completely before anything starts.
+//
+//   const SettingsOutcome outcome = readSettings(argc, argv, [](const char* name) { return std::getenv(name); });
+//   if (!outcome.settings) {
+//       std::fputs(outcome.output.c_str(), outcome.exitCode == 0 ? stdout : stderr);
+//       return outcome.exitCode;
+//   }
+#pragma once
+
+#include "citronplank.h"
+
+#include <filesystem>
+#include <functional>
+
+namespace citronplank {
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error, Off };
+
+struct Settings {
+    std::string name;
+    std::string region;
+    std::string zone;
+    std::string callerAddress; // "IP:PORT", as all addresses
+    std::string adminAddress;
+    std::string linkAddress;
+    std::string gossipAddress;
+    std::vector<std::string> seeds;                    // gossip addresses
+    std::map<std::string, std::string> controlMembers; // link address by name
+    std::filesystem::path dataDir;                     // empty: no control role
+    std::filesystem::path rulesFile;                   // empty: follows none
+    unsigned workers = 1;
+    milliseconds drainDelay { 3000 };
+    LogLevel logLevel = LogLevel::Info;
+
+    bool isControlMember() const { return controlMembers.count(name) != 0; }
+};
+
+constexpr int exitStopped = 0;       // planned stop, --help, --version
+constexpr int exitFailed = 1;        // could not start, for example because an address is in use
+constexpr int exitWrongSettings = 2; // nothing was started
+
+struct SettingsOutcome {
+    std::optional<Settings> settings; // absent: print `output` and exit with `exitCode`
+    int exitCode = exitStopped;
+    std::string output; // the manual, the version, or one line that names the wrong setting
+};
+
+/// Returns the value of an environment variable or null.
+using EnvironmentReader = std::function<const char*(const char* name)>;
+
+/// Reads and checks all settings. A flag wins over the environment; region and zone must agree where both are given.
+/// Precondition: `argv` has `argc` entries, the first is the program. Not thread safe with changes of the environment.
+SettingsOutcome readSettings(int argc, const char* const* argv, const EnvironmentReader&);
+
+/// The manual that --help prints. Thread safe.
+std::string settingsManual();
+
+} // namespace citronplank
