--- a/coordination/ControlReplica.h
+++ b/coordination/ControlReplica.h
@@ -39,8 +39,9 @@
 class ControlReplica {
 public:
     /// Loads log and state. Throws StorageError if the storage cannot be read. `storage` must outlive the object.
-    ControlReplica(Storage& storage, ControlLogSettings settings, TimePoint now)
+    ControlReplica(Storage& storage, ControlLogSettings settings, TimePoint now, RulesValidator validator = {})
         : m_log(storage, std::move(settings), now)
+        , m_state(std::move(validator))
     {
         if (auto stored = m_log.storedSnapshot())
             m_state.restore(stored->data);
--- a/coordination/ControlState.cpp
+++ b/coordination/ControlState.cpp
@@ -62,9 +62,30 @@
                 removed->second.author };
         }
     }
+    if (!isValidTogether(command))
+        return EditResult { EditStatus::Invalid, m_data.rulesVersion };
     return std::nullopt;
 }
 
+bool ControlState::isValidTogether(const EditRules& command) const
+{
+    if (!m_validator)
+        return true;
+    std::map<std::string, RuleLine> merged;
+    for (const auto& [key, it] : m_data.lines)
+        merged.emplace(key, it.line);
+    for (const auto& change : command.changes) {
+        if (change.line)
+            merged.insert_or_assign(change.key, *change.line);
+        else
+            merged.erase(change.key);
+    }
+    std::vector<RuleLine> lines;
+    for (const auto& [key, line] : merged)
+        lines.push_back(line);
+    return m_validator(lines);
+}
+
 void ControlState::writeLines(const EditRules& command, std::uint64_t index)
 {
     RuleVersion undo { index, {} };
--- a/coordination/ControlState.h
+++ b/coordination/ControlState.h
@@ -6,6 +6,8 @@
 
 #include "coordination/ControlMessages.h"
 
+#include <functional>
+
 #include <unordered_map>
 
 namespace citronplank {
@@ -124,9 +126,19 @@
     bool operator==(const ControlStateData&) const = default;
 };
 
+/// Whether rule lines are valid together. It must give the same result on all members, because their states would
+/// differ otherwise. Two edits that are valid alone can contradict each other once both are applied.
+using RulesValidator = std::function<bool(std::span<const RuleLine>)>;
+
 /// The state machine. Not thread safe: callers serialize all calls to one object.
 class ControlState {
 public:
+    /// Without a validator every edit is valid.
+    explicit ControlState(RulesValidator validator = {})
+        : m_validator(std::move(validator))
+    {
+    }
+
     /// Applies the next committed entry and returns the result of its command. The entry's index must be
     /// `appliedIndex() + 1`; any other throws std::logic_error, because the members' states would differ.
     CommandResult apply(const LogEntry&);
@@ -172,12 +184,14 @@
     CommandResult applyCommand(const NoOp&, std::uint64_t index);
     EditResult edit(const EditRules&, std::uint64_t index);
     std::optional<EditResult> refusal(const EditRules&) const;
+    bool isValidTogether(const EditRules&) const;
     void writeLines(const EditRules&, std::uint64_t index);
     void trimHistory();
     void remember(const std::string& submissionId, const EditResult&);
     void dropExpired();
     void rebuildIndexes();
 
+    RulesValidator m_validator;
     ControlStateData m_data;
     std::unordered_map<std::string, EditResult> m_submissionResults;  // index of m_data.submissions
     std::set<std::pair<std::uint64_t, std::string>> m_requestsByTime; // index of m_data.requests
--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -1,5 +1,7 @@
 #include "daemon/ControlService.h"
 
+#include "rules/RulesFile.h"
+
 #include <asio.hpp>
 #include <future>
 #include <mutex>
@@ -19,6 +21,16 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wall.time_since_epoch()).count());
 }
 
+bool areValidRules(std::span<const RuleLine> lines)
+{
+    try {
+        toRules(lines);
+        return true;
+    } catch (const Error&) {
+        return false;
+    }
+}
+
 ControlLogSettings logSettings(const ControlServiceSettings& settings)
 {
     std::random_device random;
@@ -37,7 +49,7 @@
     Impl(const ControlServiceSettings& settings, ControlServiceHandlers handlers)
         : m_handlers(std::move(handlers))
         , m_storage(settings.dataFolder)
-        , m_replica(m_storage, logSettings(settings), Clock::now())
+        , m_replica(m_storage, logSettings(settings), Clock::now(), areValidRules)
         , m_timer(m_io)
         , m_work(asio::make_work_guard(m_io))
     {
--- /dev/null
+++ b/daemon/LeaseService.h
@@ -0,0 +1,43 @@
+// Member side of the zone lease: keeps this daemon's lease and tells the gates what it allows.
+#pragma once
+
+#include "coordination/ZoneLease.h"
+#include "daemon/OrderedMutex.h"
+#include "query/LeafGates.h"
+
+#include <functional>
+
+namespace citronplank {
+
+/// Every method is thread safe; rank LockRank::ZoneLease.
+class LeaseService {
+public:
+    /// Sends a message to a member, or to the control leader if the name is empty. Thread safe.
+    using Sender = std::function<void(const std::string& member, const ZoneMessage&)>;
+
+    LeaseService(ZoneLeaseSettings, Sender);
+
+    /// Call it every 50 ms or so.
+    void tick(TimePoint now);
+    void receive(const ZoneMessage&);
+    void adopt(const ZoneView&);
+    void setLiveMembers(std::set<std::string> names);
+    /// Asks for the removal from the view; leaves are still served while the lease lasts.
+    void leave();
+    /// Nothing is sent to a leaf any more in this run.
+    void stop();
+
+    /// Owner of a leaf of this daemon's zone; empty if unknown.
+    std::string ownerOf(std::string_view leaf) const;
+    LeafAllowance allowanceOf(const Announcement&, TimePoint now) const;
+    LeaseMode mode() const;
+    ZoneView view() const;
+
+private:
+    void send(const ZoneLease::Output&);
+
+    Sender m_send;
+    mutable Guarded<ZoneLease> m_lease;
+};
+
+} // namespace citronplank
