Let the lease say until when it stands, and share ZoneView

Cause: the gates need the end of the lease so that a process that was frozen starts nothing under a lease that ran out meanwhile. Two ZoneView structs with one name broke the one definition rule. Ruled out: a short validity for each check, which a frozen process outlives. Before: no end known to the gates. After: usableUntil gives it.

--- a/coordination/ZoneLease.cpp
+++ b/coordination/ZoneLease.cpp
@@ -56,6 +56,27 @@
     });
 }
 
+TimePoint ZoneLease::usableUntil(TimePoint now) const
+{
+    // Without a view, and as the only member of one, nothing ends by itself; the next tick decides again.
+    const TimePoint nextDecision = now + leaseRenewInterval;
+    if (m_view.number == 0)
+        return nextDecision;
+    TimePoint until = now;
+    if (hasLease(now))
+        until = *m_leaseEnds;
+    if (hasAllGrants(now)) {
+        TimePoint grantsEnd = nextDecision;
+        if (m_view.members.size() > 1) {
+            const auto first = std::min_element(m_grantEnds.begin(), m_grantEnds.end(),
+                [](const auto& a, const auto& b) { return a.second < b.second; });
+            grantsEnd = first->second;
+        }
+        until = std::max(until, grantsEnd);
+    }
+    return until;
+}
+
 bool ZoneLease::isSettled(TimePoint now) const
 {
     if (m_settlement == Settlement::Settled || m_adopters.size() == m_view.previous.size())
--- a/coordination/ZoneLease.h
+++ b/coordination/ZoneLease.h
@@ -71,6 +71,8 @@
     const ZoneView& view() const { return m_view; }
     bool hasLease(TimePoint now) const { return m_leaseEnds && now < *m_leaseEnds; }
     bool hasAllGrants(TimePoint now) const;
+    /// Until when `allowedLimit` stands if nothing more arrives: the end of the lease or of the first grant.
+    TimePoint usableUntil(TimePoint now) const;
 
 private:
     struct LiveAnswer {
--- a/coordination/ZoneLeaseMessages.h
+++ b/coordination/ZoneLeaseMessages.h
@@ -1,4 +1,4 @@
-// Messages between the members of a zone view and the control leader, and the view itself.
+// Messages between the members of a zone view and the control leader.
 #pragma once
 
 #include "citronplank.h"
@@ -12,15 +12,6 @@
 constexpr milliseconds leaseRenewInterval { 500 };
 constexpr seconds lostPredecessorWait { 60 }; // without any sign of the members of the previous view
 
-/// The daemons of one zone that own its leaves. Owners follow from the member names.
-struct ZoneView {
-    std::string zone;
-    std::uint64_t number = 0;          // 0: the zone has no view yet
-    std::vector<std::string> members;  // sorted
-    std::vector<std::string> previous; // members of the view with number - 1; sorted
-    bool operator==(const ZoneView&) const = default;
-};
-
 /// The view that a ChangeView command makes of the view before it. Thread safe.
 ZoneView nextZoneView(const ZoneView& current, std::vector<std::string> members);
 
--- a/daemon/ViewService.cpp
+++ b/daemon/ViewService.cpp
@@ -58,7 +58,7 @@
     for (const auto& it : output.answers)
         m_send(it.to, it.message);
     for (const auto& it : output.proposals)
-        m_control.propose(ChangeView { it.zone, it.expected, it.members }, [](const LocalAnswer&) { });
+        m_control.propose(ChangeView { it.zone, it.expected, it.members }, [](const LocalAnswer&) {});
 }
 
 } // namespace citronplank
--- a/daemon/ViewService.h
+++ b/daemon/ViewService.h
@@ -27,7 +27,7 @@
     ControlService& m_control;
     Sender m_send;
     ViewKeeper m_keeper;
-    bool m_isConfirming = false; // a quorum round for becoming leader is under way
+    bool m_isConfirming = false;                  // a quorum round for becoming leader is under way
     std::map<std::string, std::uint64_t> m_known; // view numbers by zone
 };
 
