Wire the daemon

Cause: the cores and shells existed apart; no process served a request. Ruled out: a daemon class that implements policy; it only joins parts.

--- /dev/null
+++ b/daemon/Daemon.cpp
@@ -0,0 +1,248 @@
+#include "daemon/Daemon.h"
+
+#include "daemon/DaemonImpl.h"
+#include "daemon/Logging.h"
+
+#include <asio/post.hpp>
+
+namespace citronplank {
+
+namespace {
+
+std::uint64_t makeIncarnation()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+std::vector<std::string> namesOf(const std::map<std::string, std::string>& members)
+{
+    std::vector<std::string> names;
+    for (const auto& [name, address] : members)
+        names.push_back(name);
+    return names;
+}
+
+} // namespace
+
+Daemon::Impl::Impl(const Settings& settings)
+    : m_settings(settings)
+    , m_incarnation(makeIncarnation())
+    , m_work(asio::make_work_guard(m_io))
+{
+    m_controlClient = std::make_unique<ControlClient>(namesOf(settings.controlMembers),
+        [this](const std::string& member, const Propose& proposal) { return offerProposal(member, proposal); });
+    LinkSettings links;
+    links.listenAddress = settings.linkAddress;
+    links.sender = settings.name;
+    links.incarnation = m_incarnation;
+    m_links = std::make_unique<Links>(m_io, links);
+    Instance self { settings.name, settings.region, settings.zone, settings.linkAddress, settings.gossipAddress,
+        settings.adminAddress, m_incarnation, settings.isControlMember() };
+    m_membership = std::make_unique<MembershipService>(m_io, self, settings.seeds, membershipHandlers());
+    m_leafClient = std::make_unique<LeafClient>(m_io, LeafClientSettings {});
+    m_parts = std::make_unique<PartService>(*m_leafClient,
+        PartServiceHandlers {
+            [this](const std::string& sender, const PartResult& result) { m_router->answer(sender, result); },
+            [this](const SuspicionEvent& event) { onSuspicion(event); } });
+    m_router = std::make_unique<PartRouter>(settings.name, m_configuration, *m_parts, routerLinks());
+    m_lease = std::make_unique<LeaseService>(ZoneLeaseSettings { settings.zone, settings.name, m_incarnation },
+        [this](const std::string& member, const ZoneMessage& message) { sendZoneMessage(member, message); });
+    m_entry = std::make_unique<EntryService>(
+        m_io, EntrySettings { settings.name, settings.zone, m_incarnation }, m_configuration, entryLinks());
+    m_control = makeControl();
+    if (!settings.rulesFile.empty())
+        m_rules = std::make_unique<RulesService>(settings.rulesFile.string(), settings.name, m_configuration,
+            RulesLinks { entryLinks().submit, [this](std::uint64_t version) {
+                            auto lines = m_configuration.linesAt(version);
+                            return lines || !m_control ? lines : m_control->linesAt(version);
+                        } });
+    HttpServerSettings callers;
+    callers.address = settings.callerAddress;
+    m_callerServer = std::make_unique<HttpServer>(m_io, callers,
+        [this](const HttpRequest& request, const Responder& responder) { m_entry->onRequest(request, responder); });
+    AdminServerSettings admin;
+    admin.address = settings.adminAddress;
+    m_adminServer = std::make_unique<AdminServer>(admin, adminHandlers());
+}
+
+Daemon::Impl::~Impl()
+{
+    m_timersEnded = true;
+    if (m_rules)
+        m_rules->stop();
+    m_adminServer->stop();
+    if (m_control)
+        m_control->stop();
+    m_links->stop();
+    m_membership->stop();
+    m_io.stop();
+    for (auto& it : m_workers)
+        it.join();
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Construction
+
+std::unique_ptr<ControlService> Daemon::Impl::makeControl()
+{
+    if (!m_settings.isControlMember())
+        return nullptr;
+    ControlServiceHandlers handlers;
+    handlers.send
+        = [this](const std::string& name, std::string bytes) { sendTo(name, MessageKind::Control, std::move(bytes)); };
+    handlers.published = [this](const PublishedDifference& difference) { onPublished(difference); };
+    handlers.freshness = [this](const Freshness& freshness) { onFreshness(freshness); };
+    handlers.views = [this](const std::vector<ZoneView>& views, std::uint64_t) { m_views->onViews(views); };
+    handlers.tick = [this] { m_views->tick(); };
+    auto control = std::make_unique<ControlService>(
+        ControlServiceSettings { m_settings.name, namesOf(m_settings.controlMembers), m_settings.dataDir.string() },
+        std::move(handlers));
+    m_views = std::make_unique<ViewService>(
+        *control, [this](const std::string& member, const ZoneMessage& message) { sendZoneMessage(member, message); });
+    return control;
+}
+
+MembershipHandlers Daemon::Impl::membershipHandlers()
+{
+    return { [this](const GossipItem& item) { onItem(item); },
+        [this] { m_lease->setLiveMembers(m_membership->liveNamesIn(m_settings.zone)); }, [] {} };
+}
+
+PartRouterLinks Daemon::Impl::routerLinks()
+{
+    PartRouterLinks links;
+    links.ownerOf = [this](std::string_view zone, std::string_view leaf) { return ownerOf(zone, leaf); };
+    links.linkAddressOf = [this](std::string_view name) { return addressOf(std::string(name)); };
+    links.send = [this](const std::string& address, Envelope envelope) {
+        return m_links->send(address, Lane::Part, std::move(envelope));
+    };
+    links.post = [this](std::function<void()> task) { asio::post(m_io, std::move(task)); };
+    links.deliver = [this](const PartResult& result) { m_entry->onResult(result); };
+    return links;
+}
+
+EntryLinks Daemon::Impl::entryLinks()
+{
+    EntryLinks links;
+    links.sendPart = [this](const PartSend& it) { m_router->send(it); };
+    links.cancelPart = [this](const PartCancel& it) { m_router->cancel(it); };
+    links.submit = [this](Command command, milliseconds timeout, ControlClient::Handler handler) {
+        m_controlClient->submit(std::move(command), timeout, std::move(handler), Clock::now());
+    };
+    links.replicasOf = [this](const std::string& service) { return m_membership->replicasOf(service); };
+    links.directoryVersion = [this] { return m_membership->directoryVersion(); };
+    return links;
+}
+
+AdminHandlers Daemon::Impl::adminHandlers()
+{
+    AdminHandlers handlers;
+    handlers.ready = [this] { return ready(); };
+    handlers.announce = [this](const std::string& body) { return onAnnouncement(body); };
+    handlers.status = [this] { return HttpAnswer { .body = status() }; };
+    handlers.dump = [this] { return HttpAnswer { .body = dump() }; };
+    handlers.metrics = [this] { return HttpAnswer { .contentType = "text/plain", .body = metrics() }; };
+    return handlers;
+}
+
+HttpAnswer Daemon::Impl::ready() const
+{
+    switch (m_entry->state()) {
+    case EntryState::Ready:
+        return { .body = "{\"ready\":true}" };
+    case EntryState::Starting:
+        throw Error(ErrorKind::NotReady, "this instance is starting");
+    case EntryState::Stopping:
+        break;
+    }
+    throw Error(ErrorKind::Stopping, "this instance is stopping");
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Life
+
+void Daemon::Impl::start()
+{
+    m_links->onReceive([this](Envelope envelope) { onEnvelope(std::move(envelope)); });
+    m_links->onLinkState([this](const std::string& address, Lane lane, bool isUp) {
+        if (!isUp && lane == Lane::Part)
+            m_router->onLinkDown(address);
+        if (!isUp)
+            log(LogLevel::Info, "link", "The link to " + address + " is down.");
+    });
+    m_links->start();
+    m_membership->start();
+    every(gateTick, [this] { m_parts->onTimer(Clock::now()); });
+    every(leaseTick, [this] {
+        m_lease->tick(Clock::now());
+        m_controlClient->onTimer(Clock::now());
+        syncGates();
+    });
+    every(catchUpTick, [this] {
+        if (!m_hasDirectory || !m_configuration.isFresh(Clock::now()))
+            catchUp();
+        updateReadiness();
+    });
+    if (m_control)
+        m_control->start();
+    if (m_rules)
+        m_rules->start();
+    m_callerServer->start();
+    m_adminServer->start();
+    for (unsigned i = 0; i < m_settings.workers; ++i)
+        m_workers.emplace_back([this] { m_io.run(); });
+    log(LogLevel::Info, "query", m_settings.name + " in zone " + m_settings.zone + " started.");
+}
+
+/// Waits until no request of a caller and no part of another instance is left.
+void Daemon::Impl::waitForIdle(TimePoint until)
+{
+    while (Clock::now() < until && (m_entry->runningCount() > 0 || !m_parts->isIdle()))
+        std::this_thread::sleep_for(milliseconds(20));
+}
+
+void Daemon::Impl::stopGracefully()
+{
+    log(LogLevel::Info, "stop", "Readiness is off; new requests are still served.");
+    m_entry->setState(EntryState::Stopping);
+    if (m_rules)
+        m_rules->stop();
+    std::this_thread::sleep_for(m_settings.drainDelay);
+    m_callerServer->beginDrain();
+    m_callerServer->stopAccepting();
+    log(LogLevel::Info, "stop", "Handing over the leaves of this instance.");
+    m_lease->leave();
+    auto until = Clock::now() + finishLimit;
+    auto handOver = Clock::now() + leaseWithMargin;
+    // The leaves are served until a view without this instance is in force.
+    while (Clock::now() < handOver && m_lease->isMember())
+        std::this_thread::sleep_for(milliseconds(20));
+    waitForIdle(until);
+    m_lease->stop();
+    m_membership->leave();
+    std::atomic<bool> isClosed { false };
+    m_callerServer->finish([&] { isClosed = true; });
+    auto spread = Clock::now() + leaveSpread;
+    while ((!isClosed && Clock::now() < until) || Clock::now() < spread)
+        std::this_thread::sleep_for(milliseconds(20));
+    log(LogLevel::Info, "stop", isClosed ? "All requests are finished." : "Some callers did not take their answers.");
+    m_callerServer.reset(); // `isClosed` must not be used any more
+}
+
+Daemon::Daemon(const Settings& settings)
+    : m_impl(std::make_unique<Impl>(settings))
+{
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::start() { m_impl->start(); }
+
+void Daemon::stopGracefully() { m_impl->stopGracefully(); }
+
+std::string Daemon::status() const { return m_impl->status(); }
+
+std::string Daemon::dump() const { return m_impl->dump(); }
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/DaemonLeaves.cpp
@@ -0,0 +1,72 @@
+#include "backend/AnnouncementCodec.h"
+#include "daemon/DaemonImpl.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace citronplank {
+
+/// Runs `task` on the workers every `interval`, never twice at once.
+void Daemon::Impl::every(milliseconds interval, std::function<void()> task)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_io);
+    auto step = std::make_shared<std::function<void(const asio::error_code&)>>();
+    *step = [this, interval, task = std::move(task), timer, weak = std::weak_ptr(step)](const asio::error_code& ec) {
+        auto self = weak.lock();
+        if (ec || !self || m_timersEnded)
+            return;
+        task();
+        timer->expires_after(interval);
+        timer->async_wait([self](const asio::error_code& it) { (*self)(it); });
+    };
+    timer->expires_after(interval);
+    timer->async_wait([step](const asio::error_code& it) { (*step)(it); });
+}
+
+/// Brings the gates in line with the directory and the lease. A gate that is not renewed closes by itself when the
+/// lease ends, so a daemon that was frozen starts nothing on an outdated view.
+void Daemon::Impl::syncGates()
+{
+    auto now = Clock::now();
+    auto configuration = m_configuration.current();
+    std::set<std::string> current;
+    for (const auto& service : m_membership->services()) {
+        auto rules = configuration->rules.services.find(service);
+        bool isIndependent
+            = rules != configuration->rules.services.end() && rules->second.policy == SendPolicy::Independent;
+        for (const auto& leaf : m_membership->replicasOf(service)) {
+            if (!isIndependent && leaf.zone != m_settings.zone)
+                continue;
+            current.insert(leaf.leaf);
+            m_parts->setLeaf(leaf);
+            if (isIndependent)
+                m_parts->setAllowance(leaf.leaf, { leaf.slots, now + announcementLapse });
+            else
+                m_parts->setAllowance(leaf.leaf, m_lease->allowanceOf(leaf, now));
+        }
+    }
+    for (const auto& leaf : m_gatedLeaves) {
+        if (!current.contains(leaf))
+            m_parts->removeLeaf(leaf);
+    }
+    m_gatedLeaves = std::move(current);
+}
+
+/// The owner of a leaf by the newest view of its zone; before the first view by the zone's live instances.
+std::string Daemon::Impl::ownerOf(std::string_view zone, std::string_view leaf) const
+{
+    if (zone == m_settings.zone)
+        return m_lease->ownerOf(leaf);
+    auto configuration = m_configuration.current();
+    if (auto it = configuration->views.find(zone); it != configuration->views.end())
+        return rendezvousOwner(leaf, it->second.members);
+    auto names = m_membership->liveNamesIn(zone);
+    return rendezvousOwner(leaf, std::vector<std::string>(names.begin(), names.end()));
+}
+
+HttpAnswer Daemon::Impl::onAnnouncement(const std::string& body)
+{
+    m_membership->announce(parseAnnouncement(body));
+    return { .body = "{}" };
+}
+
+} // namespace citronplank
--- a/daemon/LeaseService.cpp
+++ b/daemon/LeaseService.cpp
@@ -1,9 +1,12 @@
 #include "daemon/LeaseService.h"
 
+#include <algorithm>
+
 namespace citronplank {
 
 LeaseService::LeaseService(ZoneLeaseSettings settings, Sender send)
-    : m_send(std::move(send))
+    : m_self(settings.self)
+    , m_send(std::move(send))
     , m_lease(LockRank::ZoneLease, std::move(settings))
 {
 }
@@ -66,4 +69,10 @@
     return m_lease.with([](ZoneLease& it) { return it.view(); });
 }
 
+bool LeaseService::isMember() const
+{
+    auto members = view().members;
+    return std::find(members.begin(), members.end(), m_self) != members.end();
+}
+
 } // namespace citronplank
--- a/daemon/LeaseService.h
+++ b/daemon/LeaseService.h
@@ -32,10 +32,13 @@
     LeafAllowance allowanceOf(const Announcement&, TimePoint now) const;
     LeaseMode mode() const;
     ZoneView view() const;
+    /// Whether the adopted view contains this daemon.
+    bool isMember() const;
 
 private:
     void send(const ZoneLease::Output&);
 
+    std::string m_self;
     Sender m_send;
     mutable Guarded<ZoneLease> m_lease;
 };
--- a/daemon/ViewService.cpp
+++ b/daemon/ViewService.cpp
@@ -1,5 +1,7 @@
 #include "daemon/ViewService.h"
 
+#include <utility>
+
 namespace citronplank {
 
 ViewService::ViewService(ControlService& control, Sender send)
