--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -7,15 +7,13 @@
 //   }
 #pragma once
 
-#include "citronplank.h"
+#include "daemon/Logging.h"
 
 #include <filesystem>
 #include <functional>
 
 namespace citronplank {
 
-enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error, Off };
-
 struct Settings {
     std::string name;
     std::string region;
