--- a/daemon/DaemonConfiguration.cpp
+++ b/daemon/DaemonConfiguration.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::string_view freshnessKey = "control/freshness";
+/// The leader tells this many peers directly. Gossip alone took up to 5 s while an index roll used its budget; beyond
+/// this number of peers gossip carries the notice.
+constexpr std::size_t directFreshnessPeers = 64;
 constexpr std::string_view suspicionPrefix = "suspicion/";
 
 /// A suspicion as it travels by gossip. The end is in wall time, so that an item that arrives late ends on time.
@@ -83,23 +86,31 @@
 
 void Daemon::Impl::onFreshness(const Freshness& freshness)
 {
-    auto status = m_control->status();
     FreshnessNotice notice { m_control->state().membership().cluster, m_control->state().publishedVersion(),
         freshness.timestampMs, m_settings.name };
     m_configuration.noteFreshness(notice, Clock::now());
     m_controlClient->noteLeader(m_settings.name);
-    m_membership->publish(std::string(freshnessKey), encodeFreshness(notice));
+    auto bytes = encodeFreshness(notice);
+    m_membership->publish(std::string(freshnessKey), bytes);
+    auto peers = m_membership->livePeers();
+    for (std::size_t i = 0; i < std::min(peers.size(), directFreshnessPeers); ++i)
+        sendTo(peers[i].name, MessageKind::Freshness, bytes);
+}
+
+void Daemon::Impl::onFreshnessNotice(std::string_view bytes)
+{
+    auto notice = decodeFreshness(bytes);
+    if (!m_configuration.noteFreshness(notice, Clock::now()))
+        return;
+    m_controlClient->noteLeader(notice.leader);
+    if (notice.publishedVersion > m_configuration.current()->published.version)
+        catchUp();
 }
 
 void Daemon::Impl::onItem(const GossipItem& item)
 {
     if (item.key == freshnessKey && !item.removed) {
-        auto notice = decodeFreshness(item.payload);
-        if (!m_configuration.noteFreshness(notice, Clock::now()))
-            return;
-        m_controlClient->noteLeader(notice.leader);
-        if (notice.publishedVersion > m_configuration.current()->published.version)
-            catchUp();
+        onFreshnessNotice(item.payload);
     } else if (std::string_view(item.key).starts_with(suspicionPrefix)) {
         adoptSuspicionItem(item);
     }
--- a/daemon/DaemonImpl.h
+++ b/daemon/DaemonImpl.h
@@ -58,6 +58,7 @@
     void onPublished(const PublishedDifference&);
     void onConfigurationChanged();
     void onFreshness(const Freshness&);
+    void onFreshnessNotice(std::string_view bytes);
     void onItem(const GossipItem&);
     void onSuspicion(const SuspicionEvent&);
     void adoptSuspicionItem(const GossipItem&);
--- a/daemon/DaemonMessages.cpp
+++ b/daemon/DaemonMessages.cpp
@@ -36,6 +36,8 @@
         return onDirectoryFetch(envelope);
     case MessageKind::DirectoryAnswer:
         return onDirectoryAnswer(envelope);
+    case MessageKind::Freshness:
+        return onFreshnessNotice(envelope.body);
     }
     throw Error(ErrorKind::BadRequest, "unknown message kind " + std::to_string(envelope.kind));
 }
--- a/daemon/DaemonStatus.cpp
+++ b/daemon/DaemonStatus.cpp
@@ -108,6 +108,10 @@
     for (const auto& it : configuration->published.blocked)
         blocked.push_back({ { "fingerprint", it.fingerprint }, { "expires_unix_ms", it.expiresMs } });
     object["blocked"] = blocked;
+    json items = json::array();
+    for (const auto& it : m_membership->items())
+        items.push_back({ { "key", it.key }, { "publisher", it.publisher }, { "bytes", it.payload.size() } });
+    object["gossip_items"] = items;
     object["metrics"] = metrics();
     return object.dump(2);
 }
@@ -155,6 +159,8 @@
     line("gossip_datagrams_sent_total", gossip.datagramsSent);
     line("gossip_bytes_sent_total", gossip.bytesSent);
     line("gossip_malformed_total", gossip.malformed);
+    line("membership_refused_inputs_total", m_membership->refusedInputs());
+    line("gossip_over_budget_total", gossip.overBudget);
     line("gossip_suspicions_total", gossip.suspicions);
     return text;
 }
--- a/daemon/MembershipService.cpp
+++ b/daemon/MembershipService.cpp
@@ -8,10 +8,16 @@
 
 constexpr milliseconds tickInterval { 20 };
 
+/// The budget of control traffic, 2 KB a second, holds on average. A start or an index roll changes a hundred leaves at
+/// once; with a small burst their records took over 20 s to spread and starved the freshness notices.
+constexpr std::uint32_t gossipBurstBytes = 64 * 1024;
+
 Gossip makeGossip(const Instance& self, std::vector<std::string> seeds)
 {
     std::random_device random;
-    return GossipBuilder().self(self).seeds(std::move(seeds)).randomSeed(random()).build();
+    GossipSettings settings;
+    settings.burstBytes = gossipBurstBytes;
+    return GossipBuilder().self(self).seeds(std::move(seeds)).settings(settings).randomSeed(random()).build();
 }
 
 } // namespace
--- a/daemon/PartMessages.h
+++ b/daemon/PartMessages.h
@@ -21,6 +21,7 @@
     ConfigurationAnswer = 7,
     DirectoryFetch = 8,
     DirectoryAnswer = 9,
+    Freshness = 10,
 };
 
 /// Asks a peer for rules and views newer than `sinceVersion`.
