Test control storage and the state machine

Storage: a torn record of any length, a flipped byte at every position of every file, a missing file, and a failure of each single file operation with torn writes.

--- a/tests/ControlLogTests.cpp
+++ b/tests/ControlLogTests.cpp
@@ -212,7 +212,7 @@
         REQUIRE(cluster.runUntilRepaired());
         commitEdit(cluster, "zone atl", "out");
         auto first = cluster.names()[cluster.random(3)];
-        for (auto lost : { first, anotherThan(cluster, first), first }) {
+        for (const auto& lost : { first, anotherThan(cluster, first), first }) {
             REQUIRE(cluster.isLossAllowed());
             cluster.loseDisk(lost);
             REQUIRE(cluster.runUntilLeader());
--- /dev/null
+++ b/tests/ControlStateTests.cpp
@@ -0,0 +1,342 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "ControlHarness.h"
+
+using namespace citronplank;
+using namespace citronplank::testing;
+
+namespace {
+
+constexpr std::uint64_t startMs = 1'700'000'000'000;
+
+/// Applies commands one after another, with a clock set by the test.
+struct Machine {
+    ControlState state;
+    std::uint64_t nowMs = startMs;
+
+    template <typename R>
+    R apply(Command command)
+    {
+        return std::get<R>(state.apply({ state.appliedIndex() + 1, 1, nowMs, std::move(command) }));
+    }
+    EditResult edit(const std::string& id, std::uint64_t base, const std::string& key, const std::string& value)
+    {
+        return apply<EditResult>(EditRules { id, "author " + id, base, { { key, RuleLine { key, value, "c" } } } });
+    }
+    EditResult remove(const std::string& id, std::uint64_t base, const std::string& key)
+    {
+        return apply<EditResult>(EditRules { id, "author " + id, base, { { key, std::nullopt } } });
+    }
+    BeginResult begin(const std::string& key, const std::string& attempt, std::uint64_t fingerprint = 1)
+    {
+        return apply<BeginResult>(BeginRequest { key, attempt, fingerprint, nowMs });
+    }
+    FinishStatus finish(const std::string& key, const std::string& attempt, Outcome outcome, std::string answer = {})
+    {
+        return apply<FinishResult>(FinishRequest { key, attempt, outcome, std::move(answer), false }).status;
+    }
+};
+
+} // namespace
+
+// Guards against an edit that overwrites what its author has not seen, also when the line was removed meanwhile.
+TEST_CASE("a change to a key that was changed after the base version is refused, naming key, version and author")
+{
+    Machine machine;
+    auto first = machine.edit("a", 0, "zone atl", "out");
+    CHECK(first.status == EditStatus::Accepted);
+    CHECK(first.version == 1);
+    auto conflict = machine.edit("b", 0, "zone atl", "in");
+    CHECK(conflict == EditResult { EditStatus::Conflict, 1, "zone atl", 1, "author a" });
+    CHECK(machine.edit("c", 0, "zone mac", "out").status == EditStatus::Accepted);
+    auto removed = machine.remove("d", 3, "zone atl");
+    CHECK(removed.status == EditStatus::Accepted);
+    CHECK(machine.edit("e", 3, "zone atl", "in")
+        == EditResult { EditStatus::Conflict, removed.version, "zone atl", removed.version, "author d" });
+    // One conflicting key refuses the submission as a whole.
+    EditRules both { "f", "x", 0, { { "zone sav", RuleLine { "zone sav", "out", "c" } }, { "zone mac", {} } } };
+    CHECK(machine.apply<EditResult>(both).status == EditStatus::Conflict);
+    CHECK(machine.state.lines().count("zone sav") == 0);
+    CHECK(machine.edit("g", 999, "zone sav", "out").status == EditStatus::BaseUnknown);
+    EditRules twice { "h", "x", removed.version, { { "zone sav", {} }, { "zone sav", {} } } };
+    CHECK(machine.apply<EditResult>(twice).status == EditStatus::Invalid);
+}
+
+// Guards against an edit that is applied twice, or answered differently, when its author sends it again.
+TEST_CASE("a resend gets the first answer")
+{
+    Machine machine;
+    auto accepted = machine.edit("a", 0, "zone atl", "out");
+    auto refused = machine.edit("b", 0, "zone atl", "in");
+    machine.edit("c", accepted.version, "zone atl", "in");
+    CHECK(machine.edit("a", 0, "zone atl", "out") == accepted);
+    CHECK(machine.edit("b", 0, "zone atl", "in") == refused);
+    CHECK(machine.state.lines().at("zone atl").line.value == "in");
+}
+
+// Guards against an edit that is compared with a version whose removed keys are forgotten.
+TEST_CASE("1,024 versions are held and an older base is refused")
+{
+    Machine machine;
+    machine.edit("first", 0, "zone mac", "out");
+    std::vector<RuleLine> atFirst = *machine.state.ruleLinesAt(1);
+    for (std::uint64_t i = 1; i <= ruleVersionsHeld; ++i)
+        REQUIRE(machine.edit(std::to_string(i), i, "zone atl", std::to_string(i)).status == EditStatus::Accepted);
+    CHECK(machine.state.ruleLinesAt(1) == atFirst);
+    CHECK_FALSE(machine.state.ruleLinesAt(0));
+    CHECK(machine.edit("old", 0, "zone sav", "out").status == EditStatus::BaseTooOld);
+    CHECK(machine.edit("held", 1, "zone sav", "out").status == EditStatus::Accepted);
+    CHECK(machine.edit("old now", 1, "zone aug", "out").status == EditStatus::BaseTooOld);
+}
+
+// Guards against a non-idempotent request that two attempts dispatch, or whose answer is lost to a resend.
+TEST_CASE("only the attempt in the record may run, and a resend gets the stored answer")
+{
+    Machine machine;
+    CHECK(machine.begin("k", "a1").status == BeginStatus::Begun);
+    CHECK(machine.begin("k", "a1").status == BeginStatus::Begun); // the command itself was sent again
+    CHECK(machine.begin("k", "a2").status == BeginStatus::InProgress);
+    CHECK(machine.begin("k", "a2", 2).status == BeginStatus::KeyReused);
+    CHECK(machine.finish("k", "a2", Outcome::Ran, "x") == FinishStatus::OtherAttempt);
+    CHECK(machine.finish("k", "a1", Outcome::Ran, "fee 3") == FinishStatus::Stored);
+    CHECK(machine.finish("k", "a1", Outcome::NotRun) == FinishStatus::AlreadyFinished);
+    auto resend = machine.begin("k", "a3");
+    CHECK(resend == BeginResult { BeginStatus::Finished, "a1", Outcome::Ran, "fee 3", false });
+    CHECK(machine.finish("other", "a1", Outcome::Ran) == FinishStatus::UnknownKey);
+    machine.begin("long", "a1");
+    machine.finish("long", "a1", Outcome::Ran, std::string(greatestStoredAnswerBytes + 1, 'x'));
+    auto omitted = machine.begin("long", "a2");
+    CHECK(omitted == BeginResult { BeginStatus::Finished, "a1", Outcome::Ran, "", true });
+}
+
+// Guards against a refused request that can never be sent again, and against a late copy of its attempt that begins it.
+TEST_CASE("a request that did not run may begin again under the same key")
+{
+    Machine machine;
+    machine.begin("k", "a1");
+    CHECK(machine.finish("k", "a1", Outcome::NotRun) == FinishStatus::Stored);
+    CHECK(machine.begin("k", "a1").status == BeginStatus::Finished);
+    CHECK(machine.begin("k", "a2", 2).status == BeginStatus::KeyReused);
+    CHECK(machine.begin("k", "a2").status == BeginStatus::Begun);
+    CHECK(machine.finish("k", "a1", Outcome::Ran) == FinishStatus::OtherAttempt);
+    CHECK(machine.finish("k", "a2", Outcome::MayHaveRun) == FinishStatus::Stored);
+    CHECK(machine.begin("k", "a3").status == BeginStatus::Finished);
+}
+
+// Guards against a key that is forgotten and then runs again.
+TEST_CASE("a key is refused as expired from the moment its record is dropped")
+{
+    Machine machine;
+    auto keyTime = machine.nowMs;
+    machine.begin("k", "a1");
+    machine.finish("k", "a1", Outcome::Ran, "done");
+    machine.nowMs = keyTime + requestRetentionMs - 1;
+    CHECK(machine.apply<BeginResult>(BeginRequest { "k", "a2", 1, keyTime }).status == BeginStatus::Finished);
+    machine.nowMs += 1;
+    CHECK(machine.apply<BeginResult>(BeginRequest { "k", "a3", 1, keyTime }).status == BeginStatus::Expired);
+    CHECK(machine.state.requestCount() == 0);
+    machine.nowMs = keyTime; // a new leader's clock is behind; the state clock does not go back
+    CHECK(machine.apply<BeginResult>(BeginRequest { "k", "a4", 1, keyTime }).status == BeginStatus::Expired);
+    auto future = BeginRequest { "f", "a1", 1, UINT64_MAX };
+    CHECK(machine.apply<BeginResult>(future).status == BeginStatus::KeyInFuture);
+}
+
+// Guards against a table of keys that grows without bound, or drops a key to make room for another.
+TEST_CASE("at 200,000 keys a new one is refused and the held ones stay")
+{
+    Machine machine;
+    for (std::size_t i = 0; i < greatestRequestKeys; ++i)
+        machine.begin("k" + std::to_string(i), "a");
+    CHECK(machine.state.requestCount() == greatestRequestKeys);
+    CHECK(machine.begin("one more", "a").status == BeginStatus::Full);
+    CHECK(machine.begin("k0", "b").status == BeginStatus::InProgress);
+    machine.nowMs += requestRetentionMs;
+    CHECK(machine.begin("one more", "a").status == BeginStatus::Begun);
+    CHECK(machine.state.requestCount() == 1);
+}
+
+// Guards against a view that is built on another view than the one in force.
+TEST_CASE("a view changes only from the expected number")
+{
+    Machine machine;
+    CHECK(machine.apply<ViewResult>(ChangeView { "atl", 0, { "a1" } }) == ViewResult { true, 1, { "a1" } });
+    CHECK(machine.apply<ViewResult>(ChangeView { "atl", 0, { "a2" } }) == ViewResult { false, 1, { "a1" } });
+    CHECK(machine.apply<ViewResult>(ChangeView { "atl", 1, { "a1", "a2" } }).number == 2);
+    CHECK(machine.apply<ViewResult>(ChangeView { "mac", 1, { "m" } }) == ViewResult { false, 0, {} });
+}
+
+// Guards against a block that never ends or that a shorter one replaces.
+TEST_CASE("a blocked fingerprint expires by the state clock")
+{
+    Machine machine;
+    machine.apply<BlockResult>(BlockFingerprint { 5, 1000 });
+    CHECK(machine.apply<BlockResult>(BlockFingerprint { 5, 10 }).expiresMs == startMs + 1000);
+    CHECK(machine.state.isBlocked(5));
+    machine.nowMs += 1000;
+    machine.apply<NoResult>(NoOp {});
+    CHECK_FALSE(machine.state.isBlocked(5));
+    CHECK(machine.state.blocked().empty());
+}
+
+// Guards against a snapshot that leaves something out: the restored state has to behave like the original.
+TEST_CASE("a restored snapshot equals the state, and malformed bytes change nothing")
+{
+    Machine machine;
+    machine.apply<NoResult>(ChangeMembers { { 9, { { "atl", 1 } }, { { "mac", 2 } } } });
+    machine.edit("a", 0, "zone atl", "out");
+    machine.remove("b", 2, "zone atl");
+    machine.begin("k", "a1");
+    machine.apply<ViewResult>(ChangeView { "atl", 0, { "a1" } });
+    machine.apply<BlockResult>(BlockFingerprint { 5, 1000 });
+    auto bytes = machine.state.snapshot();
+    Machine copy;
+    copy.state.restore(bytes);
+    CHECK(copy.state.data() == machine.state.data());
+    CHECK(copy.edit("a", 0, "zone atl", "in") == machine.edit("a", 0, "zone atl", "in"));
+    copy.nowMs = machine.nowMs += requestRetentionMs;
+    CHECK(copy.begin("n", "a1") == machine.begin("n", "a1"));
+    CHECK(copy.state.data() == machine.state.data());
+    for (std::size_t i = 0; i < bytes.size(); ++i)
+        CHECK_THROWS_AS(copy.state.restore(bytes.substr(0, i)), Error);
+    CHECK(copy.state.data() == machine.state.data());
+    CHECK_THROWS_AS(copy.state.apply({ 99, 1, 1, NoOp {} }), std::logic_error);
+}
+
+// Guards against a daemon whose rules differ from the control members' after any sequence of differences.
+TEST_CASE("differences lead from any version to the published state and never back")
+{
+    Machine machine;
+    std::mt19937_64 random(11);
+    machine.apply<NoResult>(ChangeMembers { { 9, { { "atl", 1 } }, {} } });
+    std::vector<PublishedState> states { PublishedState {}, machine.state.published() };
+    for (int i = 0; i < 300; ++i) {
+        auto key = "zone z" + std::to_string(random() % 8);
+        auto id = std::to_string(i);
+        auto zone = "z" + std::to_string(random() % 3);
+        switch (random() % 4) {
+        case 0:
+            machine.remove(id, machine.state.rulesVersion(), key);
+            break;
+        case 1: {
+            auto view = machine.state.views().find(zone);
+            auto number = view == machine.state.views().end() ? 0 : view->second.number;
+            machine.apply<ViewResult>(ChangeView { zone, number, { id } });
+            break;
+        }
+        case 2:
+            machine.apply<BlockResult>(BlockFingerprint { random() % 5, 1'000'000 });
+            break;
+        default:
+            machine.edit(id, machine.state.rulesVersion(), key, id);
+        }
+        auto from = states[random() % states.size()];
+        auto before = from;
+        auto difference = decodePublishedDifference(encode(machine.state.differenceSince(from.version)));
+        bool newer = machine.state.publishedVersion() > from.version;
+        REQUIRE(applyDifference(from, difference) == newer);
+        REQUIRE(from == machine.state.published());
+        REQUIRE_FALSE(applyDifference(from, difference));
+        states.push_back(decodePublishedState(encode(from)));
+        // A difference that starts later than the state held would leave a gap.
+        difference.full = false;
+        difference.fromVersion = before.version + 1;
+        REQUIRE_FALSE(applyDifference(before, difference));
+        auto other = PublishedState { 8 };
+        REQUIRE_FALSE(applyDifference(other, machine.state.differenceSince(0)));
+    }
+}
+
+// Guards against a decoder that accepts or crashes on damaged messages from a link.
+TEST_CASE("messages keep their content, and malformed ones are refused as bad requests")
+{
+    ControlMessage message { 3, { "atl", 4 }, 5, 6, Append { 1, 2, 3, 4, 5, {} } };
+    auto& append = std::get<Append>(message.body);
+    append.entries.push_back({ 2, 1, 7, EditRules { "id", "nok", 1, { { "zone atl", RuleLine { "a", "b", "c" } } } } });
+    append.entries.push_back({ 3, 1, 8, FinishRequest { "k", "a", Outcome::Ran, std::string("\0\xff", 2), true } });
+    append.entries.push_back({ 4, 1, 9, ChangeMembers { { 9, { { "atl", 1 } }, { { "mac", 2 } } } } });
+    auto bytes = encode(message);
+    auto decoded = decodeControlMessage(bytes);
+    CHECK(decoded.from == message.from);
+    CHECK(decoded.toDisk == 5);
+    CHECK(std::get<Append>(decoded.body).entries == append.entries);
+    CHECK(encode(decoded) == bytes);
+    CHECK_THROWS_AS(decodeControlMessage(bytes + "x"), Error);
+    for (std::size_t i = 0; i < bytes.size(); ++i)
+        CHECK_THROWS_AS(decodeControlMessage(bytes.substr(0, i)), Error);
+    std::mt19937_64 random(12);
+    for (int i = 0; i < 20'000; ++i) {
+        auto damaged = bytes;
+        for (auto n = random() % 4 + 1; n > 0; --n)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        try {
+            decodeControlMessage(damaged);
+        } catch (const Error& e) {
+            REQUIRE(e.kind() == ErrorKind::BadRequest);
+        }
+    }
+}
+
+// Guards against edits that are lost or applied twice while two operators race, answers get lost and leaders change.
+TEST_CASE("edits that race in equal numbers with resends are each applied once")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Cluster cluster(seed, { "atl", "mac", "sav" });
+        cluster.startAll();
+        REQUIRE(cluster.runUntilRepaired());
+        cluster.dropPercent = 5;
+        constexpr int edits = 30;
+        std::map<std::string, int> done { { "anna", 0 }, { "nok", 0 } };
+        std::map<std::string, int> conflicts;
+        std::map<std::string, EditRules> open;
+        auto isSettled = [&](const EditRules& it) {
+            return std::any_of(cluster.history().begin(), cluster.history().end(), [&](const auto& entry) {
+                const auto* command = std::get_if<EditRules>(&entry.second.entry.command);
+                return command && command->submissionId == it.submissionId;
+            });
+        };
+        for (int round = 0; round < 4000 && done["anna"] + done["nok"] < 2 * edits; ++round) {
+            if (cluster.random(60) == 0) {
+                cluster.crash(cluster.names()[cluster.random(3)]);
+                cluster.run(1'500);
+                cluster.startAll();
+            }
+            auto leader = cluster.leader();
+            for (auto& [author, count] : done) {
+                if (leader.empty() || count == edits)
+                    continue;
+                auto& submission = open[author];
+                if (submission.submissionId.empty()) {
+                    auto number = std::to_string(count) + "/" + std::to_string(conflicts[author]);
+                    submission = { author + number, author, cluster.replica(leader).state().rulesVersion(),
+                        { { "zone atl", RuleLine { "zone atl", author + number, "c" } } } };
+                }
+                cluster.propose(leader, submission); // every round sends it again until it is settled
+            }
+            cluster.run(cluster.random(60));
+            for (auto& [author, submission] : open) {
+                if (submission.submissionId.empty() || !isSettled(submission))
+                    continue;
+                for (const auto& [index, it] : cluster.history()) {
+                    const auto* command = std::get_if<EditRules>(&it.entry.command);
+                    if (!command || command->submissionId != submission.submissionId)
+                        continue;
+                    bool accepted = std::get<EditResult>(it.result).status == EditStatus::Accepted;
+                    ++(accepted ? done : conflicts)[author];
+                    break;
+                }
+                submission = {};
+            }
+        }
+        cluster.requireConvergence();
+        CHECK(done == std::map<std::string, int> { { "anna", edits }, { "nok", edits } });
+        std::map<std::string, int> applied;
+        for (const auto& [index, it] : cluster.history()) {
+            const auto* command = std::get_if<EditRules>(&it.entry.command);
+            if (command && std::get<EditResult>(it.result).version == index)
+                ++applied[command->submissionId];
+        }
+        CHECK(applied.size() == 2 * edits);
+        for (const auto& [id, count] : applied)
+            CHECK(count == 1);
+    }
+}
--- /dev/null
+++ b/tests/ControlStorageTests.cpp
@@ -0,0 +1,311 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "coordination/ControlLog.h"
+
+#include <cerrno>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <random>
+#include <unistd.h>
+
+using namespace citronplank;
+namespace fs = std::filesystem;
+
+namespace {
+
+/// A folder that is removed at the end of the test.
+struct TemporaryFolder {
+    TemporaryFolder()
+    {
+        static std::mt19937_64 random(std::random_device {}());
+        path = fs::temp_directory_path() / ("control-storage-" + std::to_string(random()));
+    }
+    ~TemporaryFolder() { fs::remove_all(path); }
+    TemporaryFolder(const TemporaryFolder&) = delete;
+    TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+    fs::path path;
+};
+
+/// Fails the nth operation counted from `arm`, after writing `tornBytes` of it if it is a write.
+class FailingOperations : public FileOperations {
+public:
+    long write(int descriptor, const void* data, std::size_t size) override
+    {
+        if (!failsNow(ENOSPC))
+            return FileOperations::write(descriptor, data, size);
+        if (tornBytes > 0)
+            (void)FileOperations::write(descriptor, data, std::min(size, tornBytes));
+        errno = ENOSPC;
+        return -1;
+    }
+    int sync(int descriptor) override { return failsNow(EIO) ? -1 : FileOperations::sync(descriptor); }
+    int rename(const char* from, const char* to) override
+    {
+        return failsNow(EIO) ? -1 : FileOperations::rename(from, to);
+    }
+    void arm(int after)
+    {
+        m_remaining = after;
+        fired = 0;
+    }
+    std::size_t tornBytes = 0;
+    int fired = 0;
+
+private:
+    bool failsNow(int error)
+    {
+        if (m_remaining < 0 || m_remaining-- > 0)
+            return false;
+        ++fired;
+        errno = error;
+        return true;
+    }
+    int m_remaining = -1;
+};
+
+LogEntry entry(std::uint64_t index, std::uint64_t term = 1)
+{
+    EditRules command { "id" + std::to_string(index), "nok", index, { { "zone atl", std::nullopt } } };
+    return { index, term, 1000 + index, command };
+}
+
+std::vector<LogEntry> entries(std::uint64_t first, std::uint64_t last, std::uint64_t term = 1)
+{
+    std::vector<LogEntry> list;
+    for (auto i = first; i <= last; ++i)
+        list.push_back(entry(i, term));
+    return list;
+}
+
+SnapshotHeader header(std::uint64_t index, std::uint64_t term)
+{
+    Membership membership { 7, { { "atl", 1 } }, {} };
+    return { index, term, 5, membership, { 3, membership } };
+}
+
+std::string read(const fs::path& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    return { std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>() };
+}
+
+void write(const fs::path& path, const std::string& content)
+{
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << content;
+}
+
+} // namespace
+
+// Guards against a write that returns before it is stored, or a reader that loses or reorders what was stored.
+TEST_CASE("everything stored is there after a restart, with the same identity")
+{
+    TemporaryFolder folder;
+    DiskIdentity identity = 0;
+    {
+        FileControlStorage storage(folder.path);
+        identity = storage.disk();
+        CHECK(identity != 0);
+        storage.saveVote({ 4, { "mac", 9 } });
+        storage.append(entries(1, 10));
+        storage.append(entries(6, 8, 2)); // replaces 6 to 10
+    }
+    {
+        FileControlStorage storage(folder.path);
+        CHECK(storage.disk() == identity);
+        CHECK(storage.load().vote == VoteRecord { 4, { "mac", 9 } });
+        auto expected = entries(1, 5);
+        auto more = entries(6, 8, 2);
+        expected.insert(expected.end(), more.begin(), more.end());
+        CHECK(storage.load().entries == expected);
+        storage.saveSnapshot(header(7, 2), "state");
+        storage.append(entries(9, 9, 3));
+    }
+    FileControlStorage storage(folder.path);
+    auto stored = storage.load();
+    CHECK(stored.snapshot == header(7, 2));
+    CHECK(storage.readSnapshotData() == "state");
+    REQUIRE(stored.entries.size() == 2);
+    CHECK(stored.entries.front() == entry(8, 2));
+    CHECK(storage.setAsideReason().empty());
+}
+
+// Guards against entries that contradict an installed snapshot and stay behind it.
+TEST_CASE("a snapshot of another term drops the whole log")
+{
+    TemporaryFolder folder;
+    FileControlStorage storage(folder.path);
+    storage.append(entries(1, 10));
+    storage.saveSnapshot(header(5, 2), "state");
+    CHECK(storage.load().entries.empty());
+}
+
+// Guards against an acknowledged entry that is dropped, or a torn one that is read, for every point of a crash.
+TEST_CASE("a torn last record is cut off at any length")
+{
+    TemporaryFolder folder;
+    std::size_t whole = 0;
+    {
+        FileControlStorage storage(folder.path);
+        storage.append(entries(1, 3));
+        whole = read(folder.path / "log").size();
+        storage.append(entries(4, 4));
+    }
+    auto log = read(folder.path / "log");
+    for (auto size = whole; size < log.size(); ++size) {
+        CAPTURE(size);
+        write(folder.path / "log", log.substr(0, size));
+        FileControlStorage storage(folder.path);
+        CHECK(storage.setAsideReason().empty());
+        CHECK(storage.load().entries == entries(1, 3));
+        storage.append(entries(4, 5));
+    }
+}
+
+// Guards against damaged data that is read as valid or taken for a torn record, at every byte of every file.
+TEST_CASE("a flipped byte anywhere sets the folder aside and gives a new identity")
+{
+    TemporaryFolder origin;
+    DiskIdentity identity = 0;
+    {
+        FileControlStorage storage(origin.path);
+        identity = storage.disk();
+        storage.append(entries(1, 4));
+        storage.saveSnapshot(header(2, 1), "state");
+        storage.saveVote({ 1, { "atl", 1 } });
+    }
+    for (const char* name : { "log", "vote", "identity", "snapshot" }) {
+        auto content = read(origin.path / name);
+        for (std::size_t i = 0; i < content.size(); ++i) {
+            CAPTURE(name);
+            CAPTURE(i);
+            TemporaryFolder folder;
+            fs::copy(origin.path, folder.path);
+            auto damaged = content;
+            damaged[i] = static_cast<char>(damaged[i] ^ 0x10);
+            write(folder.path / name, damaged);
+            FileControlStorage storage(folder.path);
+            REQUIRE_FALSE(storage.setAsideReason().empty());
+            REQUIRE(storage.disk() != identity);
+            REQUIRE(storage.load().entries.empty());
+            REQUIRE(storage.load().vote == VoteRecord {});
+            REQUIRE(fs::exists(folder.path / "set-aside-1" / name));
+        }
+    }
+}
+
+// Guards against a vote or log that is lost with its file while the identity still claims to know them.
+TEST_CASE("a missing file sets the folder aside")
+{
+    for (const char* name : { "log", "vote", "identity", "snapshot" }) {
+        CAPTURE(name);
+        TemporaryFolder folder;
+        DiskIdentity identity = 0;
+        {
+            FileControlStorage storage(folder.path);
+            identity = storage.disk();
+            storage.append(entries(1, 4));
+            storage.saveSnapshot(header(2, 1), "state");
+        }
+        fs::remove(folder.path / name);
+        FileControlStorage storage(folder.path);
+        CHECK(storage.disk() != identity);
+        CHECK(storage.load().entries.empty());
+    }
+}
+
+// Guards against a storage that goes on after a full disk or a failed sync, and against damage left by the failure.
+TEST_CASE("each failed file operation stops the storage, and the next start finds the state before or after")
+{
+    using Action = std::function<void(FileControlStorage&)>;
+    const std::vector<Action> actions {
+        [](FileControlStorage& it) { it.append(entries(4, 6)); },
+        [](FileControlStorage& it) {
+            it.saveVote({ 2, { "mac", 2 } });
+        },
+        [](FileControlStorage& it) { it.saveSnapshot(header(2, 1), "state"); },
+    };
+    for (const auto& action : actions) {
+        bool fired = true;
+        for (int step = 0; fired; ++step) {
+            for (std::size_t torn : { 0, 7, 40 }) {
+                CAPTURE(step);
+                CAPTURE(torn);
+                TemporaryFolder folder;
+                FailingOperations operations;
+                operations.tornBytes = torn;
+                DiskIdentity identity = 0;
+                {
+                    FileControlStorage storage(folder.path, operations);
+                    identity = storage.disk();
+                    storage.append(entries(1, 3));
+                    operations.arm(step);
+                    try {
+                        action(storage);
+                    } catch (const StorageError&) {
+                        CHECK(operations.fired == 1);
+                        CHECK_THROWS_AS(storage.append(entries(4, 4)), StorageError);
+                        CHECK_THROWS_AS(storage.saveVote({ 3, {} }), StorageError);
+                        CHECK_THROWS_AS(storage.saveSnapshot(header(1, 1), ""), StorageError);
+                    }
+                    fired = operations.fired > 0;
+                }
+                FileControlStorage storage(folder.path);
+                CHECK(storage.setAsideReason().empty());
+                CHECK(storage.disk() == identity);
+                auto stored = storage.load();
+                auto last = stored.entries.empty() ? 0 : stored.entries.back().index;
+                CHECK(last >= 3);
+            }
+        }
+    }
+}
+
+// Guards against a start that fails half way and leaves a folder which can never be opened, or an identity that was
+// announced but is not stored.
+TEST_CASE("a failure while the folder is created is reported and the next start succeeds")
+{
+    for (int step = 0; step < 30; ++step) {
+        CAPTURE(step);
+        TemporaryFolder folder;
+        FailingOperations operations;
+        operations.arm(step);
+        try {
+            FileControlStorage storage(folder.path, operations);
+        } catch (const StorageError&) {
+            CHECK(operations.fired == 1);
+        }
+        FileControlStorage storage(folder.path);
+        CHECK(storage.load().entries.empty());
+        storage.append(entries(1, 1));
+    }
+}
+
+// Guards against two processes that act as one voter.
+TEST_CASE("a folder in use is refused")
+{
+    TemporaryFolder folder;
+    FileControlStorage storage(folder.path);
+    CHECK_THROWS_AS(FileControlStorage(folder.path), StorageError);
+}
+
+// Guards against a member that answers on the strength of a write that failed.
+TEST_CASE("a control log on a full disk sends nothing more")
+{
+    TemporaryFolder folder;
+    FailingOperations operations;
+    FileControlStorage storage(folder.path, operations);
+    TimePoint now;
+    ControlLogSettings settings { "atl", { "atl" }, 1, [](TimePoint) { return std::uint64_t { 1 }; } };
+    ControlLog<FileControlStorage> log(storage, settings, now);
+    while (!log.isLeader() && now < TimePoint() + seconds(10))
+        log.tick(now += milliseconds(20));
+    REQUIRE(log.isLeader());
+    operations.arm(0);
+    auto output = log.propose(NoOp {}, 1, now);
+    CHECK_FALSE(output.failure.empty());
+    CHECK(output.messages.empty());
+    CHECK(output.committed.empty());
+    REQUIRE(output.settled.size() == 1);
+    CHECK(output.settled.front().status == ProposeStatus::Unknown);
+    CHECK(log.tick(now + seconds(5)).messages.empty());
+    CHECK(log.isStopped());
+}
