Hand over leadership, leave orphaned bootstraps, check more of the control log

Cause: a planned stop of the leader cost an election timeout; a member that received the bootstrap message of a disk lost at once stayed alone in a cluster without a majority; probes of another cluster made useless learners; entries that are not consecutive reached the log. Mutations that survived: granting a pre-vote while the leader is heard, and committing an entry of an earlier term by its copies. Both have a check now.

--- a/coordination/ControlLog.h
+++ b/coordination/ControlLog.h
@@ -15,8 +15,9 @@
 template <ControlStorage Storage>
 class ControlLog {
 public:
-    /// Loads what is stored. `storage` must outlive the object. `settings.name` must be among the configured members.
-    /// Throws StorageError if the storage cannot be read. Needs no lock: nobody else knows the object yet.
+    /// Loads what is stored. `storage` must outlive the object. Throws StorageError if the storage cannot be read, and
+    /// Error(ErrorKind::BadRequest) if `settings.name` is not among the configured members. Needs no lock: nobody else
+    /// knows the object yet.
     ControlLog(Storage& storage, ControlLogSettings settings, TimePoint now);
 
     /// The snapshot that the state machine has to start from, if there is one. Committed entries after it come as
@@ -40,6 +41,9 @@
     /// Stores a snapshot of the state after all committed entries returned so far, and truncates the log.
     /// Precondition: the state machine has applied them all. Callers serialize.
     ControlOutput saveSnapshot(std::string_view state, TimePoint now);
+    /// Before a planned stop: asks the voter that has most of the log to take over, so that no election timeout has to
+    /// pass. Does nothing if this member is not the leader or no voter is live. Callers serialize.
+    ControlOutput transferLeadership(TimePoint now);
 
     /// No precondition. Callers serialize.
     ControlLogStatus status() const;
@@ -67,6 +71,7 @@
     };
     struct ProbeResult {
         ControlMember member;
+        ClusterId cluster = 0;
         bool empty = false;
         TimePoint at;
     };
@@ -96,10 +101,11 @@
     void adoptTerm(std::uint64_t term);
     void stepDown();
     void checkQuorum();
-    void on(const ControlMember& from, std::uint64_t term, const PreVote&);
-    void on(const ControlMember& from, std::uint64_t term, const PreVoteAnswer&);
-    void on(const ControlMember& from, std::uint64_t term, const Vote&);
-    void on(const ControlMember& from, std::uint64_t term, const VoteAnswer&);
+    void on(const ControlMessage& envelope, const PreVote&);
+    void on(const ControlMessage& envelope, const PreVoteAnswer&);
+    void on(const ControlMessage& envelope, const Vote&);
+    void on(const ControlMessage& envelope, const VoteAnswer&);
+    void on(const ControlMessage& envelope, const TransferLeadership&);
 
     // Replication (ControlLogReplication.h)
     void appendAsLeader(std::vector<Command> commands);
@@ -113,17 +119,18 @@
     void advanceCommitAsLeader();
     void commitThrough(std::uint64_t index);
     bool ownTermCommitted() const { return m_window.termAt(m_commitIndex).value_or(0) == m_term; }
+    static bool areConsecutive(const Append&);
     bool storeEntries(const Append&);
-    void on(const ControlMember& from, std::uint64_t term, const Append&);
-    void on(const ControlMember& from, std::uint64_t term, const AppendAnswer&);
+    void on(const ControlMessage& envelope, const Append&);
+    void on(const ControlMessage& envelope, const AppendAnswer&);
 
     // Snapshots (ControlLogSnapshot.h)
     SnapshotHeader headerAt(std::uint64_t index) const;
     void truncateWindow();
     void sendSnapshot(const ControlMember& to, PeerProgress&);
     void installSnapshot();
-    void on(const ControlMember& from, std::uint64_t term, const InstallSnapshot&);
-    void on(const ControlMember& from, std::uint64_t term, const InstallSnapshotAnswer&);
+    void on(const ControlMessage& envelope, const InstallSnapshot&);
+    void on(const ControlMessage& envelope, const InstallSnapshotAnswer&);
 
     // Members (ControlLogMembers.h)
     bool hasCluster() const { return cluster() != 0; }
@@ -141,11 +148,12 @@
     std::optional<Membership> withPromotedLearner() const;
     std::optional<Membership> withNewLearner();
     bool isRepairComplete() const;
-    void on(const ControlMember& from, std::uint64_t term, const Probe&);
-    void on(const ControlMember& from, std::uint64_t term, const ProbeAnswer&);
-    void on(const ControlMember& from, std::uint64_t term, const Bootstrap&);
-    void on(const ControlMember& /*from*/, std::uint64_t /*term*/, const Propose&) { }
-    void on(const ControlMember& /*from*/, std::uint64_t /*term*/, const ProposeAnswer&) { }
+    void on(const ControlMessage& envelope, const Probe&);
+    void on(const ControlMessage& envelope, const ProbeAnswer&);
+    void on(const ControlMessage& envelope, const Bootstrap&);
+    bool canLeaveClusterFor(const Bootstrap&) const;
+    void on(const ControlMessage& /*envelope*/, const Propose&) { }
+    void on(const ControlMessage& /*envelope*/, const ProposeAnswer&) { }
 
     Storage& m_storage;
     ControlLogSettings m_settings;
@@ -222,6 +230,8 @@
     m_term = std::max(stored.vote.term, m_window.lastTerm());
     if (m_term == stored.vote.term)
         m_votedFor = stored.vote.votedFor;
+    if (!isConfigured(m_settings.name))
+        throw Error(ErrorKind::BadRequest, m_settings.name + " is not one of the configured control members");
     resetElectionTimer();
 }
 
@@ -406,7 +416,7 @@
 template <ControlStorage Storage>
 void ControlLog<Storage>::dispatch(const ControlMessage& message)
 {
-    std::visit([&](const auto& it) { on(message.from, message.term, it); }, message.body);
+    std::visit([&](const auto& it) { on(message, it); }, message.body);
 }
 
 /// Tells a leader or candidate of an old term about the current one. Answers of an old term are dropped.
--- a/coordination/ControlLogElection.h
+++ b/coordination/ControlLogElection.h
@@ -46,19 +46,19 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const PreVote& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const PreVote& message)
 {
     bool granted
         = !knowsLiveLeader() && message.proposedTerm > m_term && logIsUpToDate(message.lastIndex, message.lastTerm);
-    send(from, PreVoteAnswer { message.proposedTerm, granted });
+    send(envelope.from, PreVoteAnswer { message.proposedTerm, granted });
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const PreVoteAnswer& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const PreVoteAnswer& message)
 {
     if (m_role != ControlRole::PreCandidate || !message.granted || message.proposedTerm != m_term + 1)
         return;
-    m_votes.insert(from);
+    m_votes.insert(envelope.from);
     if (hasMajority(m_members.current(), m_votes))
         startElection();
 }
@@ -83,35 +83,58 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t term, const Vote& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const Vote& message)
 {
-    bool newTerm = term > m_term;
-    bool free = newTerm || m_votedFor.name.empty() || m_votedFor == from;
+    bool newTerm = envelope.term > m_term;
+    bool free = newTerm || m_votedFor.name.empty() || m_votedFor == envelope.from;
     bool granted = free && logIsUpToDate(message.lastIndex, message.lastTerm);
-    auto vote = granted ? from : (newTerm ? ControlMember {} : m_votedFor);
+    auto vote = granted ? envelope.from : (newTerm ? ControlMember {} : m_votedFor);
     if (newTerm || vote != m_votedFor)
-        m_storage.saveVote({ term, vote });
+        m_storage.saveVote({ envelope.term, vote });
     if (newTerm)
         stepDown();
-    m_term = term;
+    m_term = envelope.term;
     m_votedFor = vote;
     if (granted) {
         setRole(ControlRole::Follower);
         resetElectionTimer();
     }
-    send(from, VoteAnswer { granted });
+    send(envelope.from, VoteAnswer { granted });
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const VoteAnswer& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const VoteAnswer& message)
 {
     if (m_role != ControlRole::Candidate || !message.granted)
         return;
-    m_votes.insert(from);
+    m_votes.insert(envelope.from);
     if (hasMajority(m_members.current(), m_votes))
         becomeLeader();
 }
 
+template <ControlStorage Storage>
+ControlOutput ControlLog<Storage>::transferLeadership(TimePoint now)
+{
+    return run(now, [&] {
+        const ControlMember* best = nullptr;
+        for (const auto& [member, peer] : m_peers) {
+            bool better = !best || peer.match > m_peers.at(*best).match;
+            if (isVoter(m_members.current(), member) && isLive(member) && better)
+                best = &member;
+        }
+        if (isLeader() && best)
+            send(*best, TransferLeadership {});
+    });
+}
+
+template <ControlStorage Storage>
+void ControlLog<Storage>::on(const ControlMessage& envelope, const TransferLeadership& /*message*/)
+{
+    // No pre-vote: the others still hear the leader, which itself asks for this election.
+    if (envelope.from.name == m_leader && isVoter(m_members.current(), self()))
+        startElection();
+}
+
 template <ControlStorage Storage>
 void ControlLog<Storage>::becomeLeader()
 {
--- a/coordination/ControlLogMembers.h
+++ b/coordination/ControlLogMembers.h
@@ -31,20 +31,22 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const Probe& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const Probe& /*message*/)
 {
-    send(from, ProbeAnswer { isEmpty(), m_members.current(), m_leader });
+    send(envelope.from, ProbeAnswer { isEmpty(), m_members.current(), m_leader });
     // A member that missed the bootstrap message still has to store the first configuration before it may vote.
-    if (hasCluster() && message.empty && isVoter(m_bootstrap.membership, from))
-        send(from, m_bootstrap);
-    if (isLeader())
-        m_joiners.insert_or_assign(from.name, std::pair(from, m_now));
+    bool knowsCluster = envelope.cluster == cluster();
+    if (hasCluster() && !knowsCluster && isVoter(m_bootstrap.membership, envelope.from))
+        send(envelope.from, m_bootstrap);
+    if (isLeader() && (knowsCluster || envelope.cluster == 0))
+        m_joiners.insert_or_assign(envelope.from.name, std::pair(envelope.from, m_now));
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const ProbeAnswer& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const ProbeAnswer& message)
 {
-    m_probeResults.insert_or_assign(from.name, ProbeResult { from, message.empty, m_now });
+    m_probeResults.insert_or_assign(
+        envelope.from.name, ProbeResult { envelope.from, envelope.cluster, message.empty, m_now });
     bootstrapIfAllEmpty();
 }
 
@@ -82,6 +84,8 @@
 {
     LogEntry entry { 1, 1, bootstrap.timestampMs, ChangeMembers { bootstrap.membership } };
     m_storage.append(std::span(&entry, 1));
+    m_window.truncateFrom(1);
+    m_members.truncateFrom(1);
     m_window.append(entry);
     m_members.append(entry);
     m_bootstrap = bootstrap;
@@ -90,12 +94,36 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& /*from*/, std::uint64_t /*term*/, const Bootstrap& message)
+void ControlLog<Storage>::on(const ControlMessage& /*envelope*/, const Bootstrap& message)
 {
-    if (!hasCluster() && message.membership.cluster != 0 && isVoter(message.membership, self()))
+    if (message.membership.cluster == 0 || !isVoter(message.membership, self()))
+        return;
+    if (!hasCluster() || canLeaveClusterFor(message))
         storeBootstrap(message);
 }
 
+/// Whether this member's cluster can never have committed anything and another one exists. It happens if the member
+/// that bootstraps loses its disk, bootstraps again, and a message of the first time arrives late. This member must
+/// hold the first entry only, so it never acknowledged another one, and the voters that may still be in its cluster
+/// must be less than a majority without it: the others answer from another cluster or with another disk identity.
+template <ControlStorage Storage>
+bool ControlLog<Storage>::canLeaveClusterFor(const Bootstrap& other) const
+{
+    bool newer = other.membership.cluster != cluster() && other.timestampMs > m_bootstrap.timestampMs;
+    if (!newer || isLeader() || m_snapshot || m_window.lastIndex() != 1 || m_commitIndex != 0)
+        return false;
+    const auto& voters = m_members.current().voters;
+    auto possible = std::count_if(voters.begin(), voters.end(), [&](const ControlMember& it) {
+        auto found = m_probeResults.find(it.name);
+        if (it == self())
+            return false;
+        bool elsewhere = found != m_probeResults.end()
+            && (found->second.member != it || (found->second.cluster != 0 && found->second.cluster != cluster()));
+        return !elsewhere;
+    });
+    return static_cast<std::size_t>(possible) < majorityOf(voters.size());
+}
+
 // ---------------------------------------------------------------------------------------------------------------
 // Membership changes
 
--- a/coordination/ControlLogReplication.h
+++ b/coordination/ControlLogReplication.h
@@ -158,6 +158,14 @@
     m_out.snapshotDue = m_commitIndex - (m_snapshot ? m_snapshot->index : 0) >= m_settings.entriesPerSnapshot;
 }
 
+template <ControlStorage Storage>
+bool ControlLog<Storage>::areConsecutive(const Append& message)
+{
+    auto index = message.previousIndex;
+    return std::all_of(
+        message.entries.begin(), message.entries.end(), [&](const LogEntry& it) { return it.index == ++index; });
+}
+
 /// Stores the entries that are missing or differ. False if the log does not hold the entry before them.
 template <ControlStorage Storage>
 bool ControlLog<Storage>::storeEntries(const Append& message)
@@ -187,27 +195,27 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const Append& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const Append& message)
 {
-    if (isLeader())
+    if (isLeader() || !areConsecutive(message))
         return;
-    becomeFollower(from.name);
+    becomeFollower(envelope.from.name);
     m_freshnessMs = std::max(m_freshnessMs, message.freshnessMs);
     if (!storeEntries(message)) {
         // Entries above the commit index may differ, so the leader goes back to what is certain if the terms differ.
         auto last = m_window.lastIndex() < message.previousIndex ? m_window.lastIndex() : m_commitIndex;
-        send(from, AppendAnswer { false, last, message.round });
+        send(envelope.from, AppendAnswer { false, last, message.round });
         return;
     }
     auto match = std::max(message.previousIndex + message.entries.size(), m_window.baseIndex());
     commitThrough(std::min(message.commitIndex, match));
-    send(from, AppendAnswer { true, match, message.round });
+    send(envelope.from, AppendAnswer { true, match, message.round });
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const AppendAnswer& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const AppendAnswer& message)
 {
-    auto found = m_peers.find(from);
+    auto found = m_peers.find(envelope.from);
     if (!isLeader() || found == m_peers.end())
         return;
     auto& peer = found->second;
@@ -217,13 +225,13 @@
         peer.next = std::max(peer.next, peer.match + 1);
         advanceCommitAsLeader();
         if (isLeader() && !peer.transfer && peer.next <= m_window.lastIndex())
-            sendEntries(from, peer);
+            sendEntries(envelope.from, peer);
     } else if (message.round > peer.resentRound && !peer.transfer) {
         // A new round number tells a rejection of what is sent now from late rejections of earlier messages.
         peer.resentRound = m_round;
         m_rounds.push_back({ ++m_round, m_now, wallMs() });
         peer.next = std::max(peer.match, std::min(message.index, m_window.lastIndex())) + 1;
-        sendEntries(from, peer);
+        sendEntries(envelope.from, peer);
     }
     updateQuorum();
 }
--- a/coordination/ControlLogSnapshot.h
+++ b/coordination/ControlLogSnapshot.h
@@ -65,14 +65,14 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const InstallSnapshot& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const InstallSnapshot& message)
 {
     if (isLeader())
         return;
-    becomeFollower(from.name);
+    becomeFollower(envelope.from.name);
     if (message.header.index <= m_commitIndex) {
         m_incoming.reset();
-        send(from, InstallSnapshotAnswer { message.header.index, message.totalBytes, true, message.round });
+        send(envelope.from, InstallSnapshotAnswer { message.header.index, message.totalBytes, true, message.round });
         return;
     }
     if (!m_incoming || m_incoming->header != message.header || m_incoming->totalBytes != message.totalBytes) {
@@ -85,7 +85,7 @@
     bool complete = received >= message.totalBytes;
     if (complete)
         installSnapshot();
-    send(from, InstallSnapshotAnswer { message.header.index, received, complete, message.round });
+    send(envelope.from, InstallSnapshotAnswer { message.header.index, received, complete, message.round });
 }
 
 template <ControlStorage Storage>
@@ -110,9 +110,9 @@
 }
 
 template <ControlStorage Storage>
-void ControlLog<Storage>::on(const ControlMember& from, std::uint64_t /*term*/, const InstallSnapshotAnswer& message)
+void ControlLog<Storage>::on(const ControlMessage& envelope, const InstallSnapshotAnswer& message)
 {
-    auto found = m_peers.find(from);
+    auto found = m_peers.find(envelope.from);
     if (!isLeader() || found == m_peers.end())
         return;
     auto& peer = found->second;
@@ -123,12 +123,12 @@
             peer.match = std::max(peer.match, message.snapshotIndex);
             peer.next = peer.match + 1;
             peer.transfer.reset();
-            sendEntries(from, peer);
+            sendEntries(envelope.from, peer);
             advanceCommitAsLeader();
         } else if (message.nextOffset <= it.data->size() && message.nextOffset != it.offset) {
             it.offset = message.nextOffset;
             it.sentAt.reset();
-            sendSnapshot(from, peer);
+            sendSnapshot(envelope.from, peer);
         }
     }
     updateQuorum();
--- a/coordination/ControlMessages.cpp
+++ b/coordination/ControlMessages.cpp
@@ -134,6 +134,11 @@
     archive(it.proposalId, it.status, it.leader, it.index, it.result);
 }
 template <typename A>
+void fields(A& archive, TransferLeadership& /*it*/)
+{
+    archive();
+}
+template <typename A>
 void fields(A& archive, ControlMessage& it)
 {
     archive(it.cluster, it.from, it.toDisk, it.term, it.body);
--- a/coordination/ControlMessages.h
+++ b/coordination/ControlMessages.h
@@ -238,6 +238,9 @@
     std::string leader;    // empty if not known
 };
 
+/// Asks a voter to start an election at once, because the leader is about to stop.
+struct TransferLeadership { };
+
 /// Submits a command to the leader. The sender may be any daemon.
 struct Propose {
     std::uint64_t proposalId = 0; // unique per sender
@@ -260,7 +263,7 @@
 };
 
 using ControlBody = std::variant<PreVote, PreVoteAnswer, Vote, VoteAnswer, Append, AppendAnswer, InstallSnapshot,
-    InstallSnapshotAnswer, Probe, ProbeAnswer, Bootstrap, Propose, ProposeAnswer>;
+    InstallSnapshotAnswer, Probe, ProbeAnswer, Bootstrap, Propose, ProposeAnswer, TransferLeadership>;
 
 struct ControlMessage {
     ClusterId cluster = 0;   // 0 if the sender knows none
--- a/coordination/ControlReplica.h
+++ b/coordination/ControlReplica.h
@@ -38,7 +38,8 @@
 template <ControlStorage Storage>
 class ControlReplica {
 public:
-    /// Loads log and state. Throws StorageError if the storage cannot be read. `storage` must outlive the object.
+    /// Loads log and state. Throws StorageError if the storage cannot be read, and Error(ErrorKind::BadRequest) if the
+    /// settings do not fit or the stored state cannot be decoded. `storage` must outlive the object.
     ControlReplica(Storage& storage, ControlLogSettings settings, TimePoint now)
         : m_log(storage, std::move(settings), now)
     {
@@ -56,7 +57,8 @@
     }
 
     /// Handles a message. A Propose is queued until flush() or tick(), so that one sync serves several. The caller
-    /// handles ProposeAnswer itself. Callers serialize.
+    /// handles ProposeAnswer itself. Throws Error(ErrorKind::BadRequest) if a received snapshot cannot be decoded; the
+    /// control role must stop then. Callers serialize.
     ReplicaOutput receive(const std::string& from, const ControlMessage& message, TimePoint now)
     {
         begin();
@@ -90,6 +92,14 @@
         return std::move(m_out);
     }
 
+    /// Before a planned stop; see ControlLog. Callers serialize.
+    ReplicaOutput transferLeadership(TimePoint now)
+    {
+        begin();
+        take(m_log.transferLeadership(now), now);
+        return std::move(m_out);
+    }
+
     /// The references stay valid as long as the object; their content changes with each call. Callers serialize.
     const ControlState& state() const { return m_state; }
     const ControlLog<Storage>& log() const { return m_log; }
--- a/tests/ControlHarness.h
+++ b/tests/ControlHarness.h
@@ -70,6 +70,7 @@
         : m_random(seed)
         , m_names(std::move(names))
     {
+        configured = m_names;
         for (const auto& it : m_names)
             loseDisk(it);
     }
@@ -84,6 +85,7 @@
     std::map<std::uint64_t, LocalAnswer>& answers() { return m_answers; }
     std::map<std::uint64_t, bool>& reads() { return m_reads; }
 
+    std::vector<std::string> configured; // of the members that start from now on
     std::uint64_t dropPercent = 0;
     std::uint64_t greatestDelayMs = 5;
     std::uint64_t entriesPerSnapshot = 256;
@@ -94,7 +96,7 @@
     {
         auto& it = m_nodes[name];
         it.storage = std::make_unique<MemoryStorage>(it.disk);
-        ControlLogSettings settings { name, m_names, m_random(), [](TimePoint at) {
+        ControlLogSettings settings { name, configured, m_random(), [](TimePoint at) {
                                          return wallStartMs
                                              + static_cast<std::uint64_t>((at - TimePoint()) / milliseconds(1));
                                      } };
@@ -130,6 +132,10 @@
             cut(name, it);
     }
     void heal() { m_cuts.clear(); }
+    /// Keeps the messages that are on their way until releaseMessages(); later ones are delivered as usual.
+    void holdMessages() { m_held = std::exchange(m_queue, {}); }
+    void releaseMessages() { m_queue.merge(m_held); }
+    void transferLeadership(const std::string& name) { carryOut(name, replica(name).transferLeadership(m_now)); }
 
     std::uint64_t propose(const std::string& name, Command command)
     {
@@ -311,6 +317,7 @@
     std::map<std::string, Node> m_nodes;
     std::set<std::pair<std::string, std::string>> m_cuts; // from, to
     std::map<std::pair<TimePoint, std::uint64_t>, Queued> m_queue;
+    std::map<std::pair<TimePoint, std::uint64_t>, Queued> m_held;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastId = 0;
     TimePoint m_now;
--- a/tests/ControlLogTests.cpp
+++ b/tests/ControlLogTests.cpp
@@ -59,6 +59,12 @@
     auto leader = cluster.leader();
     auto term = cluster.replica(leader).log().status().term;
     auto other = anotherThan(cluster, leader);
+    // Once with an equal log, when only the live leader speaks against the returning member, and once behind.
+    cluster.isolate(other);
+    cluster.run(60'000);
+    cluster.heal();
+    cluster.run(5'000);
+    CHECK(cluster.replica(leader).log().status().term == term);
     cluster.isolate(other);
     cluster.run(60'000);
     CHECK_FALSE(cluster.replica(other).log().isLeader());
@@ -262,6 +268,63 @@
     }
 }
 
+// Guards against a member that stays alone in a cluster that was created by a disk which was lost at once, when the
+// message that created it arrives after the second bootstrap.
+TEST_CASE("a late bootstrap of a lost disk leaves no member behind")
+{
+    int orphaned = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        CAPTURE(seed);
+        Cluster cluster(seed, threeNames);
+        cluster.startAll();
+        REQUIRE(cluster.runUntil([&] { return !cluster.clusters.empty(); }));
+        // The messages that carry the first bootstrap are on their way now.
+        cluster.holdMessages();
+        cluster.loseDisk("atl");
+        cluster.start("atl");
+        cluster.greatestDelayMs = 400;
+        REQUIRE(cluster.runUntil([&] { return cluster.clusters.size() == 2; }));
+        cluster.run(cluster.random(400));
+        cluster.releaseMessages();
+        cluster.run(100);
+        orphaned += cluster.replica("mac").log().cluster() != cluster.replica("sav").log().cluster();
+        cluster.greatestDelayMs = 5;
+        cluster.requireConvergence();
+        for (const auto& it : threeNames)
+            CHECK(cluster.replica(it).log().cluster() == cluster.replica("atl").log().cluster());
+    }
+    CHECK(orphaned > 0);
+}
+
+// Guards against a planned stop of the leader that costs an election timeout.
+TEST_CASE("leadership is handed over at once")
+{
+    Cluster cluster(8, threeNames);
+    cluster.startAll();
+    REQUIRE(cluster.runUntilRepaired());
+    commitEdit(cluster, "zone atl", "out");
+    auto old = cluster.leader();
+    cluster.transferLeadership(old);
+    CHECK(cluster.runUntil([&] { return !cluster.leader().empty() && cluster.leader() != old; }, 200));
+    cluster.requireConvergence();
+}
+
+// Guards against new configured members that never get a vote.
+TEST_CASE("a cluster of three grows to five")
+{
+    Cluster cluster(9, { "atl", "mac", "sav", "aug", "sav2" });
+    cluster.configured = threeNames;
+    for (const auto& it : threeNames)
+        cluster.start(it);
+    REQUIRE(cluster.runUntilRepaired());
+    cluster.configured = cluster.names();
+    for (const auto& it : threeNames)
+        cluster.crash(it);
+    cluster.requireConvergence();
+    CHECK(cluster.replica("aug").log().status().membership.voters.size() == 5);
+    CHECK(cluster.clusters.size() == 1);
+}
+
 // Guards against a first start that creates a second cluster while a configured member cannot be asked.
 TEST_CASE("no cluster is created while a configured member does not answer")
 {
@@ -312,3 +375,27 @@
     cluster.crash(old);
     cluster.requireConvergence();
 }
+
+// Guards against an entry of an earlier term that is committed by its copies alone and replaced later by another
+// leader.
+TEST_CASE("a majority that holds an entry of an earlier term does not commit it")
+{
+    auto disk = std::make_shared<MemoryDisk>(MemoryDisk { 1, {}, {}, false });
+    Membership membership { 7, { { "atl", 1 }, { "mac", 2 }, { "sav", 3 } }, {} };
+    disk->content.vote = { 3, {} };
+    disk->content.entries
+        = { { 1, 1, 1, ChangeMembers { membership } }, { 2, 2, 1, edit("old", 0, "zone atl", "out") } };
+    MemoryStorage storage(disk);
+    ControlLog<MemoryStorage> log(storage, { "atl", threeNames, 1, [](TimePoint) { return std::uint64_t { 1 }; } }, {});
+    TimePoint now = TimePoint() + seconds(2);
+    log.tick(now);
+    auto fromMac = [&](ControlBody body) {
+        return log.receive("mac", { 7, { "mac", 2 }, 1, log.status().term, std::move(body) }, now);
+    };
+    fromMac(PreVoteAnswer { 4, true });
+    fromMac(VoteAnswer { true });
+    REQUIRE(log.isLeader());
+    REQUIRE(log.status().lastIndex == 3);
+    CHECK(fromMac(AppendAnswer { true, 2, 1 }).committed.empty());
+    CHECK(fromMac(AppendAnswer { true, 3, 1 }).committed.size() == 3);
+}
