--- a/tests/ControlHarness.h
+++ b/tests/ControlHarness.h
@@ -70,6 +70,7 @@
         : m_random(seed)
         , m_names(std::move(names))
     {
+        configured = m_names;
         for (const auto& it : m_names)
             loseDisk(it);
     }
@@ -84,9 +85,11 @@
     std::map<std::uint64_t, LocalAnswer>& answers() { return m_answers; }
     std::map<std::uint64_t, bool>& reads() { return m_reads; }
 
+    std::vector<std::string> configured; // of the members that start from now on
     std::uint64_t dropPercent = 0;
     std::uint64_t greatestDelayMs = 5;
     std::uint64_t entriesPerSnapshot = 256;
+    std::size_t smallSnapshotBytes = 1024UL * 1024;
     std::uint64_t entriesKeptInMemory = 512;
     std::vector<std::uint64_t> clusters; // identities seen, each once
 
@@ -94,11 +97,12 @@
     {
         auto& it = m_nodes[name];
         it.storage = std::make_unique<MemoryStorage>(it.disk);
-        ControlLogSettings settings { name, m_names, m_random(), [](TimePoint at) {
+        ControlLogSettings settings { name, configured, m_random(), [](TimePoint at) {
                                          return wallStartMs
                                              + static_cast<std::uint64_t>((at - TimePoint()) / milliseconds(1));
                                      } };
         settings.entriesPerSnapshot = entriesPerSnapshot;
+        settings.smallSnapshotBytes = smallSnapshotBytes;
         settings.entriesKeptInMemory = entriesKeptInMemory;
         settings.snapshotChunkBytes = 1000; // several chunks for each snapshot
         it.replica = std::make_unique<Replica>(*it.storage, settings, m_now);
@@ -130,6 +134,10 @@
             cut(name, it);
     }
     void heal() { m_cuts.clear(); }
+    /// Keeps the messages that are on their way until releaseMessages(); later ones are delivered as usual.
+    void holdMessages() { m_held = std::exchange(m_queue, {}); }
+    void releaseMessages() { m_queue.merge(m_held); }
+    void transferLeadership(const std::string& name) { carryOut(name, replica(name).transferLeadership(m_now)); }
 
     std::uint64_t propose(const std::string& name, Command command)
     {
@@ -238,8 +246,10 @@
                 [&](const std::string& it) { return replica(it).state().appliedIndex() >= last; });
         }));
         run(1000);
-        for (const auto& it : m_names)
+        for (const auto& it : m_names) {
             REQUIRE(replica(it).state().data() == replica(m_names.front()).state().data());
+            REQUIRE(replica(it).log().status().membership == replica(m_names.front()).log().status().membership);
+        }
         for (std::uint64_t i = 1; i <= last; ++i)
             REQUIRE(m_history.contains(i));
     }
@@ -301,6 +311,10 @@
         auto status = replica(name).log().status();
         if (status.role == ControlRole::Leader)
             REQUIRE(m_leaders.emplace(status.term, status.self).first->second == status.self); // one for each term
+        if (status.repairComplete) { // also between two messages of one step
+            REQUIRE(status.membership.learners.empty());
+            REQUIRE(status.membership.voters.size() == configured.size());
+        }
         auto cluster = status.membership.cluster;
         if (cluster != 0 && std::find(clusters.begin(), clusters.end(), cluster) == clusters.end())
             clusters.push_back(cluster);
@@ -311,6 +325,7 @@
     std::map<std::string, Node> m_nodes;
     std::set<std::pair<std::string, std::string>> m_cuts; // from, to
     std::map<std::pair<TimePoint, std::uint64_t>, Queued> m_queue;
+    std::map<std::pair<TimePoint, std::uint64_t>, Queued> m_held;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastId = 0;
     TimePoint m_now;
