--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -12,13 +12,13 @@
 constexpr int probeAttempts = 3;                  // one direct, then two with relays; see retryProbe
 constexpr std::size_t probeReservedBytes = 300;   // budget that pings leave for acks
 constexpr std::size_t reservedBytes = 600;        // budget that anti-entropy leaves for pings and acks
-constexpr std::size_t updateReservedBytes = 1800; // and updates leave one datagram of anti-entropy besides
+constexpr std::size_t updateReservedBytes = 1200; // and updates leave one datagram of anti-entropy besides
 constexpr std::size_t summaryHashes = 130;        // of 8 bytes each; leaves room for the rest of the datagram
 constexpr std::size_t nearlyEqualBuckets = 8;     // differences of fresh updates that are still spreading
 constexpr std::uint32_t sendsAfterSync = 2;       // others lack it too if this member did, but most of them will not
-constexpr milliseconds fastSyncInterval { 400 };
+constexpr milliseconds fastSyncInterval { 1000 };
 constexpr std::size_t suspectPings = 6;   // expected number over the whole group, for each suspicion
-constexpr std::size_t starterBytes = 600; // for each question, so that a seed can answer several starters
+constexpr std::size_t starterBytes = 300; // for each question, so that a seed can answer several starters
 constexpr seconds cleanupInterval { 10 };
 constexpr milliseconds freezeGap { 1000 };
 
@@ -410,9 +410,12 @@
     }
     const auto* records = std::get_if<GossipRecords>(&datagram->message.body);
     const bool isSync = records && records->isSync;
+    std::optional<std::uint32_t> sendsLeft;
+    if (isSync)
+        sendsLeft = m_joining ? 0 : sendsAfterSync;
     std::vector<const GossipRecord*> newer;
     for (const auto& record : datagram->records)
-        if (const auto* held = accept(record, isSync, now, out))
+        if (const auto* held = accept(record, sendsLeft, now, out))
             newer.push_back(held);
     if (isSync && !newer.empty())
         sendFull(sender.address, newer, false, out);
@@ -455,7 +458,8 @@
 
 // ---- Records --------------------------------------------------------------------------------------------------------
 
-const GossipRecord* Gossip::accept(const GossipRecord& record, bool isSync, TimePoint now, Output& out)
+const GossipRecord* Gossip::accept(
+    const GossipRecord& record, std::optional<std::uint32_t> sendsLeft, TimePoint now, Output& out)
 {
     if (record.kind == GossipRecordKind::Member && record.key == m_self.name) {
         acceptSelf(record, now);
@@ -466,8 +470,6 @@
         return nullptr;
     const auto* held = m_store.find(record.kind, record.key);
     const std::optional<GossipRecord> before = held ? std::optional(*held) : std::nullopt;
-    const std::optional<std::uint32_t> sendsLeft
-        = isSync ? std::optional(m_joining ? 1 : sendsAfterSync) : std::nullopt;
     const auto merge = m_store.merge(record, now, sendsLeft);
     held = m_store.find(record.kind, record.key);
     if (merge == GossipStore::Merge::Newer)
@@ -681,6 +683,12 @@
     return members;
 }
 
+std::optional<MemberStatus> Gossip::statusOf(std::string_view name) const
+{
+    const auto* record = m_store.find(GossipRecordKind::Member, name);
+    return record ? std::optional(static_cast<MemberStatus>(record->status)) : std::nullopt;
+}
+
 std::string Gossip::exportRecords() const
 {
     std::string bytes;
@@ -700,7 +708,7 @@
         return out;
     }
     for (const auto& record : *records)
-        accept(record, true, now, out);
+        accept(record, 0, now, out); // the others have them
     return out;
 }
 
--- a/coordination/Gossip.h
+++ b/coordination/Gossip.h
@@ -48,7 +48,7 @@
     seconds removalLifetime { 3600 };          // removals and lost members are remembered this long; bounds a partition
     seconds lostItemLifetime { 900 };    // items of lost members are kept this long; a blocked fingerprint needs 600 s
     std::uint32_t relays = 3;            // members asked to ping a silent one
-    double sendsPerDoubling = 1.5;       // an update is passed on this often, times log2(members)
+    double sendsPerDoubling = 2.5;       // an update is passed on this often, times log2(members)
     std::uint32_t bytesPerSecond = 1600; // upper bound of what is sent, IP and UDP headers included
     std::uint32_t burstBytes = 8000;     // may be sent at once after a quiet period
 };
@@ -102,6 +102,8 @@
     std::optional<GossipItem> item(std::string_view key) const;
     /// All members known, this one included, ordered by name. Callers serialize calls.
     std::vector<Member> members() const;
+    /// The status of one member; nothing when it is unknown. Callers serialize calls.
+    std::optional<MemberStatus> statusOf(std::string_view name) const;
     const Instance& self() const { return m_self; }
     const GossipCounters& counters() const { return m_counters; }
     /// Lifeguard's score: 0 is healthy; timeouts are multiplied by the score + 1.
@@ -153,7 +155,7 @@
     void handle(const GossipRecords&, const Sender&, TimePoint now, Output&);
 
     /// Returns the record that the sender should have instead, if it sent an older one.
-    const GossipRecord* accept(const GossipRecord&, bool isSync, TimePoint now, Output&);
+    const GossipRecord* accept(const GossipRecord&, std::optional<std::uint32_t> sendsLeft, TimePoint now, Output&);
     void acceptSelf(const GossipRecord&, TimePoint now);
     void noteChange(const GossipRecord&, const GossipRecord* before, TimePoint now, Output&);
     void tellSuspect(const Instance&, Output&);
--- a/coordination/GossipStore.cpp
+++ b/coordination/GossipStore.cpp
@@ -13,6 +13,9 @@
     return record.kind == GossipRecordKind::Member && (record.sequence > 0 || record.status != 0);
 }
 
+constexpr std::size_t longQueue = 64;
+constexpr std::uint32_t sendsFromLongQueue = 3;
+
 // How many queued records are tried when the first ones do not fit into the datagram.
 constexpr int fitAttempts = 16;
 
@@ -42,7 +45,10 @@
         }
     }
     store(it->second, std::move(record), now);
-    enqueue(it->second, sendsLeft && *sendsLeft < m_sendLimit ? m_sendLimit - *sendsLeft : 0);
+    if (sendsLeft && *sendsLeft == 0)
+        dequeue(it->second);
+    else
+        enqueue(it->second, sendsLeft && *sendsLeft < m_sendLimit ? m_sendLimit - *sendsLeft : 0);
     return Merge::Newer;
 }
 
@@ -161,7 +167,9 @@
     if (entry.queueOrder == 0)
         return;
     m_queue.erase({ entry.sends, entry.queueOrder });
-    if (++entry.sends < m_sendLimit)
+    // Of many records each is sent less often; anti-entropy repairs the rest at a lower cost.
+    const auto limit = m_queue.size() > longQueue ? std::min(m_sendLimit, sendsFromLongQueue) : m_sendLimit;
+    if (++entry.sends < limit)
         m_queue.emplace(QueueKey { entry.sends, entry.queueOrder }, &entry);
     else
         entry.queueOrder = 0;
--- a/coordination/ViewKeeper.cpp
+++ b/coordination/ViewKeeper.cpp
@@ -91,11 +91,12 @@
     return now >= std::max(zone.since, zone.lastSign.value_or(zone.since)) + lostPredecessorWait;
 }
 
-// Once one of several members has adopted the view, the others may hold its last grant, and the wait for that to end is
-// short. Without any adopter they may grant each other the previous view for as long as they are cut off.
+// Several members of the previous view may go on granting each other that view, at the full limit, for as long as they
+// are cut off. Once one of them has adopted the new view this ends within a lease, so it is better to wait; only when
+// none does so in time may the successor send beside them.
 bool ViewKeeper::isUnleased(const Zone& zone, TimePoint now) const
 {
-    if (zone.firstAdopter && zone.view.previous.size() > 1)
+    if (zone.view.previous.size() > 1 && (zone.firstAdopter || now < zone.since + leaseWithMargin))
         return false;
     return std::all_of(zone.view.previous.begin(), zone.view.previous.end(), [&](const std::string& name) {
         const auto it = zone.lastLease.find(name);
