Test keyed execution over random delays and lost replies

Cause: the at-most-once rule had no test. The suite runs three sends of one key against a stand-in of the control log that applies proposals late, never or without a reply.

--- a/tests/LeafGatesTests.cpp
+++ b/tests/LeafGatesTests.cpp
@@ -61,9 +61,10 @@
     leaf.boot = 2;
     gates.setLeaf(leaf, now);
     CHECK(gates.status(now).at(0).limit == 1);
+    warm();
     leaf.boot = 1; // late message of the earlier boot
     gates.setLeaf(leaf, now);
-    warm();
+    CHECK(gates.status(now).at(0).limit == 2);
     allow(0);
     allow(9);
     CHECK(gates.status(now).at(0).limit == 1);
@@ -175,7 +176,7 @@
     const auto crashed = result(poison.dispatches.at(0), PartStatus::Crashed);
     CHECK(crashed.suspicions.size() == 2);
     CHECK_FALSE(crashed.suspicions[1].alone);
-    result(companion.dispatches.at(0), PartStatus::Crashed);
+    CHECK_FALSE(result(companion.dispatches.at(0), PartStatus::Crashed).suspicions.at(0).alone);
     CHECK(gates.suspicions().stateOf(7, now) == Suspicion::Suspect);
     allow(0);
     allow(9);
--- /dev/null
+++ b/tests/QueryKeyedTests.cpp
@@ -0,0 +1,323 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "query/KeyedExecution.h"
+
+#include <doctest/doctest.h>
+#include <functional>
+#include <random>
+
+using namespace citronplank;
+
+namespace {
+
+using Execution = KeyedExecution<ReplicaStatistics>;
+
+std::shared_ptr<const PinnedLayout> layoutOf(std::uint32_t replicas)
+{
+    auto it = std::make_shared<PinnedLayout>();
+    it->layout = { .service = "s", .version = 1, .shardCount = 1, .replicas = {} };
+    it->layout.replicas.resize(1);
+    it->emptyReasons.resize(1);
+    it->coveredShards = 1;
+    for (std::uint32_t i = 0; i < replicas; ++i)
+        it->layout.replicas[0].push_back({ .leaf = "l" + std::to_string(i) });
+    return it;
+}
+
+struct Fixture {
+    TimePoint now {};
+    ReplicaStatistics policies { PolicySettings::adaptive(), [] { return 7; } };
+
+    std::unique_ptr<Execution> make(const std::string& attempt, std::uint32_t replicas = 2)
+    {
+        KeyedContext context;
+        context.request = { .key = "1700000000-x", .service = "s", .operation = "lend", .deadline = milliseconds(500) };
+        context.queryId = std::hash<std::string> {}(attempt) % 100000;
+        context.attempt = attempt;
+        context.layout = layoutOf(replicas);
+        return std::make_unique<Execution>(context, policies);
+    }
+    static std::uint64_t fingerprint() { return fingerprintOf("s", "lend", ""); }
+    static ProposalReply applied(const std::string& attempt, std::optional<StoredOutcome> finished = {})
+    {
+        return { ProposalStatus::Applied, KeyedRecord { attempt, fingerprint(), std::move(finished) } };
+    }
+    static PartResult result(const PartSend& sent, PartStatus status, Outcome outcome, const std::string& body = {})
+    {
+        return { .partId = sent.part.partId, .status = status, .outcome = outcome, .body = body };
+    }
+};
+
+ErrorKind errorOf(const KeyedActions& actions)
+{
+    REQUIRE(actions.finish);
+    REQUIRE(std::holds_alternative<Error>(*actions.finish));
+    return std::get<Error>(*actions.finish).kind();
+}
+
+Outcome storedOutcome(const KeyedActions& actions)
+{
+    REQUIRE(actions.propose);
+    REQUIRE(std::holds_alternative<FinishKeyed>(*actions.propose));
+    return std::get<FinishKeyed>(*actions.propose).result.outcome;
+}
+
+} // namespace
+
+// Guards against keys that cannot be placed in time, which could never expire.
+TEST_CASE("request keys are UNIXSECONDS-RANDOM")
+{
+    CHECK(parseRequestKey("1700000000-abc-d") == 1700000000U);
+    for (const auto* bad : { "", "-", "12", "12-", "-x", "12x-a", " 12-a", "99999999999999999999999-a" })
+        CHECK_FALSE(parseRequestKey(bad));
+    CHECK_FALSE(parseRequestKey("1-" + std::string(200, 'x')));
+}
+
+// Guards against a dispatch that no record backs, and against a lost outcome.
+TEST_CASE_FIXTURE(Fixture, "dispatches once after its own record stands, then stores the true outcome")
+{
+    const auto it = make("a");
+    CHECK_FALSE(it->start(now).send);
+    const auto sent = it->onProposal(applied("a"), now);
+    REQUIRE(sent.send);
+    CHECK(sent.send->part.requestKey == "1700000000-x");
+    CHECK_FALSE(it->onProposal(applied("a"), now).send);
+    const std::string body(greatestKeptAnswerBytes + 1, 'x');
+    const auto done = it->onResult(result(*sent.send, PartStatus::Ok, Outcome::Ran, body), now);
+    CHECK(std::get<KeyedAnswer>(*done.finish).body == body);
+    CHECK(storedOutcome(done) == Outcome::Ran);
+    CHECK(std::get<FinishKeyed>(*done.propose).result.bodyOmitted);
+    it->onProposal({ ProposalStatus::Unknown, {} }, now);
+    CHECK_FALSE(it->isDone());
+    now += Execution::proposalRetry;
+    CHECK(storedOutcome(it->onTimer(now)) == Outcome::Ran);
+    it->onProposal({ ProposalStatus::Applied, {} }, now);
+    CHECK(it->isDone());
+}
+
+// Guards against a dispatch on a guess when the proposal's result is unknown.
+TEST_CASE_FIXTURE(Fixture, "after an unknown proposal it re-reads and dispatches only on its own record")
+{
+    for (const auto* holder : { "a", "b" }) {
+        const auto it = make("a");
+        it->start(now);
+        const auto unknown = it->onProposal({ ProposalStatus::Unknown, {} }, now);
+        CHECK(unknown.readRecord);
+        CHECK_FALSE(unknown.send);
+        const auto read = it->onRecord({ true, KeyedRecord { holder, fingerprint(), {} } }, now);
+        CHECK(read.send.has_value() == (std::string(holder) == "a"));
+        CHECK_FALSE(it->onRecord({ true, KeyedRecord { "a", fingerprint(), {} } }, now).send);
+    }
+    const auto it = make("a");
+    it->start(now);
+    it->onProposal({ ProposalStatus::Unknown, {} }, now);
+    it->onRecord({ true, {} }, now);
+    now += Execution::proposalRetry;
+    CHECK(it->onTimer(now).propose);
+    CHECK_FALSE(it->onProposal({ ProposalStatus::NotApplied, {} }, now).finish); // the first one may still be applied
+    now += seconds(1);
+    const auto late = it->onTimer(now);
+    CHECK(errorOf(late) == ErrorKind::OutcomeUnknown);
+    CHECK(storedOutcome(late) == Outcome::NotRun);
+}
+
+// Guards against a resend that runs again, or that is told "not run" while the first send may have run.
+TEST_CASE_FIXTURE(Fixture, "a resend waits for the other attempt and answers what it stored")
+{
+    const auto it = make("b");
+    it->start(now);
+    CHECK_FALSE(it->onProposal(applied("a"), now).send);
+    now += Execution::pollInterval;
+    CHECK(it->onTimer(now).readRecord);
+    const StoredOutcome stored { .outcome = Outcome::Ran, .body = "receipt" };
+    const auto done = it->onRecord({ true, KeyedRecord { "a", fingerprint(), stored } }, now);
+    CHECK(std::get<KeyedAnswer>(*done.finish).body == "receipt");
+
+    const auto waiting = make("c");
+    waiting->start(now);
+    waiting->onProposal(applied("a"), now);
+    now += milliseconds(500);
+    CHECK(errorOf(waiting->onTimer(now)) == ErrorKind::OutcomeUnknown);
+    CHECK(waiting->isDone());
+
+    const auto answerTo = [&](const ProposalReply& reply) {
+        const auto other = make("d");
+        other->start(now);
+        return errorOf(other->onProposal(reply, now));
+    };
+    CHECK(answerTo(applied("a", StoredOutcome { .outcome = Outcome::MayHaveRun })) == ErrorKind::OutcomeUnknown);
+    CHECK(
+        answerTo(applied("a", StoredOutcome { .outcome = Outcome::Ran, .failed = true })) == ErrorKind::BackEndFailed);
+    CHECK(answerTo(applied("a", StoredOutcome { .outcome = Outcome::Ran, .bodyOmitted = true }))
+        == ErrorKind::BackEndFailed);
+    CHECK(answerTo({ ProposalStatus::Applied, KeyedRecord { "a", 1, {} } }) == ErrorKind::KeyReused);
+    CHECK(answerTo({ ProposalStatus::KeyExpired, {} }) == ErrorKind::KeyExpired);
+    CHECK(answerTo({ ProposalStatus::TableFull, {} }) == ErrorKind::Overloaded);
+    CHECK(answerTo({ ProposalStatus::NotApplied, {} }) == ErrorKind::NoMajority);
+}
+
+// Guards against "not run" after a part that may have run, whatever outcome came with it.
+TEST_CASE_FIXTURE(Fixture, "the answer and the record follow from the part's end")
+{
+    struct Row {
+        PartStatus status;
+        Outcome outcome;
+        ErrorKind kind;
+        Outcome stored;
+    };
+    const Row rows[] = {
+        { PartStatus::Refused, Outcome::NotRun, ErrorKind::Overloaded, Outcome::NotRun },
+        { PartStatus::WrongVersion, Outcome::NotRun, ErrorKind::NoReplica, Outcome::NotRun },
+        { PartStatus::Unreachable, Outcome::NotRun, ErrorKind::NoReplica, Outcome::NotRun },
+        { PartStatus::Unreachable, Outcome::MayHaveRun, ErrorKind::OutcomeUnknown, Outcome::MayHaveRun },
+        { PartStatus::Blocked, Outcome::NotRun, ErrorKind::RequestBlocked, Outcome::NotRun },
+        { PartStatus::Deadline, Outcome::NotRun, ErrorKind::DeadlineUnreachable, Outcome::NotRun },
+        { PartStatus::Deadline, Outcome::MayHaveRun, ErrorKind::OutcomeUnknown, Outcome::MayHaveRun },
+        { PartStatus::Failed, Outcome::Ran, ErrorKind::BackEndFailed, Outcome::Ran },
+        { PartStatus::Crashed, Outcome::NotRun, ErrorKind::OutcomeUnknown, Outcome::MayHaveRun },
+    };
+    for (const auto& row : rows) {
+        const auto it = make("a");
+        it->start(now);
+        const auto sent = it->onProposal(applied("a"), now);
+        const auto done = it->onResult(result(*sent.send, row.status, row.outcome), now);
+        CHECK(errorOf(done) == row.kind);
+        CHECK(storedOutcome(done) == row.stored);
+        CHECK_FALSE(done.send);
+    }
+}
+
+// Guards against a late result that is lost: the caller was told "may have run", a resend can learn the truth.
+TEST_CASE_FIXTURE(Fixture, "a result after the deadline still reaches the record, and silence ends as may have run")
+{
+    for (const bool answers : { true, false }) {
+        const auto it = make("a");
+        it->start(now);
+        const auto sent = it->onProposal(applied("a"), now);
+        now += milliseconds(500);
+        const auto late = it->onTimer(now);
+        CHECK(errorOf(late) == ErrorKind::OutcomeUnknown);
+        CHECK(late.cancels.at(0).queuedOnly);
+        now += answers ? milliseconds(10) : Execution::lateResultGrace;
+        const auto end
+            = answers ? it->onResult(result(*sent.send, PartStatus::Ok, Outcome::Ran), now) : it->onTimer(now);
+        CHECK(storedOutcome(end) == (answers ? Outcome::Ran : Outcome::MayHaveRun));
+        CHECK_FALSE(end.finish);
+    }
+    const auto begun = make("a");
+    begun->start(now);
+    now += milliseconds(500);
+    CHECK(errorOf(begun->onTimer(now)) == ErrorKind::OutcomeUnknown);
+    const auto tooLate = begun->onProposal(applied("a"), now);
+    CHECK_FALSE(tooLate.send);
+    CHECK(storedOutcome(tooLate) == Outcome::NotRun);
+
+    const auto it = make("a", 0);
+    it->start(now);
+    const auto none = it->onProposal(applied("a"), now);
+    CHECK(errorOf(none) == ErrorKind::NoReplica);
+    CHECK(storedOutcome(none) == Outcome::NotRun);
+}
+
+namespace {
+
+/// Stand-in for the control log: applies proposals in order, at once, late or never, and may hide the result.
+struct LogStandIn {
+    std::optional<KeyedRecord> record;
+    std::vector<KeyedProposal> delayed;
+
+    void apply(const KeyedProposal& proposal)
+    {
+        if (const auto* begin = std::get_if<BeginKeyed>(&proposal)) {
+            if (!record || (record->finished && record->finished->outcome == Outcome::NotRun))
+                record = KeyedRecord { begin->attempt, begin->fingerprint, {} };
+        } else if (const auto& finish = std::get<FinishKeyed>(proposal);
+                   record && record->attempt == finish.attempt && !record->finished) {
+            record->finished = finish.result;
+        }
+    }
+};
+
+} // namespace
+
+// Guards, over random delays, lost replies and resends with fixed seeds, against a request that runs twice and against
+// "not run" while it ran.
+TEST_CASE("over all sends of a key the request runs at most once and every send is answered once")
+{
+    for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        Fixture fixture;
+        LogStandIn log;
+        int runs = 0;
+        std::vector<std::unique_ptr<Execution>> sends;
+        std::vector<int> finishes(3);
+        std::vector<int> dispatches(3);
+        std::vector<bool> claimsNotRun(3);
+        struct Event {
+            std::size_t send;
+            std::function<KeyedActions(Execution&)> deliver;
+        };
+        std::vector<Event> events;
+        const auto take = [&](std::size_t i, const KeyedActions& actions) {
+            if (actions.finish) {
+                ++finishes[i];
+                if (const auto* error = std::get_if<Error>(&*actions.finish))
+                    claimsNotRun[i] = errorAnswer(error->kind()).outcome == Outcome::NotRun;
+            }
+            if (actions.propose) {
+                const auto fate = random() % 4;
+                ProposalReply reply { fate == 0 ? ProposalStatus::Unknown : ProposalStatus::Applied, {} };
+                if (fate == 1 && random() % 2 == 0)
+                    reply.status = ProposalStatus::NotApplied;
+                else if (fate == 0 && random() % 2 == 0)
+                    log.delayed.push_back(*actions.propose);
+                else
+                    log.apply(*actions.propose);
+                if (reply.status == ProposalStatus::Applied)
+                    reply.record = log.record;
+                events.push_back({ i, [reply, &fixture](Execution& it) { return it.onProposal(reply, fixture.now); } });
+            }
+            if (actions.readRecord) {
+                const RecordReply reply { random() % 4 != 0, log.record };
+                events.push_back({ i, [reply, &fixture](Execution& it) { return it.onRecord(reply, fixture.now); } });
+            }
+            if (actions.send) {
+                ++dispatches[i];
+                const auto ran = random() % 2 == 0;
+                runs += ran ? 1 : 0;
+                const auto status
+                    = ran ? (random() % 2 == 0 ? PartStatus::Ok : PartStatus::Crashed) : PartStatus::Refused;
+                const auto outcome = ran ? Outcome::MayHaveRun : Outcome::NotRun;
+                const auto end = Fixture::result(*actions.send, status, outcome);
+                events.push_back({ i, [end, &fixture](Execution& it) { return it.onResult(end, fixture.now); } });
+            }
+        };
+        for (int step = 0; step < 300; ++step) {
+            fixture.now += milliseconds(random() % 20);
+            if (sends.size() < 3 && random() % 10 == 0) {
+                sends.push_back(fixture.make(std::string(1, static_cast<char>('a' + sends.size()))));
+                take(sends.size() - 1, sends.back()->start(fixture.now));
+            } else if (!events.empty() && random() % 2 == 0) {
+                const auto index = random() % events.size();
+                const auto event = events[index];
+                events.erase(events.begin() + static_cast<long>(index));
+                take(event.send, event.deliver(*sends[event.send]));
+            } else if (!log.delayed.empty() && random() % 10 == 0) {
+                log.apply(log.delayed.back());
+                log.delayed.pop_back();
+            } else if (!sends.empty()) {
+                const auto i = random() % sends.size();
+                take(i, sends[i]->onTimer(fixture.now));
+            }
+        }
+        fixture.now += seconds(60);
+        for (std::size_t i = 0; i < sends.size(); ++i) {
+            take(i, sends[i]->onTimer(fixture.now));
+            CHECK(finishes[i] == 1);
+            CHECK(dispatches[i] <= 1);
+        }
+        CHECK(runs <= 1);
+        if (std::all_of(claimsNotRun.begin(), claimsNotRun.begin() + static_cast<long>(sends.size()), std::identity {}))
+            CHECK(runs == 0);
+    }
+}
