--- /dev/null
+++ b/policy/FairShares.cpp
@@ -0,0 +1,79 @@
+#include "policy/FairShares.h"
+
+#include <algorithm>
+
+namespace citronplank {
+
+ShareVerdict FairShares::admit(const std::string& name, const Rules& rules, TimePoint now)
+{
+    forgetIdle(now);
+    auto [it, isNew] = m_customers.try_emplace(name);
+    auto& customer = it->second;
+    const auto rule = rules.customerShares.find(name);
+    const double weight = rule == rules.customerShares.end() ? 1.0 : rule->second;
+    m_totalWeight += weight - (isNew ? 0.0 : customer.weight);
+    customer.weight = weight;
+    const bool isFull = m_total >= m_settings.capacity;
+    const bool isBorrowing = customer.inUse + 1 > shareOf(customer);
+    auto verdict = isFull ? ShareVerdict::Full : ShareVerdict::Admitted;
+    if (m_settings.enabled && isBorrowing) {
+        const bool othersWait = std::any_of(m_customers.begin(), m_customers.end(),
+            [&](const auto& other) { return other.first != name && hasDemand(other.second, now); });
+        if (isFull || othersWait)
+            verdict = ShareVerdict::OverShare;
+    }
+    if (verdict == ShareVerdict::Admitted) {
+        ++customer.inUse;
+        ++m_total;
+    } else if (verdict == ShareVerdict::Full) {
+        customer.refusedAt = now;
+    } else if (isNew) {
+        m_totalWeight -= customer.weight;
+        m_customers.erase(it);
+    }
+    return verdict;
+}
+
+void FairShares::release(const std::string& name, TimePoint now)
+{
+    const auto it = m_customers.find(name);
+    if (it == m_customers.end() || it->second.inUse == 0)
+        return;
+    --it->second.inUse;
+    --m_total;
+    if (it->second.inUse == 0 && !hasDemand(it->second, now)) {
+        m_totalWeight -= it->second.weight;
+        m_customers.erase(it);
+    }
+}
+
+std::uint32_t FairShares::inUse(const std::string& name) const
+{
+    const auto it = m_customers.find(name);
+    return it == m_customers.end() ? 0 : it->second.inUse;
+}
+
+/// Drops customers that only a past refusal kept active, at most once per demand window.
+void FairShares::forgetIdle(TimePoint now)
+{
+    if (now < m_nextForget)
+        return;
+    m_nextForget = now + m_settings.demandWindow;
+    std::erase_if(m_customers, [&](const auto& it) { return it.second.inUse == 0 && !hasDemand(it.second, now); });
+    m_totalWeight = 0; // summed anew, so that rounding errors do not add up
+    for (const auto& [name, customer] : m_customers)
+        m_totalWeight += customer.weight;
+}
+
+bool FairShares::hasDemand(const Customer& it, TimePoint now) const
+{
+    return it.refusedAt && now < *it.refusedAt + m_settings.demandWindow && it.inUse < shareOf(it);
+}
+
+/// At least 1, so that a customer with a small weight is not shut out.
+double FairShares::shareOf(const Customer& it) const
+{
+    return m_totalWeight <= 0 ? 1.0 : std::max(1.0, m_settings.capacity * it.weight / m_totalWeight);
+}
+
+} // namespace citronplank
--- a/policy/ReplicaChooser.cpp
+++ b/policy/ReplicaChooser.cpp
@@ -10,8 +10,8 @@
 constexpr double unknownLatencySeconds = 0.001; // used only until any replica of the shard has answered
 constexpr double risingWeight = 0.5;            // a slow answer counts at once, so a straggler is avoided early
 constexpr double refusalGrowth = 2.0;
-constexpr double greatestLatencySeconds = 10.0; // the greatest deadline
-constexpr double fallingWeight = 0.1;           // a single fast answer does not yet mean that the leaf has recovered
+constexpr double greatestPenalty = 64.0; // fades below 2 within six half-lives
+constexpr double fallingWeight = 0.1;    // a single fast answer does not yet mean that the leaf has recovered
 
 double secondsOf(Duration it) { return std::chrono::duration<double>(it).count(); }
 
@@ -65,7 +65,13 @@
     if (it == m_leaves.end())
         return unknownLatency;
     const double latency = it->second.latencySeconds > 0 ? estimatedLatency(it->second, now) : unknownLatency;
-    return latency * (it->second.inFlight + 1);
+    return latency * (it->second.inFlight + 1) * penaltyOf(it->second, now);
+}
+
+double ReplicaChooser::penaltyOf(const Leaf& leaf, TimePoint now) const
+{
+    const double age = std::max(0.0, secondsOf(now - leaf.refusedAt));
+    return 1 + (leaf.penalty - 1) * std::exp2(-age / secondsOf(m_settings.latencyHalfLife));
 }
 
 double ReplicaChooser::estimatedLatency(const Leaf& leaf, TimePoint now) const
@@ -103,6 +109,9 @@
 {
     auto& it = finish(leaf, now);
     observe(it, latency, now);
+    // Each answer takes back half of the doublings, so a leaf that only sheds peaks returns after a few answers.
+    it.penalty = std::sqrt(penaltyOf(it, now));
+    it.refusedAt = now;
     it.failures = 0;
     if (it.ejectedUntil <= now)
         it.ejections = 0;
@@ -124,9 +133,8 @@
 void ReplicaChooser::onRefused(const std::string& leaf, TimePoint now)
 {
     auto& it = finish(leaf, now);
-    const double old = it.latencySeconds > 0 ? estimatedLatency(it, now) : unknownLatencySeconds;
-    it.latencySeconds = std::min(refusalGrowth * old, greatestLatencySeconds);
-    it.observedAt = now;
+    it.penalty = std::min(refusalGrowth * penaltyOf(it, now), greatestPenalty);
+    it.refusedAt = now;
 }
 
 void ReplicaChooser::onAbandoned(const std::string& leaf, Duration elapsed, TimePoint now)
--- a/policy/ReplicaChooser.h
+++ b/policy/ReplicaChooser.h
@@ -55,6 +55,8 @@
         double latencySeconds = 0; // 0: nothing observed
         TimePoint observedAt;
         TimePoint usedAt;
+        double penalty = 1; // factor on the cost, raised by refusals
+        TimePoint refusedAt;
         std::uint32_t failures = 0;  // in a row
         std::uint32_t ejections = 0; // without a success in between
         TimePoint ejectedUntil;
@@ -63,6 +65,7 @@
     Leaf& finish(const std::string& leaf, TimePoint now);
     void observe(Leaf&, Duration latency, TimePoint now);
     double estimatedLatency(const Leaf&, TimePoint now) const;
+    double penaltyOf(const Leaf&, TimePoint now) const;
     double cost(const std::string& leaf, double unknownLatency, TimePoint now) const;
     std::size_t chooseByCost(
         std::span<const Announcement* const> candidates, std::uint64_t random, TimePoint now) const;
