--- a/tests/PolicyTests.cpp
+++ b/tests/PolicyTests.cpp
@@ -277,7 +277,7 @@
     CHECK(list.stateOf(2, now) == Suspicion::None);
     list.expire(now);
     CHECK(list.size() == 1);
-    for (std::uint64_t i = 0; i < 2 * SuspicionList::greatestSize; i += 7)
+    for (std::uint64_t i = 0; i < SuspicionList::greatestSize + 10; ++i)
         list.onCrash({ .fingerprint = 100 + i }, now + seconds(1));
     CHECK(list.size() <= SuspicionList::greatestSize);
     CHECK(list.stateOf(1, now + std::chrono::minutes(5)) == Suspicion::None);
