Add the command-line tool

A partial answer has an exit code of its own, so that a script cannot take a half-list for a complete one. The request key is printed before the request is sent, so that an interrupted call can be sent again without running twice.

--- /dev/null
+++ b/tool/Options.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "tool/Tool.h"
+
+#include <map>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace citronplank {
+
+/// One flag of a subcommand.
+struct OptionRow {
+    const char* flag;
+    const char* argument; // null: the flag takes no value
+    const char* text;
+    const char* fallback; // null: required; empty: absent by default
+};
+
+struct Options {
+    std::map<std::string, std::string, std::less<>> values; // by flag; with defaults filled in
+    std::vector<std::string> operands;
+    bool wantsHelp = false;
+
+    const std::string& at(std::string_view flag) const { return values.find(flag)->second; }
+    bool has(std::string_view flag) const { return values.count(flag) != 0; }
+};
+
+/// Wrong use of the tool; `what()` names the flag or word.
+class UsageError : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Reads flags and operands behind the subcommand; a missing flag is taken from the environment
+/// (`CITRONPLANK_` and the flag in upper case). Throws UsageError. Thread safe.
+Options readOptions(std::span<const char* const> arguments, std::span<const OptionRow>, const ToolEnvironment&);
+
+/// Name of a flag's environment variable.
+std::string environmentNameOf(std::string_view flag);
+
+} // namespace citronplank
--- /dev/null
+++ b/tool/Render.cpp
@@ -0,0 +1,84 @@
+#include "tool/Render.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronplank {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string plain(const Json& value)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string textIn(const Json& object, const char* name)
+{
+    const auto it = object.find(name);
+    return it == object.end() ? "?" : plain(*it);
+}
+
+void appendTree(std::string& text, const Json& value, std::size_t depth)
+{
+    const std::string indent(depth * 2, ' ');
+    std::size_t index = 0;
+    for (const auto& item : value.items()) {
+        const std::string label = value.is_array() ? "[" + std::to_string(index++) + "]" : item.key();
+        text.append(indent).append(label).append(":");
+        if (item.value().is_structured() && !item.value().empty()) {
+            text += "\n";
+            appendTree(text, item.value(), depth + 1);
+        } else {
+            text.append(" ").append(plain(item.value())).append("\n");
+        }
+    }
+}
+
+} // namespace
+
+std::string renderTree(const Json& value)
+{
+    if (!value.is_structured() || value.empty())
+        return plain(value) + "\n";
+    std::string text;
+    appendTree(text, value, 0);
+    return text;
+}
+
+std::string renderQueryAnswer(const Json& answer)
+{
+    const Json coverage = answer.value("coverage", Json::object());
+    std::string text = "index version " + textIn(answer, "index_version") + ", "
+        + (isWhole(answer) ? "complete: " : "PARTIAL: ") + textIn(coverage, "answered") + " of "
+        + textIn(coverage, "total") + " shards\n";
+    const Json missing = coverage.value("missing", Json::array());
+    for (const Json& it : missing)
+        text.append("missing shard ")
+            .append(textIn(it, "shard"))
+            .append(": ")
+            .append(textIn(it, "reason"))
+            .append("\n");
+    const Json items = answer.value("items", Json::array());
+    for (const Json& it : items)
+        text.append(plain(it)).append("\n");
+    return text;
+}
+
+std::string renderErrorAnswer(const Json& answer, int httpStatus)
+{
+    if (!answer.is_object() || !answer.contains("error"))
+        return "HTTP status " + std::to_string(httpStatus) + " without an explanation\n";
+    return textIn(answer, "error") + ": " + textIn(answer, "message") + " (outcome: " + textIn(answer, "outcome")
+        + ", retry: " + textIn(answer, "retry") + ")\n";
+}
+
+bool isWhole(const Json& answer)
+{
+    const auto coverage = answer.find("coverage");
+    return coverage != answer.end() && coverage->is_object() && coverage->value("whole", false);
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/tool/Tool.cpp
@@ -0,0 +1,275 @@
+#include "tool/Tool.h"
+
+#include "daemon/Version.h"
+#include "tool/Options.h"
+#include "tool/Render.h"
+
+#include <array>
+#include <chrono>
+#include <fstream>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <random>
+#include <sstream>
+
+namespace citronplank {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds connectTimeout { 2000 };
+constexpr milliseconds answerMargin { 2000 }; // beyond the deadline, for the way of the answer
+constexpr milliseconds adminTimeout { 10000 };
+
+struct Context {
+    const Options& options;
+    std::ostream& out;
+    std::ostream& err;
+};
+
+struct Command {
+    const char* name;
+    const char* operands;
+    const char* text;
+    std::span<const OptionRow> rows;
+    int (*run)(const Context&);
+};
+
+constexpr OptionRow jsonRow { "json", nullptr, "print the answer as JSON", "" };
+constexpr OptionRow callerRow { "caller-address", "IP:PORT", "callers' address of an entry", nullptr };
+constexpr OptionRow adminRow { "admin-address", "IP:PORT", "administration address of a daemon", nullptr };
+constexpr OptionRow serviceRow { "service", "NAME", "service to ask", nullptr };
+constexpr OptionRow operationRow { "operation", "NAME", "operation to run", nullptr };
+constexpr OptionRow customerRow { "customer", "NAME", "customer on whose behalf", "" };
+constexpr OptionRow deadlineRow { "deadline", "MS", "milliseconds until the answer is needed", "1000" };
+constexpr OptionRow bodyRow { "body", "TEXT", "body for the back ends; @FILE reads it from a file", "" };
+
+constexpr std::array queryRows { callerRow, serviceRow, operationRow, customerRow, deadlineRow, bodyRow, jsonRow };
+constexpr std::array requestRows { callerRow, serviceRow, operationRow,
+    OptionRow { "routing", "TEXT", "routing key; its hash chooses the shard", nullptr },
+    OptionRow { "key", "KEY", "request key of an earlier send; a new one is made and printed without it", "" },
+    customerRow, deadlineRow, bodyRow, jsonRow };
+constexpr std::array adminRows { adminRow, jsonRow };
+
+httplib::Client clientFor(const std::string& address, milliseconds readTimeout)
+{
+    const std::size_t colon = address.rfind(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+    if (port <= 0 || port > 65535)
+        throw UsageError("'" + address + "' is not IP:PORT");
+    httplib::Client client(address.substr(0, colon), port);
+    client.set_connection_timeout(connectTimeout);
+    client.set_read_timeout(readTimeout);
+    return client;
+}
+
+long deadlineOf(const Options& options)
+{
+    const std::string& text = options.at("deadline");
+    char* end = nullptr;
+    const long deadline = std::strtol(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0' || deadline <= 0 || deadline > 600000)
+        throw UsageError("--deadline: '" + text + "' is not a number of milliseconds between 1 and 600000");
+    return deadline;
+}
+
+std::string bodyOf(const Options& options)
+{
+    if (!options.has("body"))
+        return {};
+    const std::string& text = options.at("body");
+    if (!text.starts_with('@'))
+        return text;
+    const std::ifstream file(text.substr(1), std::ios::binary);
+    if (!file)
+        throw UsageError("--body: cannot read " + text.substr(1));
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+Json callOf(const Options& options)
+{
+    Json call { { "service", options.at("service") }, { "operation", options.at("operation") },
+        { "deadline_ms", deadlineOf(options) }, { "body", bodyOf(options) } };
+    if (options.has("customer"))
+        call["customer"] = options.at("customer");
+    return call;
+}
+
+std::string newRequestKey()
+{
+    std::random_device random;
+    const auto now
+        = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch());
+    std::ostringstream key;
+    key << now.count() << '-' << std::hex << random() << random() << random();
+    return key.str();
+}
+
+int reportUnreachable(const Context& context, const std::string& address, httplib::Error error)
+{
+    const bool connected = error != httplib::Error::Connection && error != httplib::Error::ConnectionTimeout;
+    context.err << "citronplank: " << (connected ? "the connection ended before the answer from " : "no connection to ")
+                << address << " (" << httplib::to_string(error) << ")\n";
+    return exitUnreachable;
+}
+
+/// Prints an answer as JSON or by `render`, and errors to `err`. Returns exit code 0 or 1.
+int reportAnswer(
+    const Context& context, const httplib::Response& response, const std::function<std::string(const Json&)>& render)
+{
+    const Json answer = Json::parse(response.body, nullptr, false);
+    const bool failed = response.status != 200;
+    if (context.options.has("json"))
+        context.out << response.body << "\n";
+    else if (failed)
+        context.err << "citronplank: " << renderErrorAnswer(answer, response.status);
+    else if (!answer.is_discarded())
+        context.out << render(answer);
+    if (answer.is_discarded() && !failed)
+        context.err << "citronplank: the answer is not JSON\n";
+    return failed || answer.is_discarded() ? exitErrorAnswer : exitOk;
+}
+
+int runQuery(const Context& context)
+{
+    const std::string& address = context.options.at("caller-address");
+    const Json call = callOf(context.options);
+    httplib::Client client = clientFor(address, milliseconds(deadlineOf(context.options)) + answerMargin);
+    const auto result = client.Post("/query", call.dump(), "application/json");
+    if (!result)
+        return reportUnreachable(context, address, result.error());
+    const int code = reportAnswer(context, *result, renderQueryAnswer);
+    if (code != exitOk)
+        return code;
+    return isWhole(Json::parse(result->body, nullptr, false)) ? exitOk : exitPartial;
+}
+
+int runRequest(const Context& context)
+{
+    const std::string& address = context.options.at("caller-address");
+    const std::string key = context.options.has("key") ? context.options.at("key") : newRequestKey();
+    Json call = callOf(context.options);
+    call["routing"] = context.options.at("routing");
+    httplib::Client client = clientFor(address, milliseconds(deadlineOf(context.options)) + answerMargin);
+    // Printed before the request is sent, so that an interrupted call can be sent again without running twice.
+    context.err << "request key: " << key << std::endl;
+    const auto result = client.Post("/request", { { "Request-Key", key } }, call.dump(), "application/json");
+    if (result)
+        return reportAnswer(context, *result, renderTree);
+    const int code = reportUnreachable(context, address, result.error());
+    context.err << "citronplank: the request may have run; send it again with --key=" << key << "\n";
+    return code;
+}
+
+int runAdmin(const Context& context, const char* path, const std::function<std::string(const Json&)>& render)
+{
+    const std::string& address = context.options.at("admin-address");
+    const auto result = clientFor(address, adminTimeout).Get(path);
+    if (!result)
+        return reportUnreachable(context, address, result.error());
+    return reportAnswer(context, *result, render);
+}
+
+int runStatus(const Context& context) { return runAdmin(context, "/status", renderTree); }
+
+int runDump(const Context& context)
+{
+    return runAdmin(context, "/dump", [](const Json& dump) { return dump.dump(2) + "\n"; });
+}
+
+int runVersion(const Context& context)
+{
+    context.out << "citronplank " << versionText() << "\n";
+    return exitOk;
+}
+
+const std::array commands {
+    Command {
+        "query", "", "Asks all shards of a service and prints one answer with its coverage.", queryRows, runQuery },
+    Command { "request", "", "Runs an operation that changes something, at most once.", requestRows, runRequest },
+    Command { "status", "", "Prints the state of a daemon in short.", adminRows, runStatus },
+    Command { "dump", "", "Prints the whole state of a daemon.", adminRows, runDump },
+    Command { "version", "", "Prints the version of this tool.", {}, runVersion },
+};
+
+std::string commandHelp(const Command& command)
+{
+    std::string text = std::string("Usage: citronplank ") + command.name + command.operands
+        + (command.rows.empty() ? "" : " [FLAG]...") + "\n" + command.text + "\n";
+    if (!command.rows.empty())
+        text += "\nFlags:\n";
+    for (const OptionRow& row : command.rows) {
+        text.append("  --").append(row.flag);
+        if (row.argument)
+            text.append("=").append(row.argument);
+        text.append("\n        ").append(row.text);
+        if (!row.argument) {
+            text += "\n";
+            continue;
+        }
+        if (!row.fallback)
+            text += ". Required";
+        else if (row.fallback[0] != '\0')
+            text.append(". Default: ").append(row.fallback);
+        text.append(". Environment: ").append(environmentNameOf(row.flag)).append("\n");
+    }
+    return text;
+}
+
+std::string toolHelp()
+{
+    std::string text = "Usage: citronplank COMMAND [FLAG]...\n\nCommands:\n";
+    for (const Command& it : commands)
+        text.append("  ").append(it.name).append(it.operands).append("\n        ").append(it.text).append("\n");
+    return text
+        + "\n`citronplank COMMAND --help` lists the flags of a command. Answers go to stdout, messages to stderr.\n"
+          "\nExit codes:\n"
+          "  0  done\n"
+          "  1  the answer is an error or a refusal, or a checked file is wrong\n"
+          "  2  wrong use; nothing was sent\n"
+          "  3  unreachable: no connection, or it ended before the answer\n"
+          "  4  the answer to a query is partial\n";
+}
+
+int runCommand(const Command& command, std::span<const char* const> arguments, const ToolEnvironment& environment,
+    std::ostream& out, std::ostream& err)
+{
+    const Options options = readOptions(arguments, command.rows, environment);
+    if (options.wantsHelp) {
+        out << commandHelp(command);
+        return exitOk;
+    }
+    const std::size_t operands = command.operands[0] == '\0' ? 0 : 1;
+    if (options.operands.size() != operands)
+        throw UsageError(options.operands.size() > operands ? "'" + options.operands.back() + "' is not expected"
+                                                            : std::string(command.operands + 1) + " is missing");
+    return command.run({ options, out, err });
+}
+
+} // namespace
+
+int runTool(int argc, const char* const* argv, const ToolEnvironment& environment, std::ostream& out, std::ostream& err)
+{
+    const std::string_view name = argc > 1 ? argv[1] : "";
+    if (name == "--help" || name == "-h") {
+        out << toolHelp();
+        return exitOk;
+    }
+    try {
+        for (const Command& command : commands) {
+            if (name == command.name)
+                return runCommand(command, { argv + 2, static_cast<std::size_t>(argc) - 2 }, environment, out, err);
+        }
+        throw UsageError(name.empty() ? "a command is missing" : "'" + std::string(name) + "' is not a command");
+    } catch (const UsageError& error) {
+        err << "citronplank: " << error.what() << "; see citronplank --help\n";
+        return exitUsage;
+    }
+}
+
+} // namespace citronplank
