Add the link relay

Failure tests need links between daemons that are slow, cut, lossy or silent while both sockets stay open. A silent TCP link stops reading and passes everything on when it ends, as retransmission does after a partition; discarding the bytes instead would have corrupted the stream. Connections silenced with silence_open stay silent for good.

--- /dev/null
+++ b/standins/relay/TcpLink.cpp
@@ -0,0 +1,218 @@
+#include "standins/relay/Relay.h"
+
+namespace standins {
+
+namespace {
+
+class TcpLink;
+
+/// One relayed connection: two sockets, each direction with its own delay line.
+class Pair : public std::enable_shared_from_this<Pair> {
+public:
+    Pair(asio::io_context& io, TcpLink& link, tcp::socket accepted)
+        : m_link(link)
+        , m_sides { Side { std::move(accepted), DelayLine(io) }, Side { tcp::socket(io), DelayLine(io) } }
+    {
+    }
+
+    void start(const tcp::endpoint& target);
+    void close(bool reset);
+    void silence() { m_isSilent = true; }
+    /// Passes on what a silent link held back.
+    void resume();
+
+private:
+    struct Side {
+        tcp::socket socket;
+        DelayLine line; // of data that this side sent
+        std::array<char, 65536> buffer {};
+        std::deque<std::string> output; // an empty piece is the end of the stream
+        bool isWriting = false;
+        bool isPaused = false; // reading stopped while the link was silent
+        bool hasEnded = false;
+    };
+
+    bool isHeld() const;
+    void read(int from);
+    void pass(int from, std::string data);
+    void write(int to);
+    void endStream(int to);
+
+    TcpLink& m_link;
+    std::array<Side, 2> m_sides; // 0: caller, 1: target
+    bool m_isSilent = false;
+    bool m_isClosed = false;
+};
+
+class TcpLink : public Link {
+public:
+    TcpLink(asio::io_context& io, std::string name, const tcp::endpoint& listen, const tcp::endpoint& target,
+        std::uint64_t seed)
+        : Link(std::move(name), seed)
+        , m_io(io)
+        , m_acceptor(io, listen)
+        , m_target(target)
+    {
+        accept();
+    }
+
+    LinkCounts counts() const override
+    {
+        auto counts = m_counts;
+        counts.open = m_pairs.size();
+        return counts;
+    }
+    void reset() override
+    {
+        for (const auto& pair : std::set(m_pairs))
+            pair->close(true);
+    }
+    void silenceOpen() override
+    {
+        for (const auto& pair : m_pairs)
+            pair->silence();
+    }
+    void onFaultsChanged() override
+    {
+        for (const auto& pair : std::set(m_pairs))
+            pair->resume();
+    }
+    void remove(const std::shared_ptr<Pair>& pair) { m_pairs.erase(pair); }
+    void count(std::size_t bytes) { m_counts.bytes += bytes; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](asio::error_code ec, tcp::socket socket) {
+            if (ec == asio::error::operation_aborted)
+                return;
+            if (!ec && faults().isCut) {
+                asio::error_code ignored;
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            } else if (!ec) {
+                ++m_counts.accepted;
+                const auto pair = std::make_shared<Pair>(m_io, *this, std::move(socket));
+                m_pairs.insert(pair);
+                pair->start(m_target);
+            }
+            accept();
+        });
+    }
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+    tcp::endpoint m_target;
+    std::set<std::shared_ptr<Pair>> m_pairs;
+    LinkCounts m_counts;
+};
+
+void Pair::start(const tcp::endpoint& target)
+{
+    m_sides[1].socket.async_connect(target, [self = shared_from_this()](asio::error_code ec) {
+        if (ec)
+            return self->close(true);
+        asio::error_code ignored;
+        for (auto& side : self->m_sides)
+            side.socket.set_option(tcp::no_delay(true), ignored);
+        self->read(0);
+        self->read(1);
+    });
+}
+
+void Pair::close(bool reset)
+{
+    if (std::exchange(m_isClosed, true))
+        return;
+    const auto self = shared_from_this();
+    asio::error_code ec;
+    for (auto& side : m_sides) {
+        side.line.clear();
+        if (reset)
+            side.socket.set_option(asio::socket_base::linger(true, 0), ec);
+        side.socket.close(ec);
+    }
+    m_link.remove(self);
+}
+
+void Pair::read(int from)
+{
+    auto& side = m_sides[from];
+    side.socket.async_read_some(
+        asio::buffer(side.buffer), [self = shared_from_this(), from](asio::error_code ec, std::size_t n) {
+            auto& it = self->m_sides[from];
+            if (self->m_isClosed)
+                return;
+            if (ec && ec != asio::error::eof)
+                return self->close(true);
+            it.line.push(ec ? std::string() : std::string(it.buffer.data(), n), self->m_link.drawDelay(),
+                [weak = self->weak_from_this(), from](std::string data) {
+                    if (const auto pair = weak.lock())
+                        pair->pass(from, std::move(data));
+                });
+            it.isPaused = !ec && self->isHeld();
+            if (!ec && !it.isPaused)
+                self->read(from);
+        });
+}
+
+bool Pair::isHeld() const { return m_isSilent || m_link.faults().isSilent; }
+
+void Pair::resume()
+{
+    if (m_isClosed || isHeld())
+        return;
+    for (int i = 0; i < 2; ++i) {
+        write(i);
+        if (std::exchange(m_sides[i].isPaused, false))
+            read(i);
+    }
+}
+
+void Pair::pass(int from, std::string data)
+{
+    if (m_isClosed)
+        return;
+    m_link.count(data.size());
+    m_sides[1 - from].output.push_back(std::move(data));
+    write(1 - from);
+}
+
+void Pair::write(int to)
+{
+    auto& side = m_sides[to];
+    if (side.isWriting || side.output.empty() || isHeld())
+        return;
+    if (side.output.front().empty())
+        return endStream(to);
+    side.isWriting = true;
+    asio::async_write(side.socket, asio::buffer(side.output.front()),
+        [self = shared_from_this(), to](asio::error_code ec, std::size_t) {
+            auto& it = self->m_sides[to];
+            it.isWriting = false;
+            if (self->m_isClosed)
+                return;
+            if (ec)
+                return self->close(true);
+            it.output.pop_front();
+            self->write(to);
+        });
+}
+
+void Pair::endStream(int to)
+{
+    asio::error_code ec;
+    m_sides[to].socket.shutdown(tcp::socket::shutdown_send, ec);
+    m_sides[to].hasEnded = true;
+    if (m_sides[1 - to].hasEnded)
+        close(false);
+}
+
+} // namespace
+
+std::unique_ptr<Link> makeTcpLink(
+    asio::io_context& io, std::string name, const std::string& listen, const std::string& target, std::uint64_t seed)
+{
+    return std::make_unique<TcpLink>(io, std::move(name), parseEndpoint(listen), parseEndpoint(target), seed);
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/relay/UdpLink.cpp
@@ -0,0 +1,103 @@
+#include "standins/relay/Relay.h"
+
+#include <map>
+
+namespace standins {
+
+namespace {
+
+using asio::ip::udp;
+
+udp::endpoint toUdp(const tcp::endpoint& endpoint) { return { endpoint.address(), endpoint.port() }; }
+
+/// Relays datagrams. Each sender gets a socket of its own towards the target, so that answers find their way back.
+class UdpLink : public Link {
+public:
+    UdpLink(
+        asio::io_context& io, std::string name, const udp::endpoint& listen, udp::endpoint target, std::uint64_t seed)
+        : Link(std::move(name), seed)
+        , m_io(io)
+        , m_socket(io, listen)
+        , m_target(std::move(target))
+        , m_line(io)
+    {
+        receive();
+    }
+
+    LinkCounts counts() const override { return m_counts; }
+
+private:
+    struct Flow {
+        udp::socket socket;
+        DelayLine line;
+        std::array<char, 65536> buffer {};
+    };
+
+    void receive()
+    {
+        m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](asio::error_code ec, std::size_t n) {
+            if (ec == asio::error::operation_aborted)
+                return;
+            if (!ec && !isLost())
+                forward(std::string(m_buffer.data(), n));
+            receive();
+        });
+    }
+
+    void forward(std::string data)
+    {
+        auto& flow = m_flows[m_sender];
+        if (!flow) {
+            flow = std::make_unique<Flow>(
+                Flow { udp::socket(m_io, udp::endpoint(m_target.protocol(), 0)), DelayLine(m_io) });
+            receiveAnswer(*flow, m_sender);
+        }
+        flow->line.push(std::move(data), drawDelay(), [this, it = flow.get()](const std::string& piece) {
+            asio::error_code ec;
+            it->socket.send_to(asio::buffer(piece), m_target, 0, ec);
+            ++m_counts.datagrams;
+        });
+    }
+
+    void receiveAnswer(Flow& flow, const udp::endpoint& sender)
+    {
+        flow.socket.async_receive(asio::buffer(flow.buffer), [this, &flow, sender](asio::error_code ec, std::size_t n) {
+            if (ec == asio::error::operation_aborted)
+                return;
+            if (!ec && !isLost())
+                m_line.push(std::string(flow.buffer.data(), n), drawDelay(), [this, sender](const std::string& piece) {
+                    asio::error_code ignored;
+                    m_socket.send_to(asio::buffer(piece), sender, 0, ignored);
+                    ++m_counts.datagrams;
+                });
+            receiveAnswer(flow, sender);
+        });
+    }
+
+    bool isLost()
+    {
+        const bool lost = faults().isCut || faults().isSilent || drawLoss();
+        m_counts.lost += lost;
+        return lost;
+    }
+
+    asio::io_context& m_io;
+    udp::socket m_socket;
+    udp::endpoint m_target;
+    udp::endpoint m_sender;
+    std::array<char, 65536> m_buffer {};
+    DelayLine m_line; // of all answers
+    std::map<udp::endpoint, std::unique_ptr<Flow>> m_flows;
+    LinkCounts m_counts;
+};
+
+} // namespace
+
+std::unique_ptr<Link> makeUdpLink(
+    asio::io_context& io, std::string name, const std::string& listen, const std::string& target, std::uint64_t seed)
+{
+    return std::make_unique<UdpLink>(
+        io, std::move(name), toUdp(parseEndpoint(listen)), toUdp(parseEndpoint(target)), seed);
+}
+
+} // namespace standins
