--- /dev/null
+++ b/spec/ZoneLease.m
@@ -0,0 +1,237 @@
+-- Zone lease: which member of a zone may send to a leaf at its full limit.
+--
+-- One leaf, one control leader, and members ranked by their hash for the leaf: the owner under a view is its member of the
+-- highest rank. Every exchange may be late or never happen, so a partition needs no state of its own. A request and its
+-- answer are one step, and a lease or grant lasts for its full time from that step, which is the longest it can last. Time
+-- is counted in ticks: a lease ends with the first tick, a wait with the second. Leases and grants are kept only for the
+-- owner, because no other member sends. Clock rate errors and the 60 s exception are not part of the model.
+--
+-- spec/check replaces the constants in this block.
+const
+  Views: 3;
+  LeaseTicks: 1;
+  WaitTicks: 2;
+  ConfirmationRule: true; -- a new owner waits before it sends
+  ChainRule: true;        -- the sign must hold for every earlier view, not only for the one before
+  -- The leader waits after the last lease of a member that it removes. The invariant holds without it, because a new owner
+  -- waits for longer than a lease after it has learned of the new view.
+  SilenceRule: true;
+  GrantRule: true;        -- a member that has adopted a newer view grants nothing on an older one
+
+type
+  Member: 1 .. 3; -- a smaller number is a higher rank
+  View: 0 .. Views;
+  Lease: 0 .. LeaseTicks;
+  Wait: 0 .. WaitTicks;
+
+var
+  latest: View;
+  isMember: array [View] of array [Member] of boolean;
+  sinceLease: array [Member] of Wait; -- at the leader: time to wait until the member may be removed
+  adopted: array [Member] of View;
+  lease: array [Member] of Lease;
+  grant: array [Member] of array [Member] of Lease; -- holder, granter
+  isConfirmed: array [Member] of boolean;
+  isWaiting: array [Member] of boolean;
+  wait: array [Member] of Wait;
+
+function isOwner(m: Member; v: View): boolean;
+begin
+  if v = 0 | !isMember[v][m] then
+    return false;
+  end;
+  for x: Member do
+    if x < m & isMember[v][x] then
+      return false;
+    end;
+  end;
+  return true;
+end;
+
+-- A member of v has adopted a newer view, so nobody holds v for longer than a lease.
+function isLeft(v: View): boolean;
+begin
+  for x: Member do
+    if isMember[v][x] & adopted[x] > v then
+      return true;
+    end;
+  end;
+  return false;
+end;
+
+function hasSign(v: View): boolean;
+begin
+  for u: View do
+    if u >= 1 & u < v & (ChainRule | u = v - 1) & !isLeft(u) then
+      return false;
+    end;
+  end;
+  return true;
+end;
+
+function allLeft(v: View): boolean;
+begin
+  for u: View do
+    if u >= 1 & u < v & (ChainRule | u = v - 1) then
+      for x: Member do
+        if isMember[u][x] & adopted[x] < v then
+          return false;
+        end;
+      end;
+    end;
+  end;
+  return true;
+end;
+
+function sendsFully(m: Member): boolean;
+var others: 0 .. 3;
+var granted: 0 .. 3;
+begin
+  if !isOwner(m, adopted[m]) | !isConfirmed[m] then
+    return false;
+  end;
+  others := 0;
+  granted := 0;
+  for x: Member do
+    if x != m & isMember[adopted[m]][x] then
+      others := others + 1;
+      if grant[m][x] > 0 then
+        granted := granted + 1;
+      end;
+    end;
+  end;
+  return lease[m] > 0 | (others > 0 & granted = others);
+end;
+
+procedure resetMember(m: Member);
+begin
+  lease[m] := 0;
+  isConfirmed[m] := false;
+  isWaiting[m] := false;
+  wait[m] := 0;
+  for x: Member do
+    grant[m][x] := 0;
+  end;
+end;
+
+ruleset a: boolean; b: boolean; c: boolean do
+startstate begin
+  latest := 1;
+  for v: View do
+    for m: Member do
+      isMember[v][m] := false;
+    end;
+  end;
+  isMember[1][1] := a;
+  isMember[1][2] := b;
+  isMember[1][3] := c | (!a & !b);
+  for m: Member do
+    sinceLease[m] := 0;
+    resetMember(m);
+    adopted[m] := 0;
+    if isMember[1][m] then
+      adopted[m] := 1;
+      isConfirmed[m] := isOwner(m, 1);
+    end;
+  end;
+end;
+end;
+
+ruleset a: boolean; b: boolean; c: boolean do
+  rule "commit the next view"
+    latest < Views & (a | b | c)
+      & (!SilenceRule | ((a | !isMember[latest][1] | sinceLease[1] = 0) & (b | !isMember[latest][2] | sinceLease[2] = 0)
+        & (c | !isMember[latest][3] | sinceLease[3] = 0)))
+  ==> begin
+    latest := latest + 1;
+    isMember[latest][1] := a;
+    isMember[latest][2] := b;
+    isMember[latest][3] := c;
+  end;
+end;
+
+ruleset m: Member; v: View do
+  rule "adopt a view"
+    v > adopted[m] & v <= latest
+  ==>
+  var keeps: boolean;
+  begin
+    keeps := isConfirmed[m] & v = adopted[m] + 1 & isOwner(m, v);
+    resetMember(m);
+    adopted[m] := v;
+    isConfirmed[m] := keeps | (isOwner(m, v) & !ConfirmationRule);
+  end;
+end;
+
+ruleset m: Member do
+  rule "leader's lease"
+    adopted[m] = latest & isMember[latest][m] & (lease[m] < LeaseTicks | sinceLease[m] < WaitTicks)
+  ==> begin
+    if isOwner(m, latest) then
+      lease[m] := LeaseTicks;
+    end;
+    sinceLease[m] := WaitTicks;
+  end;
+
+  rule "learn that earlier views are left"
+    isOwner(m, adopted[m]) & !isConfirmed[m] & !isWaiting[m] & hasSign(adopted[m])
+  ==> begin
+    isWaiting[m] := true;
+    wait[m] := WaitTicks;
+  end;
+
+  rule "learn that all members of earlier views have adopted this one"
+    isOwner(m, adopted[m]) & !isConfirmed[m] & allLeft(adopted[m])
+  ==> begin
+    isConfirmed[m] := true;
+    isWaiting[m] := false;
+    wait[m] := 0;
+  end;
+
+  rule "process restart"
+    lease[m] > 0 | isConfirmed[m] | isWaiting[m]
+  ==> begin
+    resetMember(m);
+  end;
+end;
+
+ruleset m: Member; x: Member do
+  rule "grant"
+    m != x & isOwner(m, adopted[m]) & isMember[adopted[m]][x] & grant[m][x] < LeaseTicks
+      & (adopted[x] = adopted[m] | (!GrantRule & adopted[x] > adopted[m]))
+  ==> begin
+    grant[m][x] := LeaseTicks;
+  end;
+end;
+
+rule "tick"
+  true
+==> begin
+  for m: Member do
+    if lease[m] > 0 then
+      lease[m] := lease[m] - 1;
+    end;
+    if sinceLease[m] > 0 then
+      sinceLease[m] := sinceLease[m] - 1;
+    end;
+    for x: Member do
+      if grant[m][x] > 0 then
+        grant[m][x] := grant[m][x] - 1;
+      end;
+    end;
+    if isWaiting[m] then
+      wait[m] := wait[m] - 1;
+      if wait[m] = 0 then
+        isWaiting[m] := false;
+        isConfirmed[m] := true;
+      end;
+    end;
+  end;
+end;
+
+invariant "no two members send to the leaf at its full limit"
+  forall m: Member do
+    forall x: Member do
+      m != x -> !(sendsFully(m) & sendsFully(x))
+    end
+  end;
