Fix the count of parts in flight in the stand-in leaf

A timer that has expired can no longer be cancelled: a part that was cancelled and reached its deadline in the same moment ended twice, the count wrapped below zero, and the leaf shed everything from then on.

--- a/standins/leaf/Leaf.cpp
+++ b/standins/leaf/Leaf.cpp
@@ -61,6 +61,8 @@
 
 void Leaf::boot()
 {
+    if (m_state == State::Serving || m_state == State::Hanging)
+        return;
     m_runTimer.cancel();
     m_server.open();
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -83,7 +85,7 @@
     m_state = State::Down;
     m_server.close();
     for (const auto& [session, part] : m_parts) {
-        part->timer->cancel();
+        end(*part);
         if (!part->isRunning)
             continue;
         --m_inFlight;
@@ -113,7 +115,7 @@
     for (const auto& session : m_sessions)
         session->silence();
     for (const auto& [session, part] : m_parts)
-        part->timer->cancel();
+        end(*part);
     afterRun(m_faults.hangMs, [this] { crash(); });
 }
 
@@ -155,15 +157,22 @@
     });
 }
 
-void Leaf::after(Part& part, double ms, std::function<void()> action)
+void Leaf::after(const PartPointer& part, double ms, std::function<void()> action)
 {
-    part.timer->expires_after(fromMilliseconds(ms));
-    part.timer->async_wait([action = std::move(action)](asio::error_code ec) {
-        if (!ec)
+    part->timer->expires_after(fromMilliseconds(ms));
+    part->timer->async_wait([part, action = std::move(action)](asio::error_code ec) {
+        // A timer that has expired can no longer be cancelled, so the part may have ended in the meantime.
+        if (!ec && !part->isOver)
             action();
     });
 }
 
+void Leaf::end(Part& part)
+{
+    part.isOver = true;
+    part.timer->cancel();
+}
+
 void Leaf::afterRun(double ms, std::function<void()> action)
 {
     m_runTimer.expires_after(fromMilliseconds(ms));
@@ -196,7 +205,7 @@
 {
     if (const auto it = m_parts.find(session); it != m_parts.end()) {
         const auto part = it->second;
-        part->timer->cancel();
+        end(*part);
         m_parts.erase(it);
         if (part->isRunning) {
             --m_inFlight;
@@ -246,7 +255,7 @@
         return refuse(part, 429, "shed");
     if (m_inFlight < m_capacity)
         return run(part);
-    after(*part, slotGraceMs, [this, part] { startOrShed(part); });
+    after(part, slotGraceMs, [this, part] { startOrShed(part); });
 }
 
 void Leaf::startOrShed(const PartPointer& part)
@@ -261,6 +270,7 @@
 
 void Leaf::refuse(const PartPointer& part, int status, const char* reason)
 {
+    end(*part);
     m_parts.erase(part->session.get());
     writeJournal("refused", reason, part.get());
     part->session->respond(status, "", nlohmann::json { { "error", reason } }.dump());
@@ -287,15 +297,16 @@
     const bool crashes
         = !m_faults.crashMarker.empty() && part->request.body.find(m_faults.crashMarker) != std::string::npos;
     if (crashes)
-        after(*part, std::min(ms, remaining) / 2, [this] { crash(); });
+        after(part, std::min(ms, remaining) / 2, [this] { crash(); });
     else if (ms > remaining)
-        after(*part, remaining, [this, part] { complete(part, "deadline"); });
+        after(part, remaining, [this, part] { complete(part, "deadline"); });
     else
-        after(*part, ms, [this, part] { complete(part, happens(m_faults.failRate) ? "failed" : "ok"); });
+        after(part, ms, [this, part] { complete(part, happens(m_faults.failRate) ? "failed" : "ok"); });
 }
 
 void Leaf::complete(const PartPointer& part, const char* result)
 {
+    end(*part);
     m_parts.erase(part->session.get());
     --m_inFlight;
     writeJournal("end", result, part.get());
--- a/standins/leaf/Leaf.h
+++ b/standins/leaf/Leaf.h
@@ -70,6 +70,7 @@
         std::unique_ptr<asio::steady_timer> timer;
         std::chrono::steady_clock::time_point deadline;
         bool isRunning = false;
+        bool isOver = false;
     };
     using PartPointer = std::shared_ptr<Part>;
 
@@ -82,7 +83,8 @@
     void refuse(const PartPointer& part, int status, const char* reason);
     void onSessionClosed(HttpSession* session);
     void endRun(const char* event);
-    void after(Part& part, double ms, std::function<void()> action);
+    void after(const PartPointer& part, double ms, std::function<void()> action);
+    static void end(Part& part);
     void afterRun(double ms, std::function<void()> action);
     double drawTime();
     bool happens(double rate) { return rate > 0 && std::uniform_real_distribution<double>()(m_random) < rate; }
