--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -1,34 +1,20 @@
 #include "coordination/Gossip.h"
+#include "coordination/GossipLimits.h"
 
 #include <algorithm>
-#include <cmath>
-#include <unordered_set>
 
 namespace citronplank {
 
 namespace {
 
-constexpr std::uint32_t maxLocalHealth = 8;       // as in Lifeguard
-constexpr int probeAttempts = 3;                  // one direct, then two with relays; see retryProbe
 constexpr std::size_t probeReservedBytes = 300;   // budget that pings leave for acks
-constexpr std::size_t reservedBytes = 600;        // budget that anti-entropy leaves for pings and acks
-constexpr std::size_t updateReservedBytes = 1200; // and updates leave one datagram of anti-entropy besides
-constexpr std::size_t summaryHashes = 130;        // of 8 bytes each; leaves room for the rest of the datagram
-constexpr std::size_t nearlyEqualBuckets = 8;     // differences of fresh updates that are still spreading
+constexpr std::size_t updateReservedBytes = 1200; // budget that updates leave, so that anti-entropy can go on
 constexpr std::uint32_t sendsAfterSync = 2;       // others lack it too if this member did, but most of them will not
-constexpr milliseconds fastSyncInterval { 1000 };
-constexpr std::size_t suspectPings = 6;   // expected number over the whole group, for each suspicion
-constexpr std::size_t starterBytes = 300; // for each question, so that a seed can answer several starters
+constexpr std::size_t suspectPings = 6;           // expected number over the whole group, for each suspicion
+constexpr std::size_t lastWordReceivers = 4;      // enough that the news of leaving survives 5% loss; they pass it on
 constexpr seconds cleanupInterval { 10 };
 constexpr milliseconds freezeGap { 1000 };
 
-double log2Of(std::size_t members) { return std::log2(static_cast<double>(members) + 1); }
-
-Duration fromSeconds(double count)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
-}
-
 bool isSuspectOrLost(const GossipRecord* record)
 {
     return record && record->status != static_cast<std::uint8_t>(MemberStatus::Alive);
@@ -40,7 +26,7 @@
     if (std::holds_alternative<GossipAck>(body) || std::holds_alternative<GossipNack>(body))
         return 0;
     const bool isProbe = std::holds_alternative<GossipPing>(body) || std::holds_alternative<GossipPingRequest>(body);
-    return isProbe ? probeReservedBytes : reservedBytes;
+    return isProbe ? probeReservedBytes : gossipReservedBytes;
 }
 
 GossipItem itemFrom(const GossipRecord& record)
@@ -50,11 +36,6 @@
 
 } // namespace
 
-struct Gossip::Sender {
-    std::string name;
-    std::string address;
-};
-
 Gossip::Gossip(Instance self, std::vector<std::string> seeds, GossipSettings settings, std::uint64_t randomSeed)
     : m_self(std::move(self))
     , m_seeds(std::move(seeds))
@@ -74,9 +55,7 @@
     m_started = true;
     m_lastTick = now;
     // A random phase spreads the probes of members that start together.
-    m_nextPeriod = now
-        + fromSeconds(std::chrono::duration<double>(m_settings.period).count()
-            * std::uniform_real_distribution<>(0, 1)(m_random));
+    m_nextPeriod = now + gossipScaled(m_settings.period, std::uniform_real_distribution<>(0, 1)(m_random));
     m_nextSync = now;
     m_nextRejoin = now;
     m_nextCleanup = now + cleanupInterval;
@@ -134,262 +113,11 @@
     if (now >= m_nextSync)
         sendDigest(now, out);
     if (now >= m_nextRejoin) {
-        m_nextRejoin = now + (m_alive.empty() ? Duration(fastSyncInterval) : Duration(m_settings.rejoinInterval));
+        m_nextRejoin = now + (m_alive.empty() ? Duration(gossipFastSyncInterval) : Duration(m_settings.rejoinInterval));
         rejoin(out);
     }
 }
 
-// ---- Failure detection --------------------------------------------------------------------------------------------
-
-// A shuffled round bounds the time until each member is probed, which a random choice does not.
-void Gossip::startProbe(TimePoint now, Output& out)
-{
-    if (m_probeOrder.empty()) {
-        for (const auto& [name, instance] : m_alive)
-            m_probeOrder.push_back(name);
-        std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
-    }
-    while (!m_probeOrder.empty()) {
-        const auto name = m_probeOrder.front();
-        m_probeOrder.pop_front();
-        const auto it = m_alive.find(name);
-        if (it == m_alive.end())
-            continue;
-        const auto number = m_nextNumber++;
-        // A ping that the budget did not allow proves nothing about its target.
-        if (send(it->second.gossipAddress, name, GossipPing { number, name }, out))
-            m_probes.emplace(number, Probe { name, now + attemptTimeout() });
-        return;
-    }
-}
-
-void Gossip::advanceProbes(TimePoint now, Output& out)
-{
-    for (auto it = m_probes.begin(); it != m_probes.end();) {
-        auto& [number, probe] = *it;
-        if (now < probe.attemptEnds) {
-            ++it;
-        } else if (probe.attempts < probeAttempts && m_alive.contains(probe.target)) {
-            retryProbe(number, probe, now, out);
-            ++it;
-        } else {
-            const Probe failed = probe;
-            it = m_probes.erase(it);
-            failProbe(failed, now, out);
-        }
-    }
-}
-
-// With 5% loss a direct ping fails 1 in 10 times. Repeating it along with relays, twice, makes a false suspicion about
-// as rare as 1 in a million probes; each false one would cost the group two updates. The first repetition uses one
-// relay only, because at a loss of 20% relayed pings would otherwise use up the budget.
-void Gossip::retryProbe(std::uint64_t number, Probe& probe, TimePoint now, Output& out)
-{
-    const std::size_t relays = probe.attempts == 1 ? 1 : m_settings.relays;
-    ++probe.attempts;
-    probe.attemptEnds = now + attemptTimeout();
-    const auto target = instanceOf(probe.target);
-    send(target->gossipAddress, probe.target, GossipPing { number, probe.target }, out, Extra::None);
-    for (const auto& relay : randomMembers(relays, probe.target)) {
-        const GossipPingRequest request { number, probe.target, target->gossipAddress };
-        if (send(m_alive.at(relay).gossipAddress, relay, request, out, Extra::None))
-            ++probe.nacksExpected;
-    }
-}
-
-void Gossip::failProbe(const Probe& probe, TimePoint now, Output& out)
-{
-    // Without nacks from most relays the fault may be on this side.
-    if (probe.nacksExpected == 0 || probe.nacks * 2 < probe.nacksExpected)
-        raiseLocalHealth(1);
-    const auto* record = m_store.find(GossipRecordKind::Member, probe.target);
-    if (!record || record->status != static_cast<std::uint8_t>(MemberStatus::Alive))
-        return;
-    ++m_counters.suspicions;
-    setStatus(probe.target, MemberStatus::Suspect, now, out);
-}
-
-void Gossip::advanceRelays(TimePoint now, Output& out)
-{
-    for (auto it = m_relays.begin(); it != m_relays.end();) {
-        auto& relay = it->second;
-        if (now >= relay.nackAt && !relay.nackSent) {
-            relay.nackSent = true;
-            send(relay.address, {}, GossipNack { relay.number }, out, Extra::None);
-        }
-        it = now >= relay.ends ? m_relays.erase(it) : std::next(it);
-    }
-}
-
-void Gossip::expireSuspicions(TimePoint now, Output& out)
-{
-    std::vector<std::string> expired;
-    for (const auto& [name, deadline] : m_suspicions)
-        if (now >= deadline)
-            expired.push_back(name);
-    for (const auto& name : expired)
-        setStatus(name, MemberStatus::Dead, now, out);
-}
-
-void Gossip::setStatus(const std::string& name, MemberStatus status, TimePoint now, Output& out)
-{
-    const auto* held = m_store.find(GossipRecordKind::Member, name);
-    if (!held)
-        return;
-    const GossipRecord before = *held;
-    GossipRecord record = before;
-    record.status = static_cast<std::uint8_t>(status);
-    m_store.put(record, now);
-    noteChange(record, &before, now, out);
-}
-
-// Long enough for the suspicion to reach the suspect and for its refutation to come back.
-Duration Gossip::suspicionTimeout() const
-{
-    const Duration byCount = fromSeconds(
-        std::chrono::duration<double>(m_settings.suspicionPerDoubling).count() * log2Of(m_alive.size() + 1));
-    return std::max<Duration>(m_settings.suspicionTimeout, byCount) + attemptTimeout() * m_localHealth;
-}
-
-void Gossip::raiseLocalHealth(std::uint32_t by) { m_localHealth = std::min(maxLocalHealth, m_localHealth + by); }
-
-// ---- Anti-entropy ---------------------------------------------------------------------------------------------------
-
-void Gossip::sendDigest(TimePoint now, Output& out)
-{
-    m_nextSync = now + (m_joining ? Duration(fastSyncInterval) : Duration(m_settings.syncInterval));
-    for (const auto& name : randomMembers(1, {}))
-        send(m_alive.at(name).gossipAddress, name, m_store.digest(), out, Extra::None);
-    if (m_alive.empty())
-        m_nextSync = now; // the first member heard is asked at once
-}
-
-// Seeds and lost members are the way back together after a partition, when each side has declared the other dead.
-void Gossip::rejoin(Output& out)
-{
-    std::vector<std::string> addresses;
-    m_store.forEach([&](const GossipRecord& record) {
-        if (record.kind != GossipRecordKind::Member || record.status != static_cast<std::uint8_t>(MemberStatus::Dead))
-            return;
-        if (const auto instance = instanceOf(record.key))
-            addresses.push_back(instance->gossipAddress);
-    });
-    std::set<std::string_view> known;
-    for (const auto& [name, instance] : m_alive)
-        known.insert(instance.gossipAddress);
-    for (const auto& seed : m_seeds)
-        if (!known.contains(seed))
-            addresses.push_back(seed);
-    if (addresses.empty())
-        return;
-    // Before it knows anyone, a member asks all seeds it can; some of them may be down.
-    std::shuffle(addresses.begin(), addresses.end(), m_random);
-    addresses.resize(m_alive.empty() ? std::min<std::size_t>(addresses.size(), 3) : 1);
-    const auto* self = m_store.find(GossipRecordKind::Member, m_self.name);
-    for (const auto& address : addresses) {
-        sendFull(address, { self }, true, out); // the queue may no longer hold it
-        send(address, {}, m_store.digest(), out, Extra::None);
-    }
-}
-
-// A member that knows next to nothing gets records at once, because it has nothing to compare hashes with.
-bool Gossip::helpStarter(const GossipDigest& digest, const Sender& sender, Output& out)
-{
-    const auto own = m_store.digest();
-    std::vector<std::uint16_t> missing;
-    std::size_t common = 0;
-    for (std::size_t i = 0; i < own.buckets.size(); ++i) {
-        if (digest.buckets[i] != 0)
-            ++common;
-        else if (own.buckets[i] != 0)
-            missing.push_back(static_cast<std::uint16_t>(i));
-    }
-    if (missing.size() <= 2 * common)
-        return false;
-    auto records = m_store.recordsWithout(missing, {});
-    std::shuffle(records.begin(), records.end(), m_random);
-    // Members first: they let the starter spread its further questions over the group.
-    std::stable_partition(records.begin(), records.end(),
-        [](const GossipRecord* record) { return record->kind == GossipRecordKind::Member; });
-    std::size_t bytes = 0;
-    std::size_t count = 0;
-    while (count < records.size() && (bytes += encodeGossipRecord(*records[count]).size()) < starterBytes)
-        ++count;
-    records.resize(count);
-    sendFull(sender.address, records, true, out);
-    return true;
-}
-
-void Gossip::handle(const GossipDigest& digest, const Sender& sender, TimePoint now, Output& out)
-{
-    if (helpStarter(digest, sender, out))
-        return;
-    auto differing = m_store.differingBuckets(digest);
-    if (differing.size() <= nearlyEqualBuckets)
-        m_joining = false;
-    else
-        m_nextSync = std::min<TimePoint>(m_nextSync, now + fastSyncInterval);
-    std::shuffle(differing.begin(), differing.end(), m_random);
-    GossipSummary summary;
-    for (const auto bucket : differing) {
-        const auto hashes = m_store.hashesOf(bucket);
-        // A bucket of more than summaryHashes records is sent alone and cut; the rest follows in later rounds.
-        if (!summary.buckets.empty() && summary.hashes.size() + hashes.size() > summaryHashes)
-            continue;
-        summary.buckets.push_back(bucket);
-        summary.hashes.insert(summary.hashes.end(), hashes.begin(),
-            hashes.begin() + static_cast<std::ptrdiff_t>(std::min(hashes.size(), summaryHashes)));
-    }
-    if (!summary.buckets.empty())
-        send(sender.address, sender.name, std::move(summary), out, Extra::None);
-}
-
-void Gossip::handle(const GossipSummary& summary, const Sender& sender, TimePoint now, Output& out)
-{
-    std::unordered_set<std::uint64_t> own;
-    for (const auto bucket : summary.buckets)
-        for (const auto hash : m_store.hashesOf(bucket))
-            own.insert(hash);
-    GossipWant want;
-    for (const auto hash : summary.hashes)
-        if (!own.contains(hash))
-            want.hashes.push_back(hash);
-    if (summary.buckets.size() <= nearlyEqualBuckets)
-        m_joining = false;
-    else
-        m_nextSync = std::min<TimePoint>(m_nextSync, now + fastSyncInterval);
-    if (!want.hashes.empty())
-        send(sender.address, sender.name, std::move(want), out, Extra::None);
-    sendFull(sender.address, m_store.recordsWithout(summary.buckets, summary.hashes), true, out);
-}
-
-void Gossip::handle(const GossipWant& want, const Sender& sender, TimePoint, Output& out)
-{
-    sendFull(sender.address, m_store.recordsWith(want.hashes), true, out);
-}
-
-void Gossip::handle(const GossipRecords&, const Sender&, TimePoint, Output&) { }
-
-// Sends the records in as many datagrams as the budget allows. Returns false when some were left out.
-bool Gossip::sendFull(
-    const std::string& address, const std::vector<const GossipRecord*>& records, bool isSync, Output& out)
-{
-    const auto head = encodeGossipMessage({ m_self.name, GossipRecords { isSync } });
-    std::string bytes = head;
-    const auto flush = [&] {
-        const bool sent = bytes.size() == head.size() || sendBytes(address, bytes, reservedBytes, out);
-        bytes = head;
-        return sent;
-    };
-    for (const auto* record : records) {
-        const auto encoded = encodeGossipRecord(*record);
-        if (bytes.size() + encoded.size() > gossipDatagramBytes && !flush())
-            return false;
-        bytes += encoded;
-    }
-    return flush();
-}
-
 // ---- Messages -------------------------------------------------------------------------------------------------------
 
 Gossip::Output Gossip::receive(std::string_view fromAddress, std::string_view bytes, TimePoint now)
@@ -405,7 +133,7 @@
         return out;
     // While many members start, those that already know more than the seeds take over part of the seeds' work.
     if (m_joining && m_started && now >= m_nextSync && !m_alive.contains(sender.name)) {
-        m_nextSync = now + fastSyncInterval;
+        m_nextSync = now + gossipFastSyncInterval;
         send(sender.address, sender.name, m_store.digest(), out, Extra::None);
     }
     const auto* records = std::get_if<GossipRecords>(&datagram->message.body);
@@ -423,39 +151,6 @@
     return out;
 }
 
-void Gossip::handle(const GossipPing& ping, const Sender& sender, TimePoint, Output& out)
-{
-    if (ping.target == m_self.name)
-        send(sender.address, sender.name, GossipAck { ping.number }, out);
-}
-
-void Gossip::handle(const GossipAck& ack, const Sender&, TimePoint, Output& out)
-{
-    if (const auto it = m_relays.find(ack.number); it != m_relays.end()) {
-        send(it->second.address, {}, GossipAck { it->second.number }, out, Extra::None);
-        m_relays.erase(it);
-    } else if (m_probes.erase(ack.number) > 0 && m_localHealth > 0) {
-        --m_localHealth;
-    }
-}
-
-void Gossip::handle(const GossipNack& nack, const Sender&, TimePoint, Output&)
-{
-    if (const auto it = m_probes.find(nack.number); it != m_probes.end())
-        ++it->second.nacks;
-}
-
-void Gossip::handle(const GossipPingRequest& request, const Sender& sender, TimePoint now, Output& out)
-{
-    const auto number = m_nextNumber++;
-    if (!send(request.targetAddress, request.target, GossipPing { number, request.target }, out, Extra::None))
-        return;
-    // The nack has to arrive within the attempt of the member that asked.
-    m_relays.emplace(number,
-        Relay { sender.address, request.number, now + m_settings.ackTimeout * 2 / 3, false,
-            now + m_settings.ackTimeout * 4 });
-}
-
 // ---- Records --------------------------------------------------------------------------------------------------------
 
 const GossipRecord* Gossip::accept(
@@ -531,8 +226,8 @@
 
 void Gossip::updateMemberCount()
 {
-    m_store.setSendLimit(
-        static_cast<std::uint32_t>(std::max(3.0, std::ceil(m_settings.sendsPerDoubling * log2Of(m_alive.size() + 1)))));
+    m_store.setSendLimit(static_cast<std::uint32_t>(
+        std::max(3.0, std::ceil(m_settings.sendsPerDoubling * gossipDoublings(m_alive.size() + 1)))));
 }
 
 void Gossip::putSelf(MemberStatus status, TimePoint now)
@@ -589,8 +284,7 @@
     m_suspicions.clear();
     putSelf(MemberStatus::Left, now);
     const auto* self = m_store.find(GossipRecordKind::Member, m_self.name);
-    // Enough members that the news survives 5% loss; they pass it on.
-    for (const auto& name : randomMembers(4, {}))
+    for (const auto& name : randomMembers(lastWordReceivers, {}))
         sendFull(m_alive.at(name).gossipAddress, { self }, false, out);
     return out;
 }
--- a/coordination/Gossip.h
+++ b/coordination/Gossip.h
@@ -127,7 +127,10 @@
     };
     Gossip(Instance self, std::vector<std::string> seeds, GossipSettings, std::uint64_t randomSeed);
 
-    struct Sender; // where an answer goes
+    struct Sender { // where an answer goes
+        std::string name;
+        std::string address;
+    };
 
     void start(TimePoint now);
     void handleFreeze(Duration gap, TimePoint now);
--- /dev/null
+++ b/coordination/GossipProbes.cpp
@@ -0,0 +1,160 @@
+// The part of Gossip that detects failures: probes with relays, suspicion and local health.
+#include "coordination/Gossip.h"
+#include "coordination/GossipLimits.h"
+
+#include <algorithm>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::uint32_t maxLocalHealth = 8; // as in Lifeguard
+constexpr int probeAttempts = 3;            // one direct, then two with relays; see retryProbe
+
+} // namespace
+
+// A shuffled round bounds the time until each member is probed, which a random choice does not.
+void Gossip::startProbe(TimePoint now, Output& out)
+{
+    if (m_probeOrder.empty()) {
+        for (const auto& [name, instance] : m_alive)
+            m_probeOrder.push_back(name);
+        std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
+    }
+    while (!m_probeOrder.empty()) {
+        const auto name = m_probeOrder.front();
+        m_probeOrder.pop_front();
+        const auto it = m_alive.find(name);
+        if (it == m_alive.end())
+            continue;
+        const auto number = m_nextNumber++;
+        // A ping that the budget did not allow proves nothing about its target.
+        if (send(it->second.gossipAddress, name, GossipPing { number, name }, out))
+            m_probes.emplace(number, Probe { name, now + attemptTimeout() });
+        return;
+    }
+}
+
+void Gossip::advanceProbes(TimePoint now, Output& out)
+{
+    for (auto it = m_probes.begin(); it != m_probes.end();) {
+        auto& [number, probe] = *it;
+        if (now < probe.attemptEnds) {
+            ++it;
+        } else if (probe.attempts < probeAttempts && m_alive.contains(probe.target)) {
+            retryProbe(number, probe, now, out);
+            ++it;
+        } else {
+            const Probe failed = probe;
+            it = m_probes.erase(it);
+            failProbe(failed, now, out);
+        }
+    }
+}
+
+// With 5% loss a direct ping fails 1 in 10 times. Repeating it along with relays, twice, makes a false suspicion about
+// as rare as 1 in a million probes; each false one would cost the group two updates. The first repetition uses one
+// relay only, because at a loss of 20% relayed pings would otherwise use up the budget.
+void Gossip::retryProbe(std::uint64_t number, Probe& probe, TimePoint now, Output& out)
+{
+    const std::size_t relays = probe.attempts == 1 ? 1 : m_settings.relays;
+    ++probe.attempts;
+    probe.attemptEnds = now + attemptTimeout();
+    const auto target = instanceOf(probe.target);
+    send(target->gossipAddress, probe.target, GossipPing { number, probe.target }, out, Extra::None);
+    for (const auto& relay : randomMembers(relays, probe.target)) {
+        const GossipPingRequest request { number, probe.target, target->gossipAddress };
+        if (send(m_alive.at(relay).gossipAddress, relay, request, out, Extra::None))
+            ++probe.nacksExpected;
+    }
+}
+
+void Gossip::failProbe(const Probe& probe, TimePoint now, Output& out)
+{
+    // Without nacks from most relays the fault may be on this side.
+    if (probe.nacksExpected == 0 || probe.nacks * 2 < probe.nacksExpected)
+        raiseLocalHealth(1);
+    const auto* record = m_store.find(GossipRecordKind::Member, probe.target);
+    if (!record || record->status != static_cast<std::uint8_t>(MemberStatus::Alive))
+        return;
+    ++m_counters.suspicions;
+    setStatus(probe.target, MemberStatus::Suspect, now, out);
+}
+
+void Gossip::advanceRelays(TimePoint now, Output& out)
+{
+    for (auto it = m_relays.begin(); it != m_relays.end();) {
+        auto& relay = it->second;
+        if (now >= relay.nackAt && !relay.nackSent) {
+            relay.nackSent = true;
+            send(relay.address, {}, GossipNack { relay.number }, out, Extra::None);
+        }
+        it = now >= relay.ends ? m_relays.erase(it) : std::next(it);
+    }
+}
+
+void Gossip::expireSuspicions(TimePoint now, Output& out)
+{
+    std::vector<std::string> expired;
+    for (const auto& [name, deadline] : m_suspicions)
+        if (now >= deadline)
+            expired.push_back(name);
+    for (const auto& name : expired)
+        setStatus(name, MemberStatus::Dead, now, out);
+}
+
+void Gossip::setStatus(const std::string& name, MemberStatus status, TimePoint now, Output& out)
+{
+    const auto* held = m_store.find(GossipRecordKind::Member, name);
+    if (!held)
+        return;
+    const GossipRecord before = *held;
+    GossipRecord record = before;
+    record.status = static_cast<std::uint8_t>(status);
+    m_store.put(record, now);
+    noteChange(record, &before, now, out);
+}
+
+// Long enough for the suspicion to reach the suspect and for its refutation to come back.
+Duration Gossip::suspicionTimeout() const
+{
+    const Duration byCount = gossipScaled(m_settings.suspicionPerDoubling, gossipDoublings(m_alive.size() + 1));
+    return std::max<Duration>(m_settings.suspicionTimeout, byCount) + attemptTimeout() * m_localHealth;
+}
+
+void Gossip::raiseLocalHealth(std::uint32_t by) { m_localHealth = std::min(maxLocalHealth, m_localHealth + by); }
+
+void Gossip::handle(const GossipPing& ping, const Sender& sender, TimePoint, Output& out)
+{
+    if (ping.target == m_self.name)
+        send(sender.address, sender.name, GossipAck { ping.number }, out);
+}
+
+void Gossip::handle(const GossipAck& ack, const Sender&, TimePoint, Output& out)
+{
+    if (const auto it = m_relays.find(ack.number); it != m_relays.end()) {
+        send(it->second.address, {}, GossipAck { it->second.number }, out, Extra::None);
+        m_relays.erase(it);
+    } else if (m_probes.erase(ack.number) > 0 && m_localHealth > 0) {
+        --m_localHealth;
+    }
+}
+
+void Gossip::handle(const GossipNack& nack, const Sender&, TimePoint, Output&)
+{
+    if (const auto it = m_probes.find(nack.number); it != m_probes.end())
+        ++it->second.nacks;
+}
+
+void Gossip::handle(const GossipPingRequest& request, const Sender& sender, TimePoint now, Output& out)
+{
+    const auto number = m_nextNumber++;
+    if (!send(request.targetAddress, request.target, GossipPing { number, request.target }, out, Extra::None))
+        return;
+    // The nack has to arrive within the attempt of the member that asked.
+    m_relays.emplace(number,
+        Relay { sender.address, request.number, now + m_settings.ackTimeout * 2 / 3, false,
+            now + m_settings.ackTimeout * 4 });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/coordination/GossipSync.cpp
@@ -0,0 +1,153 @@
+// The part of Gossip that compares digests, repairs what rumours have missed and finds the way back after a partition.
+#include "coordination/Gossip.h"
+#include "coordination/GossipLimits.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::size_t summaryHashes = 130;    // of 8 bytes each; leaves room for the rest of the datagram
+constexpr std::size_t nearlyEqualBuckets = 8; // differences of fresh updates that are still spreading
+constexpr std::size_t starterBytes = 300;     // for each question, so that a seed can answer several starters
+constexpr std::size_t seedsAskedAtOnce = 3;   // by a member that knows nobody; some of them may be down
+
+} // namespace
+
+void Gossip::sendDigest(TimePoint now, Output& out)
+{
+    m_nextSync = now + (m_joining ? Duration(gossipFastSyncInterval) : Duration(m_settings.syncInterval));
+    for (const auto& name : randomMembers(1, {}))
+        send(m_alive.at(name).gossipAddress, name, m_store.digest(), out, Extra::None);
+    if (m_alive.empty())
+        m_nextSync = now; // the first member heard is asked at once
+}
+
+// Seeds and lost members are the way back together after a partition, when each side has declared the other dead.
+void Gossip::rejoin(Output& out)
+{
+    std::vector<std::string> addresses;
+    m_store.forEach([&](const GossipRecord& record) {
+        if (record.kind != GossipRecordKind::Member || record.status != static_cast<std::uint8_t>(MemberStatus::Dead))
+            return;
+        if (const auto instance = instanceOf(record.key))
+            addresses.push_back(instance->gossipAddress);
+    });
+    std::set<std::string_view> known;
+    for (const auto& [name, instance] : m_alive)
+        known.insert(instance.gossipAddress);
+    for (const auto& seed : m_seeds)
+        if (!known.contains(seed))
+            addresses.push_back(seed);
+    if (addresses.empty())
+        return;
+    std::shuffle(addresses.begin(), addresses.end(), m_random);
+    addresses.resize(m_alive.empty() ? std::min(addresses.size(), seedsAskedAtOnce) : 1);
+    const auto* self = m_store.find(GossipRecordKind::Member, m_self.name);
+    for (const auto& address : addresses) {
+        sendFull(address, { self }, true, out); // the queue may no longer hold it
+        send(address, {}, m_store.digest(), out, Extra::None);
+    }
+}
+
+// A member that knows next to nothing gets records at once, because it has nothing to compare hashes with.
+bool Gossip::helpStarter(const GossipDigest& digest, const Sender& sender, Output& out)
+{
+    const auto own = m_store.digest();
+    std::vector<std::uint16_t> missing;
+    std::size_t common = 0;
+    for (std::size_t i = 0; i < own.buckets.size(); ++i) {
+        if (digest.buckets[i] != 0)
+            ++common;
+        else if (own.buckets[i] != 0)
+            missing.push_back(static_cast<std::uint16_t>(i));
+    }
+    if (missing.size() <= 2 * common)
+        return false;
+    auto records = m_store.recordsWithout(missing, {});
+    std::shuffle(records.begin(), records.end(), m_random);
+    // Members first: they let the starter spread its further questions over the group.
+    std::stable_partition(records.begin(), records.end(),
+        [](const GossipRecord* record) { return record->kind == GossipRecordKind::Member; });
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (count < records.size() && (bytes += encodeGossipRecord(*records[count]).size()) < starterBytes)
+        ++count;
+    records.resize(count);
+    sendFull(sender.address, records, true, out);
+    return true;
+}
+
+void Gossip::handle(const GossipDigest& digest, const Sender& sender, TimePoint now, Output& out)
+{
+    if (helpStarter(digest, sender, out))
+        return;
+    auto differing = m_store.differingBuckets(digest);
+    if (differing.size() <= nearlyEqualBuckets)
+        m_joining = false;
+    else
+        m_nextSync = std::min<TimePoint>(m_nextSync, now + gossipFastSyncInterval);
+    std::shuffle(differing.begin(), differing.end(), m_random);
+    GossipSummary summary;
+    for (const auto bucket : differing) {
+        const auto hashes = m_store.hashesOf(bucket);
+        // A bucket of more than summaryHashes records is sent alone and cut; the rest follows in later rounds.
+        if (!summary.buckets.empty() && summary.hashes.size() + hashes.size() > summaryHashes)
+            continue;
+        summary.buckets.push_back(bucket);
+        summary.hashes.insert(summary.hashes.end(), hashes.begin(),
+            hashes.begin() + static_cast<std::ptrdiff_t>(std::min(hashes.size(), summaryHashes)));
+    }
+    if (!summary.buckets.empty())
+        send(sender.address, sender.name, std::move(summary), out, Extra::None);
+}
+
+void Gossip::handle(const GossipSummary& summary, const Sender& sender, TimePoint now, Output& out)
+{
+    std::unordered_set<std::uint64_t> own;
+    for (const auto bucket : summary.buckets)
+        for (const auto hash : m_store.hashesOf(bucket))
+            own.insert(hash);
+    GossipWant want;
+    for (const auto hash : summary.hashes)
+        if (!own.contains(hash))
+            want.hashes.push_back(hash);
+    if (summary.buckets.size() <= nearlyEqualBuckets)
+        m_joining = false;
+    else
+        m_nextSync = std::min<TimePoint>(m_nextSync, now + gossipFastSyncInterval);
+    if (!want.hashes.empty())
+        send(sender.address, sender.name, std::move(want), out, Extra::None);
+    sendFull(sender.address, m_store.recordsWithout(summary.buckets, summary.hashes), true, out);
+}
+
+void Gossip::handle(const GossipWant& want, const Sender& sender, TimePoint, Output& out)
+{
+    sendFull(sender.address, m_store.recordsWith(want.hashes), true, out);
+}
+
+void Gossip::handle(const GossipRecords&, const Sender&, TimePoint, Output&) { }
+
+// Sends the records in as many datagrams as the budget allows. Returns false when some were left out.
+bool Gossip::sendFull(
+    const std::string& address, const std::vector<const GossipRecord*>& records, bool isSync, Output& out)
+{
+    const auto head = encodeGossipMessage({ m_self.name, GossipRecords { isSync } });
+    std::string bytes = head;
+    const auto flush = [&] {
+        const bool sent = bytes.size() == head.size() || sendBytes(address, bytes, gossipReservedBytes, out);
+        bytes = head;
+        return sent;
+    };
+    for (const auto* record : records) {
+        const auto encoded = encodeGossipRecord(*record);
+        if (bytes.size() + encoded.size() > gossipDatagramBytes && !flush())
+            return false;
+        bytes += encoded;
+    }
+    return flush();
+}
+
+} // namespace citronplank
--- a/coordination/ZoneLease.cpp
+++ b/coordination/ZoneLease.cpp
@@ -76,15 +76,15 @@
     return hasLease(now) ? LeaseMode::Confirmed : LeaseMode::Isolated;
 }
 
-// A view that a live member of the zone knows, or may know, could have an owner with the full limit.
+// A view that a live member of the zone may know could have an owner with the full limit. A member that knows one
+// sends it along with its answer.
 bool ZoneLease::maySendWithoutView(TimePoint now) const
 {
     if (!m_settings.sendsWithoutView || !m_started || now < *m_started + m_settings.waitWithoutView)
         return false;
     return std::all_of(m_live.begin(), m_live.end(), [&](const std::string& name) {
-        const auto it = m_liveAnswers.find(name);
-        return name == m_settings.self
-            || (it != m_liveAnswers.end() && it->second.view == 0 && now < it->second.at + leaseDuration);
+        const auto it = m_noViewEither.find(name);
+        return name == m_settings.self || (it != m_noViewEither.end() && now < it->second + leaseDuration);
     });
 }
 
@@ -224,7 +224,7 @@
     m_settlement = Settlement::Unsettled;
     m_adopters.clear();
     m_firstAdopterKnown.reset();
-    m_liveAnswers.clear();
+    m_noViewEither.clear();
     noteAdopter(m_settings.self, view.number, now);
     // The request also tells the leader of the adoption, which settles the previous view.
     m_nextLeaderRequest = now + urgentInterval;
@@ -293,7 +293,7 @@
         out = adopt(answer.view, now);
     noteAdopter(answer.member, answer.view.number, now);
     if (m_view.number == 0)
-        m_liveAnswers[answer.member] = { answer.view.number, now };
+        m_noViewEither[answer.member] = now;
     if (!answer.granted || answer.view.number != m_view.number)
         return;
     auto& ends = m_grantEnds[answer.member];
--- a/coordination/ZoneLease.h
+++ b/coordination/ZoneLease.h
@@ -73,11 +73,6 @@
     bool hasAllGrants(TimePoint now) const;
 
 private:
-    struct LiveAnswer {
-        std::uint64_t view = 0;
-        TimePoint at {};
-    };
-
     void start(TimePoint now);
     bool isMember() const;
     bool mayUseView(TimePoint now) const { return hasLease(now) || hasAllGrants(now); }
@@ -110,7 +105,7 @@
     TimePoint m_nextLeaderRequest {};
     TimePoint m_nextGrantRequest {};
     std::set<std::string> m_live;
-    std::map<std::string, LiveAnswer> m_liveAnswers; // while this daemon has no view
+    std::map<std::string, TimePoint> m_noViewEither; // when a member said last that it has no view
 };
 
 } // namespace citronplank
--- a/tests/ZoneLeaseTests.cpp
+++ b/tests/ZoneLeaseTests.cpp
@@ -239,6 +239,18 @@
         CHECK(zone.totalAllowed(leaf, 2) == 1);
 }
 
+// Guards against a daemon without a view that sends although another daemon of the zone may know one.
+TEST_CASE("a daemon without a view does not send beside a live member that it cannot ask")
+{
+    SimulatedZone zone(2, 1, 0.0, milliseconds(20));
+    zone.setSendsWithoutView(true);
+    zone.setReachable([](std::size_t, std::size_t) { return false; });
+    zone.start(0);
+    zone.start(1);
+    zone.run(seconds(20), [&] { REQUIRE(greatestTotal(zone) == 0); });
+    CHECK(zone.at(0).mode(zone.nowAt(0)) == LeaseMode::None);
+}
+
 // Guards against a lease or grant that outlasts its duration because its answer was slow.
 TEST_CASE("leases and grants count from the sending of their requests")
 {
