--- a/coordination/ZoneLease.h
+++ b/coordination/ZoneLease.h
@@ -75,11 +75,6 @@
     TimePoint usableUntil(TimePoint now) const;
 
 private:
-    struct LiveAnswer {
-        std::uint64_t view = 0;
-        TimePoint at {};
-    };
-
     void start(TimePoint now);
     bool isMember() const;
     bool mayUseView(TimePoint now) const { return hasLease(now) || hasAllGrants(now); }
@@ -112,7 +107,7 @@
     TimePoint m_nextLeaderRequest {};
     TimePoint m_nextGrantRequest {};
     std::set<std::string> m_live;
-    std::map<std::string, LiveAnswer> m_liveAnswers; // while this daemon has no view
+    std::map<std::string, TimePoint> m_noViewEither; // when a member said last that it has no view
 };
 
 } // namespace citronplank
