--- a/query/QueryExecution.h
+++ b/query/QueryExecution.h
@@ -20,6 +20,7 @@
     std::vector<PartCancel> cancels;
     std::vector<PartSend> sends;
     bool needsLayout = false;           // choose the layout again and call `onLayout`
+    std::optional<Duration> partWait;   // for Admission::onPartWait: time a part spent outside its leaf
     std::optional<QueryOutcome> finish; // set exactly once per query
     std::optional<TimePoint> nextTimer; // when to call `onTimer`; replaces the earlier one, absent after the finish
 };
@@ -110,6 +111,7 @@
     void cancelAttempts(std::optional<std::uint32_t> shard, QueryActions&, TimePoint now);
     void onCrashed(const Attempt&, QueryActions&, TimePoint now);
     void onFailedAttempt(std::uint32_t shard, PartStatus, const PartResult&, QueryActions&, TimePoint now);
+    bool allowsExtraParts(TimePoint now) const;
     bool retry(std::uint32_t shard, PartStatus, const PartResult&, QueryActions&, TimePoint now);
     void setMissing(std::uint32_t shard, MissingReason);
     void giveUpOnLayout();
