Refuse a keyed resend as unknown, admit by shares, and start query identities at random

Cause: (1) a resend refused before its record was read said not run although its first send may have run. (2) query identities began at 1 after a restart, so a late answer to the earlier run could match a part of a new query. (3) admission by fair shares and estimated wait was built but not used. Ruled out: telling first sends by the age of the key; a resend can be quick. Before: outcome not_run for such resends; after: outcome_unknown unless the caller states Request-Attempt: 1. Answers to parts that this run did not send are dropped.

--- a/daemon/EntryService.cpp
+++ b/daemon/EntryService.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds submitTimeout { 2000 }; // a leader is found within two election timeouts
 constexpr std::uint64_t keyLeadSeconds = 60;   // a key further in the future is refused
 
+constexpr std::uint64_t greatestFirstId = std::uint64_t { 1 } << 43U; // query identities are below 2^44
+
 std::uint64_t unixSeconds()
 {
     auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -27,7 +29,10 @@
 
 EntryService::Table::Table(std::uint64_t seed)
     : statistics(PolicySettings::adaptive(), randomSource(seed))
+    , lastId(std::mt19937_64(~seed)() % greatestFirstId)
 {
+    // Requests are served until the listener closes; readiness is only what the load balancer sees.
+    admission.setReadiness(Readiness::Ready);
 }
 
 EntryService::EntryService(
@@ -45,20 +50,21 @@
 
 void EntryService::onRequest(const HttpRequest& request, const Responder& responder)
 {
+    bool isKeyed = request.target == "/request";
+    bool isFirstSend = request.header("Request-Attempt") == "1";
     try {
-        auto current = state();
-        if (current == EntryState::Starting)
-            throw Error(ErrorKind::NotReady, "this instance is starting");
-        if (request.target != "/query" && request.target != "/request")
+        if (!isKeyed && request.target != "/query")
             throw Error(ErrorKind::BadRequest, "unknown path; use POST /query or POST /request");
         if (request.method != "POST")
             throw Error(ErrorKind::BadRequest, "use POST");
-        if (request.target == "/query")
-            startQuery(request, responder);
+        if (state() == EntryState::Starting)
+            throw Error(ErrorKind::NotReady, "this instance is starting");
+        if (isKeyed)
+            startKeyed(request, responder, isFirstSend);
         else
-            startKeyed(request, responder);
+            startQuery(request, responder);
     } catch (const Error& error) {
-        fail(responder, error);
+        fail(responder, isKeyed ? keyedRefusal(error, isFirstSend) : error);
     }
 }
 
@@ -83,7 +89,7 @@
     auto layout = layoutOf(query.service);
     if (!layout)
         throw Error(ErrorKind::UnknownService, "no back end of service " + query.service + " has announced itself");
-    auto running = admit(query.service, rules, responder);
+    auto running = admit({ query.service, query.customer, query.deadline }, configuration->rules, responder);
     auto id = running->id;
     auto builder = QueryBuilder().query(std::move(query)).queryId(id).layout(std::move(layout)).rules(rules);
     advanceQuery(id, [&](Table& table, Running& it) {
@@ -94,7 +100,7 @@
     responder.onCallerGone([this, id] { onCallerGone(id); });
 }
 
-void EntryService::startKeyed(const HttpRequest& request, const Responder& responder)
+void EntryService::startKeyed(const HttpRequest& request, const Responder& responder, bool isFirstSend)
 {
     auto keyed = parseKeyedRequest(request.header("Request-Key"), request.body);
     auto time = parseRequestKey(keyed.key);
@@ -105,7 +111,8 @@
     auto layout = layoutOf(keyed.service);
     if (!layout)
         throw Error(ErrorKind::UnknownService, "no back end of service " + keyed.service + " has announced itself");
-    auto running = admit(keyed.service, rules, responder);
+    auto running = admit({ keyed.service, keyed.customer, keyed.deadline }, configuration->rules, responder);
+    running->isFirstSend = isFirstSend;
     KeyedContext context { std::move(keyed), running->id,
         m_settings.instance + "/" + std::to_string(m_settings.incarnation) + "/" + std::to_string(running->id),
         std::move(layout), rules };
@@ -143,15 +150,13 @@
 }
 
 std::shared_ptr<EntryService::Running> EntryService::admit(
-    const std::string& service, const ServiceRules& rules, const Responder& responder)
+    AdmissionRequest request, const Rules& rules, const Responder& responder)
 {
     auto running = std::make_shared<Running>(m_io, responder);
-    running->service = service;
+    running->admitted = std::move(request);
     m_table.with([&](Table& table) {
-        auto& count = table.runningByService[service];
-        if (rules.limit && count >= *rules.limit)
-            throw Error(ErrorKind::Overloaded, "the limit of queries in flight for service " + service + " is reached");
-        ++count;
+        if (auto refusal = table.admission.admit(running->admitted, rules, Clock::now()))
+            throw *refusal;
         running->id = ++table.lastId;
         table.running.emplace(running->id, running);
     });
@@ -162,9 +167,7 @@
 {
     if (table.running.erase(it->id) == 0)
         return;
-    auto count = table.runningByService.find(it->service);
-    if (--count->second == 0)
-        table.runningByService.erase(count);
+    table.admission.release(it->admitted, Clock::now());
     it->timer.cancel();
 }
 
@@ -182,6 +185,8 @@
             return std::nullopt;
         running = it->second;
         auto made = function(table, *running);
+        if (made.partWait)
+            table.admission.onPartWait(running->admitted.service, *made.partWait, Clock::now());
         if (made.finish)
             remove(table, running);
         else
@@ -289,7 +294,7 @@
     for (const auto& it : actions.sends)
         m_links.sendPart(it);
     if (actions.needsLayout) {
-        auto layout = layoutOf(running->service);
+        auto layout = layoutOf(running->admitted.service);
         advanceQuery(running->id, [&](Table&, Running& it) { return it.query->onLayout(layout, Clock::now()); });
     }
     if (actions.finish)
@@ -361,7 +366,7 @@
 void EntryService::answerKeyed(const std::shared_ptr<Running>& running, const KeyedOutcome& outcome)
 {
     if (const auto* error = std::get_if<Error>(&outcome)) {
-        fail(running->responder, *error);
+        fail(running->responder, keyedRefusal(*error, running->isFirstSend));
         return;
     }
     m_table.with([](Table& table) { ++table.counters.keyedRan; });
--- a/daemon/EntryService.h
+++ b/daemon/EntryService.h
@@ -4,6 +4,7 @@
 #include "daemon/ConfigurationTable.h"
 #include "daemon/ControlClient.h"
 #include "daemon/OrderedMutex.h"
+#include "policy/Admission.h"
 #include "query/KeyedExecution.h"
 #include "query/LeafGates.h"
 #include "query/QueryExecution.h"
@@ -76,8 +77,9 @@
         {
         }
         std::uint64_t id = 0;
-        std::string service;
+        AdmissionRequest admitted;
         Responder responder;
+        bool isFirstSend = false; // of a keyed request, as its caller states
         asio::steady_timer timer;
         std::unique_ptr<Execution> query;
         std::unique_ptr<KeyedRun> keyed;
@@ -95,17 +97,17 @@
         LayoutChooser chooser;
         std::map<std::string, CachedLayout, std::less<>> layouts;
         std::unordered_map<std::uint64_t, std::shared_ptr<Running>> running;
-        std::map<std::string, std::uint32_t, std::less<>> runningByService;
-        std::uint64_t lastId = 0;
+        Admission admission;
+        std::uint64_t lastId; // starts at random: a late answer to an earlier run of this instance matches nothing
         EntryCounters counters;
         EntryState state = EntryState::Starting;
     };
 
     void startQuery(const HttpRequest&, const Responder&);
-    void startKeyed(const HttpRequest&, const Responder&);
+    void startKeyed(const HttpRequest&, const Responder&, bool isFirstSend);
     ServiceRules rulesOf(const Configuration&, const std::string& service, milliseconds& deadline) const;
     std::shared_ptr<const PinnedLayout> layoutOf(const std::string& service);
-    std::shared_ptr<Running> admit(const std::string& service, const ServiceRules&, const Responder&);
+    std::shared_ptr<Running> admit(AdmissionRequest, const Rules&, const Responder&);
     void remove(Table&, const std::shared_ptr<Running>&);
     void onCallerGone(std::uint64_t id);
     void arm(const std::shared_ptr<Running>&, std::optional<TimePoint>);
--- a/daemon/KeyedMapping.cpp
+++ b/daemon/KeyedMapping.cpp
@@ -86,4 +86,23 @@
     return { record.has_value(), record };
 }
 
+Error keyedRefusal(const Error& error, bool isFirstSend)
+{
+    switch (error.kind()) {
+    case ErrorKind::Overloaded:
+    case ErrorKind::ShareExceeded:
+    case ErrorKind::DeadlineUnreachable:
+    case ErrorKind::NotReady:
+    case ErrorKind::Stopping:
+    case ErrorKind::NoMajority:
+    case ErrorKind::UnknownService:
+        if (!isFirstSend)
+            return { ErrorKind::OutcomeUnknown,
+                std::string("this send did not run, an earlier one may have: ") + error.what() };
+        return error;
+    default:
+        return error;
+    }
+}
+
 } // namespace citronplank
--- a/daemon/KeyedMapping.h
+++ b/daemon/KeyedMapping.h
@@ -14,6 +14,10 @@
 /// nothing unless no record stands, in which case this attempt holds it from then on.
 RecordReply toRecord(const SubmitResult& result, const BeginKeyed&);
 
+/// What a keyed request is answered for `error`. A refusal before its record is known says nothing about earlier sends
+/// of the same key; only a caller that states its first send can be told that the request did not run.
+Error keyedRefusal(const Error& error, bool isFirstSend);
+
 /// The stored form of an outcome: one byte for "failed" and the body.
 std::string encodeStoredAnswer(const StoredOutcome&);
 
--- a/daemon/PartRouter.cpp
+++ b/daemon/PartRouter.cpp
@@ -98,8 +98,9 @@
 void PartRouter::onAnswer(const Envelope& envelope)
 {
     auto result = decodePartResult(envelope.body);
-    m_remote.with([&](auto& remote) { remote.erase(result.partId); });
-    m_links.deliver(result);
+    // An answer to a part that this run did not send, or that was settled when its link was lost, is dropped.
+    if (m_remote.with([&](auto& remote) { return remote.erase(result.partId); }) > 0)
+        m_links.deliver(result);
 }
 
 void PartRouter::onLinkDown(const std::string& address)
