Check stored votes, own-term commits, freshness and joiners of the control log directly

Cause: mutations that survived the random faults: votes that are not stored, reads and freshness before an entry of the own term is committed, timestamps that go back, a probe of another cluster or of a second identity of a live member that makes a learner, and a dropped pre-vote grant of a member in an older term. Each has a directed check now.

--- a/tests/ControlLogTests.cpp
+++ b/tests/ControlLogTests.cpp
@@ -385,28 +385,109 @@
     cluster.requireConvergence();
 }
 
+namespace {
+
+/// Member atl with a log of term 2 in term 3; the test plays mac and sav.
+struct SingleMember {
+    SingleMember()
+    {
+        Membership membership { 7, { { "atl", 1 }, { "mac", 2 }, { "sav", 3 } }, {} };
+        disk->content.vote = { 3, {} };
+        disk->content.entries
+            = { { 1, 1, 1, ChangeMembers { membership } }, { 2, 2, 9, edit("old", 0, "zone atl", "out") } };
+        restart();
+    }
+    void restart()
+    {
+        log.emplace(storage, ControlLogSettings { "atl", threeNames, 1, [this](TimePoint) { return wallMs; } }, now);
+    }
+    ControlOutput from(const std::string& name, DiskIdentity sender, ControlBody body, std::uint64_t term = 0)
+    {
+        return log->receive(name, { 7, { name, sender }, 1, term ? term : log->status().term, std::move(body) }, now);
+    }
+    ControlOutput elect()
+    {
+        log->tick(now += seconds(2));
+        auto votes = from("mac", 2, PreVoteAnswer { 4, true }, 2); // mac is still in an older term
+        REQUIRE(votes.messages.size() == 2);
+        CHECK(disk->content.vote == VoteRecord { 4, { "atl", 1 } }); // stored before the requests are sent
+        auto output = from("mac", 2, VoteAnswer { true });
+        REQUIRE(log->isLeader());
+        return output;
+    }
+    std::shared_ptr<MemoryDisk> disk = std::make_shared<MemoryDisk>(MemoryDisk { 1, {}, {}, false });
+    MemoryStorage storage { disk };
+    std::uint64_t wallMs = 5;
+    TimePoint now;
+    std::optional<ControlLog<MemoryStorage>> log;
+};
+
+} // namespace
+
 // Guards against an entry of an earlier term that is committed by its copies alone and replaced later by another
-// leader.
-TEST_CASE("a majority that holds an entry of an earlier term does not commit it")
+// leader, and against reads and freshness of a leader that does not know yet what is committed.
+TEST_CASE("nothing is committed or confirmed before an entry of the leader's own term")
 {
-    auto disk = std::make_shared<MemoryDisk>(MemoryDisk { 1, {}, {}, false });
-    Membership membership { 7, { { "atl", 1 }, { "mac", 2 }, { "sav", 3 } }, {} };
-    disk->content.vote = { 3, {} };
-    disk->content.entries
-        = { { 1, 1, 1, ChangeMembers { membership } }, { 2, 2, 1, edit("old", 0, "zone atl", "out") } };
-    MemoryStorage storage(disk);
-    ControlLog<MemoryStorage> log(storage, { "atl", threeNames, 1, [](TimePoint) { return std::uint64_t { 1 }; } }, {});
-    TimePoint now = TimePoint() + seconds(2);
-    log.tick(now);
-    auto fromMac = [&](ControlBody body) {
-        return log.receive("mac", { 7, { "mac", 2 }, 1, log.status().term, std::move(body) }, now);
-    };
-    fromMac(PreVoteAnswer { 4, true });
-    fromMac(VoteAnswer { true });
-    REQUIRE(log.isLeader());
-    REQUIRE(log.status().lastIndex == 3);
-    CHECK(fromMac(AppendAnswer { true, 2, 1 }).committed.empty());
-    CHECK(fromMac(AppendAnswer { true, 3, 1 }).committed.size() == 3);
+    SingleMember atl;
+    atl.elect();
+    REQUIRE(atl.log->status().lastIndex == 3);
+    atl.log->confirmLeadership(1, atl.now);
+    auto output = atl.from("mac", 2, AppendAnswer { true, 2, 2 }); // a majority answers the round of the read
+    CHECK(output.committed.empty());
+    CHECK(output.reads.empty());
+    CHECK_FALSE(output.freshness);
+    output = atl.from("mac", 2, AppendAnswer { true, 3, 2 });
+    REQUIRE(output.committed.size() == 3);
+    REQUIRE(output.reads.size() == 1);
+    CHECK(output.reads.front().confirmed);
+    // The wall clock of this leader is behind; the state clock must not go back.
+    CHECK(output.committed.back().timestampMs == 9);
+}
+
+// Guards against a freshness timestamp that goes back when the wall clock does.
+TEST_CASE("freshness timestamps increase")
+{
+    SingleMember atl;
+    atl.elect();
+    atl.from("mac", 2, AppendAnswer { true, 3, 1 });
+    std::uint64_t last = 0;
+    for (std::uint64_t wall : { 100, 50, 60, 200 }) {
+        atl.wallMs = wall;
+        atl.log->tick(atl.now += milliseconds(600));
+        auto output = atl.from("mac", 2, AppendAnswer { true, 3, UINT64_MAX });
+        REQUIRE(output.freshness);
+        CHECK(output.freshness->timestampMs > last);
+        last = output.freshness->timestampMs;
+    }
+}
+
+// Guards against a second vote in one term after a restart.
+TEST_CASE("a vote is stored before it is answered")
+{
+    SingleMember atl;
+    auto first = atl.from("mac", 2, Vote { 2, 2 }, 4);
+    CHECK(std::get<VoteAnswer>(first.messages.at(0).message.body).granted);
+    atl.restart();
+    auto second = atl.from("sav", 3, Vote { 2, 2 }, 4);
+    CHECK_FALSE(std::get<VoteAnswer>(second.messages.at(0).message.body).granted);
+    auto again = atl.from("mac", 2, Vote { 2, 2 }, 4);
+    CHECK(std::get<VoteAnswer>(again.messages.at(0).message.body).granted);
+}
+
+// Guards against a late probe that starts a replacement of a member that is alive, and against a learner that belongs
+// to another cluster and can never follow.
+TEST_CASE("neither a second identity of a live member nor a member of another cluster is added")
+{
+    SingleMember atl;
+    atl.elect();
+    atl.from("mac", 2, AppendAnswer { true, 3, 1 });
+    atl.from("mac", 8, Probe { true });
+    atl.log->receive("sav", { 6, { "sav", 9 }, 0, 1, Probe { false } }, atl.now);
+    atl.log->tick(atl.now);
+    CHECK(atl.log->status().lastIndex == 3);
+    atl.from("sav", 9, Probe { true });
+    atl.log->tick(atl.now);
+    CHECK(atl.log->status().membership.learners == std::vector<ControlMember> { { "sav", 9 } });
 }
 
 // Guards against a repair that stalls because the new identity is lost before it has a vote.
