Test the leaf directory against old runs learned by gossip, settle before measuring gossip

Cause: a trial without the check for an older boot passed the directory's suite. The slopes at 128 members and more were measured while the first 8 leaves of each member were still spreading.

Before: the trial was not noticed.

--- a/bench/GossipSlopes.cpp
+++ b/bench/GossipSlopes.cpp
@@ -97,7 +97,7 @@
             for (std::size_t j = 0; j < m_row.members; ++j)
                 if (i != j)
                     m_group.at(j).importRecords(ownItems(i), m_group.now());
-        run(seconds(60));
+        run(seconds(240)); // until the updates of all these changes have been spread
         m_row.kilobytes = (heapBytes() - m_heapBefore) / 1024.0 / static_cast<double>(m_row.members);
     }
 
--- a/tests/LeafDirectoryTests.cpp
+++ b/tests/LeafDirectoryTests.cpp
@@ -64,6 +64,11 @@
     LeafDirectory other("b");
     CHECK_FALSE(pass(other.announce(old, at(0)), directory, at(200)));
     CHECK(directory.leaf("atl-1")->address == "10.0.0.9:80");
+    // The same at a daemon that knows the present run from gossip only.
+    LeafDirectory reader("c");
+    pass(LeafDirectory("a").announce(announcementOf(2, 1), at(0)), reader, at(0));
+    CHECK_FALSE(pass(LeafDirectory("b").announce(old, at(0)), reader, at(200)));
+    CHECK(reader.leaf("atl-1")->boot == 2);
 }
 
 // Guards against a silent leaf that keeps getting work, at its registrar and elsewhere.
