--- a/spec/ZoneLease.m
+++ b/spec/ZoneLease.m
@@ -13,6 +13,9 @@
   WaitTicks: 2;
   ConfirmationRule: true; -- a new owner waits before it sends
   ChainRule: true;        -- the sign must hold for every earlier view, not only for the one before
+  -- The leader changes a view only when no member of the view before it can still send under that one. It makes ChainRule
+  -- unnecessary and is what coordination/ViewKeeper does, so that members have to know one earlier view only.
+  SettledChange: false;
   -- The leader waits after the last lease of a member that it removes. The invariant holds without it, because a new owner
   -- waits for longer than a lease after it has learned of the new view.
   SilenceRule: true;
@@ -40,6 +43,9 @@
   isConfirmed: array [Member] of boolean;
   isWaiting: array [Member] of boolean;
   wait: array [Member] of Wait;
+  isSettled: boolean; -- as the leader knows of the view before the latest
+  leaderIsWaiting: boolean;
+  leaderWait: Wait;
 
 function isOwner(m: Member; v: View): boolean;
 begin
@@ -123,6 +129,9 @@
 ruleset a: boolean; b: boolean; c: boolean do
 startstate begin
   latest := 1;
+  isSettled := true;
+  leaderIsWaiting := false;
+  leaderWait := 0;
   for v: View do
     for m: Member do
       isMember[v][m] := false;
@@ -148,11 +157,12 @@
 
 ruleset a: boolean; b: boolean; c: boolean do
   rule "commit the next view"
-    latest < Views & (a | b | c)
+    latest < Views & (a | b | c) & (!SettledChange | isSettled)
       & (!SilenceRule | ((a | !isMember[latest][1] | sinceLease[1] = 0) & (b | !isMember[latest][2] | sinceLease[2] = 0)
         & (c | !isMember[latest][3] | sinceLease[3] = 0)))
   ==> begin
     latest := latest + 1;
+    isSettled := !SettledChange;
     isMember[latest][1] := a;
     isMember[latest][2] := b;
     isMember[latest][3] := c;
@@ -220,9 +230,31 @@
   end;
 end;
 
+rule "leader learns that the earlier view is left"
+  !isSettled & !leaderIsWaiting & isLeft(latest - 1)
+==> begin
+  leaderIsWaiting := true;
+  leaderWait := WaitTicks;
+end;
+
+rule "leader learns that all members of the earlier view have adopted the latest"
+  !isSettled & allLeft(latest)
+==> begin
+  isSettled := true;
+  leaderIsWaiting := false;
+  leaderWait := 0;
+end;
+
 rule "tick"
   true
 ==> begin
+  if leaderIsWaiting then
+    leaderWait := leaderWait - 1;
+    if leaderWait = 0 then
+      leaderIsWaiting := false;
+      isSettled := true;
+    end;
+  end;
   for m: Member do
     if lease[m] > 0 then
       lease[m] := lease[m] - 1;
