Keep links from hanging in nng_close and idle lanes from reopening

Seen: LinksTests hung in 12 of 400 runs of one case (4 at a time). A pull connection of nng 1.5.2 kept a receive that was begun and never ended; its reaper waited for it, and so did every nng_close of the process. Ruled out by trials: overlap of nng_dial and nng_close alone (still hung), nng calls inside nng callbacks (still hung), closing the pull socket before the dialers (still hung). Without closing the pull socket: 0 of 300. Change: connections are rejected before they start once the links stop, nng calls left the callbacks, and sockets are closed on a thread of their own with a bounded wait, so that neither heartbeats nor a stop wait. After: 0 of 300. Also: a heartbeat of an unused lane no longer opens a lane. Two idle peers reopened lanes to each other for ever; the idle test failed in 2 of 12 runs before and 0 of 12 after. The crash probe of the leaf client has a test now.

--- a/tests/LeafClientTests.cpp
+++ b/tests/LeafClientTests.cpp
@@ -67,6 +67,7 @@
     std::atomic<int> accepted { 0 };
     std::atomic<int> ended { 0 };
     std::atomic<int> requests { 0 };
+    std::atomic<bool> dying { false };  // accepts connections and ends them at once
     std::atomic<bool> silent { false }; // connections that have served a part receive and never answer
     std::string lastRequest()
     {
@@ -83,6 +84,8 @@
             m_acceptor.accept(*socket, ec);
             if (ec || m_stopped)
                 return;
+            if (dying)
+                continue;
             ++accepted;
             const std::lock_guard lock(m_mutex);
             m_sockets.push_back(socket);
@@ -378,11 +381,15 @@
         keyed.requestKey = "1-k";
         CHECK(client.run(keyed, leaf.address()).status == PartStatus::Crashed);
         CHECK(client.run(Client::part(5, "x"), leaf.address()).status == PartStatus::Ok);
-        client.send(Client::part(6, "hang"), leaf.address());
-        REQUIRE(eventually([&] { return leaf.requests == 6; }));
+        leaf.dying = true; // a process that ends may still accept for a moment
+        CHECK(client.run(Client::part(6, "crash"), leaf.address()).status == PartStatus::Crashed);
+        leaf.dying = false;
+        CHECK(client.run(Client::part(7, "x"), leaf.address()).status == PartStatus::Ok);
+        client.send(Client::part(8, "hang"), leaf.address());
+        REQUIRE(eventually([&] { return leaf.requests == 8; }));
     } // the leaf dies with the part
-    CHECK(client.result(6).status == PartStatus::Crashed);
-    CHECK(client.result(6).outcome == Outcome::MayHaveRun);
+    CHECK(client.result(8).status == PartStatus::Crashed);
+    CHECK(client.result(8).outcome == Outcome::MayHaveRun);
 }
 
 // Guards against idle connections that the leaf has closed and that are still used or counted.
--- a/tests/LinksTests.cpp
+++ b/tests/LinksTests.cpp
@@ -1,11 +1,13 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "transport/EnvelopeCodec.h"
 #include "transport/Links.h"
+#include "transport/SocketCloser.h"
 
 #include <asio.hpp>
 #include <atomic>
 #include <condition_variable>
 #include <doctest/doctest.h>
+#include <future>
 #include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -274,7 +276,7 @@
     Node sender("a");
     CHECK(sender.links->send(receiver.links->address(), Lane::Part, { .kind = 1 }));
     CHECK(receiver.waitFor([&] { return receiver.received.size() == 1; }));
-    nng_close(stranger);
+    closeSocket(stranger, seconds(1));
 }
 
 // Guards against links that keep each other open by heartbeats alone.
@@ -304,5 +306,27 @@
     CHECK(receiver.received[0].correlation == 2);
     CHECK(receiver.received[1].correlation == 3);
     CHECK(receiver.links->counters().outdated == 1);
-    nng_close(peer);
+    closeSocket(peer, seconds(1));
+}
+
+// Guards against a thread that waits in nng for ever when lanes are closed while they are dialled, and against a stop
+// that never ends. A hang shows as a timeout of this program.
+TEST_CASE("lanes that are opened and closed all the time do not block a thread")
+{
+    LinkSettings settings;
+    settings.heartbeatInterval = milliseconds(1);
+    settings.silenceLimit = milliseconds(2);
+    settings.idleLimit = milliseconds(1);
+    for (int round = 0; round < 10; ++round) {
+        Node a("a", settings);
+        Node b("b", settings);
+        for (int i = 0; i < 30; ++i) {
+            a.links->send(b.links->address(), Lane::Part, { .kind = 1 });
+            b.links->send(a.links->address(), Lane::Control, { .kind = 1 });
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        std::promise<void> ran;
+        asio::post(a.io, [&] { asio::post(a.io, [&] { ran.set_value(); }); });
+        CHECK(ran.get_future().wait_for(patience) == std::future_status::ready);
+    }
 }
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -1,16 +1,12 @@
 #include "transport/Links.h"
 
-#include "transport/EnvelopeCodec.h"
+#include "transport/LinksImpl.h"
 #include "transport/PipeRegistry.h"
+#include "transport/SocketCloser.h"
 
-#include <array>
-#include <asio.hpp>
-#include <atomic>
-#include <mutex>
-#include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
-#include <unordered_map>
+#include <thread>
 
 namespace citronplank {
 
@@ -20,115 +16,8 @@
 constexpr std::uint16_t heartbeatAnswerKind = firstReservedKind + 1;
 constexpr std::size_t maximumPeers = 8192; // bounds the tables that addresses in received envelopes can grow
 constexpr nng_duration dialRetryMilliseconds = 100;
-constexpr std::size_t laneCount = 2;
-
-/// One connection to one peer. The fields other than `socket`, `id` and `epoch` are guarded by the mutex of Impl.
-struct Dialer {
-    enum class State : std::uint8_t {
-        Opening, // first dial: sends are queued until the silence limit
-        Up,
-        Down, // sends are refused until a heartbeat is answered
-    };
-    nng_socket socket {};
-    std::uint64_t id = 0; // identifies this connection in nng's callbacks
-    std::uint64_t epoch = 0;
-    State state = State::Opening;
-    bool hasPipe = false;
-    bool lostPipe = false;
-    TimePoint openedAt;
-    TimePoint lastAnswer;
-    TimePoint lastUse;     // last send by the daemon
-    TimePoint lastPeerUse; // last heartbeat by which the peer asked for proof of this lane
-};
-
-struct InboundLane {
-    std::uint64_t incarnation = 0;
-    std::uint64_t epoch = 0;
-};
-
-struct InboundPeer {
-    asio::strand<asio::io_context::executor_type> strand;
-    std::array<InboundLane, laneCount> lanes;
-};
-
-using Strand = asio::strand<asio::io_context::executor_type>;
-using DialerKey = std::pair<std::string, Lane>;
-
-struct DialerKeyHash {
-    std::size_t operator()(const DialerKey& key) const
-    {
-        return std::hash<std::string> {}(key.first) * 2 + static_cast<std::size_t>(key.second);
-    }
-};
-
-} // namespace
-
-class Links::Impl : public std::enable_shared_from_this<Links::Impl> {
-public:
-    Impl(asio::io_context& io, LinkSettings settings)
-        : m_io(io)
-        , m_settings(std::move(settings))
-        , m_timer(io)
-        , m_stateStrand(asio::make_strand(io))
-    {
-    }
-
-    void bind();
-    void start();
-    void stop();
-    bool send(const std::string& address, Lane, Envelope&&);
-    LinkCounters counters();
-
-    void setHandler(Handler handler) { m_handler = std::move(handler); }
-    void setStateHandler(StateHandler handler) { m_stateHandler = std::move(handler); }
-    const std::string& address() const { return m_address; }
-
-private:
-    static void receiveCallback(void* self) { static_cast<Impl*>(self)->received(); }
-    static void pipeCallback(nng_pipe, nng_pipe_ev event, void* id);
-
-    void received();
-    void receiveNext();
-    void handleMessage(std::string_view bytes);
-    void deliver(Envelope&&, const Strand&);
-    std::optional<Strand> admitInbound(const WireEnvelope&);
-    void answerHeartbeat(const WireEnvelope&);
-    void acceptHeartbeatAnswer(const WireEnvelope&);
-    void pipeChanged(std::uint64_t id, nng_pipe_ev event);
-
-    std::shared_ptr<Dialer> openDialer(std::uint64_t epoch);
-    std::shared_ptr<Dialer> findOrOpen(const DialerKey&);
-    void closeDialer(Dialer&);
-    void redial(const DialerKey&, const std::shared_ptr<Dialer>& old);
-    bool push(const DialerKey&, const Dialer&, Envelope&&);
-    void sendHeartbeat(const DialerKey&, const Dialer&, bool inUse);
-    void reportState(const DialerKey&, bool up);
-    void scheduleTick();
-    void tick();
-    void tickDialer(const DialerKey&, const std::shared_ptr<Dialer>&, TimePoint now);
-
-    asio::io_context& m_io;
-    LinkSettings m_settings;
-    Handler m_handler;
-    StateHandler m_stateHandler;
-    std::string m_address;
-    asio::steady_timer m_timer;
-    Strand m_stateStrand;
-    nng_socket m_pull {};
-    nng_aio* m_receiveAio = nullptr;
-    std::atomic<bool> m_stopped { false };
-
-    std::mutex m_mutex; // guards the members below; never held across a call into nng or a callback
-    std::unordered_map<DialerKey, std::shared_ptr<Dialer>, DialerKeyHash> m_dialers;
-    std::unordered_map<std::uint64_t, DialerKey> m_keyOfId;
-    std::unordered_map<std::string, InboundPeer> m_inbound;
-    std::uint64_t m_lastEpoch = 0;
-    std::size_t m_pending = 0;
-    bool m_receivePaused = false;
-    LinkCounters m_counters;
-};
-
-namespace {
+constexpr milliseconds startingPipeLimit { 100 };
+constexpr milliseconds closeLimit { 500 }; // a stop waits this long for the port to be free
 
 void requireNng(int result, const std::string& what)
 {
@@ -141,6 +30,11 @@
 void Links::Impl::bind()
 {
     requireNng(nng_pull0_open(&m_pull), "cannot open the link listener");
+    m_pullId = pipeRegistry().add(std::weak_ptr<void>(std::static_pointer_cast<void>(shared_from_this())));
+    // NOLINTNEXTLINE(performance-no-int-to-ptr): nng passes one pointer-sized argument, here a number.
+    void* argument = reinterpret_cast<void*>(static_cast<std::uintptr_t>(m_pullId));
+    for (const nng_pipe_ev event : { NNG_PIPE_EV_ADD_PRE, NNG_PIPE_EV_ADD_POST })
+        nng_pipe_notify(m_pull, event, &Impl::inboundPipeCallback, argument);
     nng_listener listener {};
     const std::string url = "tcp://" + m_settings.listenAddress;
     requireNng(nng_listener_create(&listener, m_pull, url.c_str()), "bad link address " + m_settings.listenAddress);
@@ -155,7 +49,7 @@
 
 void Links::Impl::start()
 {
-    nng_recv_aio(m_pull, m_receiveAio);
+    receiveNext();
     scheduleTick();
 }
 
@@ -174,10 +68,16 @@
         nng_aio_stop(m_receiveAio);
     for (auto& [key, dialer] : dialers)
         closeDialer(*dialer);
-    nng_close(m_pull);
-    if (m_receiveAio)
-        nng_aio_free(m_receiveAio);
-    m_receiveAio = nullptr;
+    awaitStartingPipes();
+    closeSocket(m_pull, closeLimit);
+    pipeRegistry().remove(m_pullId);
+    nng_aio* aio = nullptr;
+    {
+        const std::lock_guard lock(m_receiveMutex);
+        aio = std::exchange(m_receiveAio, nullptr);
+    }
+    if (aio)
+        nng_aio_free(aio);
 }
 
 bool Links::Impl::send(const std::string& address, Lane lane, Envelope&& envelope)
@@ -207,13 +107,33 @@
     return counters;
 }
 
+/// Rejects connections before they start once the links stop, see `closeSocket`.
+void Links::Impl::inboundPipeCallback(nng_pipe pipe, nng_pipe_ev event, void* argument)
+{
+    const auto id = reinterpret_cast<std::uintptr_t>(argument);
+    const auto owner = std::static_pointer_cast<Impl>(pipeRegistry().find(id));
+    if (event == NNG_PIPE_EV_ADD_PRE && (!owner || owner->m_stopped))
+        nng_pipe_close(pipe);
+    else if (owner)
+        owner->m_startingPipes += event == NNG_PIPE_EV_ADD_PRE ? 1 : -1;
+}
+
+/// Gives connections that are starting a moment to finish.
+void Links::Impl::awaitStartingPipes()
+{
+    const TimePoint end = Clock::now() + startingPipeLimit;
+    while (m_startingPipes > 0 && Clock::now() < end)
+        std::this_thread::sleep_for(milliseconds(1));
+}
+
 // ---- receiving
 
 void Links::Impl::received()
 {
     if (nng_aio_result(m_receiveAio) != 0) {
-        if (!m_stopped && nng_aio_result(m_receiveAio) != NNG_ECLOSED && nng_aio_result(m_receiveAio) != NNG_ECANCELED)
-            nng_recv_aio(m_pull, m_receiveAio);
+        const int result = nng_aio_result(m_receiveAio);
+        if (result != NNG_ECLOSED && result != NNG_ECANCELED)
+            receiveNext();
         return;
     }
     nng_msg* message = nng_aio_get_msg(m_receiveAio);
@@ -231,7 +151,8 @@
 
 void Links::Impl::receiveNext()
 {
-    if (!m_stopped)
+    const std::lock_guard lock(m_receiveMutex);
+    if (!m_stopped && m_receiveAio)
         nng_recv_aio(m_pull, m_receiveAio);
 }
 
@@ -247,7 +168,8 @@
     if (!strand)
         return;
     if (wire->envelope.kind == heartbeatKind)
-        answerHeartbeat(*wire);
+        asio::post(
+            m_io, [self = shared_from_this(), heartbeat = std::move(*wire)] { self->answerHeartbeat(heartbeat); });
     else if (wire->envelope.kind == heartbeatAnswerKind)
         acceptHeartbeatAnswer(*wire);
     else if (wire->envelope.kind < firstReservedKind)
@@ -305,10 +227,20 @@
 void Links::Impl::answerHeartbeat(const WireEnvelope& wire)
 {
     const DialerKey key(wire.envelope.from, wire.lane);
-    const std::shared_ptr<Dialer> dialer = findOrOpen(key);
+    const bool inUse = wire.envelope.body == "1";
+    std::shared_ptr<Dialer> dialer;
+    if (inUse) {
+        dialer = findOrOpen(key);
+    } else {
+        // A lane is never opened for a heartbeat of an unused one: two idle peers would open lanes to each other for
+        // ever.
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_dialers.find(key);
+        dialer = it == m_dialers.end() ? nullptr : it->second;
+    }
     if (!dialer)
         return;
-    if (wire.envelope.body == "1") {
+    if (inUse) {
         const std::lock_guard lock(m_mutex);
         dialer->lastPeerUse = Clock::now();
     }
@@ -378,7 +310,7 @@
         hasPipe = dialer->hasPipe;
         inUse = now - dialer->lastUse < m_settings.idleLimit;
         const bool silent = now - std::max(dialer->openedAt, dialer->lastAnswer) > m_settings.silenceLimit;
-        if (!inUse && now - dialer->lastPeerUse > m_settings.silenceLimit) {
+        if (!inUse && now - std::max(dialer->openedAt, dialer->lastPeerUse) > m_settings.silenceLimit) {
             action = Action::Close;
             m_dialers.erase(key);
             m_keyOfId.erase(dialer->id);
@@ -434,8 +366,9 @@
     }
     if (wentDown)
         reportState(key, false);
-    if (event == NNG_PIPE_EV_ADD_POST)
-        sendHeartbeat(key, *dialer, inUse);
+    if (event == NNG_PIPE_EV_ADD_POST) {
+        asio::post(m_io, [self = shared_from_this(), key, dialer, inUse] { self->sendHeartbeat(key, *dialer, inUse); });
+    }
 }
 
 /// Opens a socket without dialling. Returns null when nng has no more resources.
@@ -480,17 +413,45 @@
             m_keyOfId.emplace(dialer->id, key);
     }
     if (winner != dialer)
-        closeDialer(*dialer); // another thread was faster, or the links are stopping
+        discard(*dialer); // another thread was faster, or the links are stopping
     else
-        nng_dial(dialer->socket, ("tcp://" + key.first).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+        dial(key, *dialer);
     return winner;
 }
 
-/// Drops queued messages with the socket.
+/// Drops queued messages with the socket. A socket that is being dialled is closed by `dial` afterwards, so
+/// that nng_dial and nng_close never overlap.
 void Links::Impl::closeDialer(Dialer& dialer)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (dialer.isDialling) {
+            dialer.closeAfterDial = true;
+            return;
+        }
+    }
     pipeRegistry().remove(dialer.id);
-    nng_close(dialer.socket);
+    closeSocket(dialer.socket, milliseconds(0));
+}
+
+void Links::Impl::dial(const DialerKey& key, Dialer& dialer)
+{
+    nng_dial(dialer.socket, ("tcp://" + key.first).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    bool close = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        dialer.isDialling = false;
+        close = dialer.closeAfterDial;
+    }
+    if (close)
+        closeDialer(dialer);
+}
+
+/// Closes a dialer that no other thread has seen.
+void Links::Impl::discard(Dialer& dialer)
+{
+    dialer.isDialling = false;
+    closeDialer(dialer);
 }
 
 void Links::Impl::redial(const DialerKey& key, const std::shared_ptr<Dialer>& old)
@@ -518,9 +479,9 @@
     }
     if (replaced) {
         closeDialer(*old);
-        nng_dial(fresh->socket, ("tcp://" + key.first).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+        dial(key, *fresh);
     } else if (fresh) {
-        closeDialer(*fresh);
+        discard(*fresh);
     }
 }
 
--- /dev/null
+++ b/transport/LinksImpl.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "transport/EnvelopeCodec.h"
+#include "transport/Links.h"
+
+#include <array>
+#include <asio.hpp>
+#include <atomic>
+#include <mutex>
+#include <nng/nng.h>
+#include <unordered_map>
+
+namespace citronplank {
+
+constexpr std::size_t laneCount = 2;
+
+/// One connection to one peer. The fields other than `socket`, `id` and `epoch` are guarded by the mutex of Impl.
+struct Dialer {
+    enum class State : std::uint8_t {
+        Opening, // first dial: sends are queued until the silence limit
+        Up,
+        Down, // sends are refused until a heartbeat is answered
+    };
+    nng_socket socket {};
+    std::uint64_t id = 0; // identifies this connection in nng's callbacks
+    std::uint64_t epoch = 0;
+    State state = State::Opening;
+    bool isDialling = true; // from before the dialer is visible to other threads until nng_dial has returned
+    bool closeAfterDial = false;
+    bool hasPipe = false;
+    bool lostPipe = false;
+    TimePoint openedAt;
+    TimePoint lastAnswer;
+    TimePoint lastUse;     // last send by the daemon
+    TimePoint lastPeerUse; // last heartbeat by which the peer asked for proof of this lane
+};
+
+struct InboundLane {
+    std::uint64_t incarnation = 0;
+    std::uint64_t epoch = 0;
+};
+
+struct InboundPeer {
+    asio::strand<asio::io_context::executor_type> strand;
+    std::array<InboundLane, laneCount> lanes;
+};
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using DialerKey = std::pair<std::string, Lane>;
+
+struct DialerKeyHash {
+    std::size_t operator()(const DialerKey& key) const
+    {
+        return std::hash<std::string> {}(key.first) * 2 + static_cast<std::size_t>(key.second);
+    }
+};
+
+class Links::Impl : public std::enable_shared_from_this<Links::Impl> {
+public:
+    Impl(asio::io_context& io, LinkSettings settings)
+        : m_io(io)
+        , m_settings(std::move(settings))
+        , m_timer(io)
+        , m_stateStrand(asio::make_strand(io))
+    {
+    }
+
+    void bind();
+    void start();
+    void stop();
+    bool send(const std::string& address, Lane, Envelope&&);
+    LinkCounters counters();
+
+    void setHandler(Handler handler) { m_handler = std::move(handler); }
+    void setStateHandler(StateHandler handler) { m_stateHandler = std::move(handler); }
+    const std::string& address() const { return m_address; }
+
+private:
+    static void receiveCallback(void* self) { static_cast<Impl*>(self)->received(); }
+    static void pipeCallback(nng_pipe, nng_pipe_ev event, void* id);
+
+    static void inboundPipeCallback(nng_pipe, nng_pipe_ev event, void* id);
+
+    void awaitStartingPipes();
+    void received();
+    void receiveNext();
+    void handleMessage(std::string_view bytes);
+    void deliver(Envelope&&, const Strand&);
+    std::optional<Strand> admitInbound(const WireEnvelope&);
+    void answerHeartbeat(const WireEnvelope&);
+    void acceptHeartbeatAnswer(const WireEnvelope&);
+    void pipeChanged(std::uint64_t id, nng_pipe_ev event);
+
+    std::shared_ptr<Dialer> openDialer(std::uint64_t epoch);
+    std::shared_ptr<Dialer> findOrOpen(const DialerKey&);
+    void closeDialer(Dialer&);
+    void dial(const DialerKey&, Dialer&);
+    void discard(Dialer&);
+    void redial(const DialerKey&, const std::shared_ptr<Dialer>& old);
+    bool push(const DialerKey&, const Dialer&, Envelope&&);
+    void sendHeartbeat(const DialerKey&, const Dialer&, bool inUse);
+    void reportState(const DialerKey&, bool up);
+    void scheduleTick();
+    void tick();
+    void tickDialer(const DialerKey&, const std::shared_ptr<Dialer>&, TimePoint now);
+
+    asio::io_context& m_io;
+    LinkSettings m_settings;
+    Handler m_handler;
+    StateHandler m_stateHandler;
+    std::string m_address;
+    asio::steady_timer m_timer;
+    Strand m_stateStrand;
+    nng_socket m_pull {};
+    std::uint64_t m_pullId = 0;
+    std::mutex m_receiveMutex; // keeps a resumed receive from using the aio while `stop` frees it
+    nng_aio* m_receiveAio = nullptr;
+    std::atomic<bool> m_stopped { false };
+    std::atomic<int> m_startingPipes { 0 }; // accepted connections between nng's two callbacks
+
+    std::mutex m_mutex; // guards the members below; never held across a call into nng or a callback
+    std::unordered_map<DialerKey, std::shared_ptr<Dialer>, DialerKeyHash> m_dialers;
+    std::unordered_map<std::uint64_t, DialerKey> m_keyOfId;
+    std::unordered_map<std::string, InboundPeer> m_inbound;
+    std::uint64_t m_lastEpoch = 0;
+    std::size_t m_pending = 0;
+    bool m_receivePaused = false;
+    LinkCounters m_counters;
+};
+
+} // namespace citronplank
