Settle the end of a write before the answer and refuse parts past their deadline

Two faults of the client: an answer handled before the end of its own write dropped a good connection, and a part past its deadline could still be written before its timer was handled, which turned "not run" into "may have run". Now the write gets 20 ms to settle, and the deadline is checked before a part is queued and before it is written.

--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t maximumHeaderLineBytes = 4096;
+constexpr milliseconds writeGrace { 20 };
 
 template <typename Number>
 std::optional<Number> numberIn(const std::string& text)
@@ -112,6 +113,12 @@
 {
     if (m_phase == Phase::Closed)
         return;
+    if (m_awaitsWrite) {
+        // Bytes or an end behind the answer: the answer stands, the connection is not used again.
+        m_keepAlive = false;
+        finish(LeafReply::End::Complete);
+        return;
+    }
     if (m_phase == Phase::Idle) {
         // The leaf closed, or sent bytes that belong to no exchange and would be taken for the next answer.
         const auto callback = std::exchange(m_idleEnded, nullptr);
@@ -136,9 +143,11 @@
     if (m_phase == Phase::Closed)
         return;
     m_request.clear();
-    if (!ec)
+    if (!ec) {
         m_written = true;
-    else if (m_phase == Phase::Busy)
+        if (m_awaitsWrite)
+            finish(LeafReply::End::Complete);
+    } else if (m_phase == Phase::Busy && !m_awaitsWrite)
         finish(n == 0 ? LeafReply::End::NotWritten : LeafReply::End::Lost);
 }
 
@@ -154,7 +163,7 @@
     }
     if (m_hasMessage) {
         m_keepAlive = http_should_keep_alive(&m_parser) != 0 && done == n;
-        finish(LeafReply::End::Complete);
+        complete();
     } else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade) {
         finish(LeafReply::End::Malformed);
     }
@@ -218,8 +227,25 @@
     return hasLength && m_parser.content_length > m_maximumAnswerBytes ? -1 : 0;
 }
 
+/// Under load the answer can be handled before the end of its request's write. Ending the exchange then would drop a
+/// good connection, so the write gets a moment; a leaf that answers without reading the request is not waited for.
+void LeafConnection::complete()
+{
+    if (m_written) {
+        finish(LeafReply::End::Complete);
+        return;
+    }
+    m_awaitsWrite = true;
+    m_timer.expires_after(writeGrace);
+    m_timer.async_wait([self = shared_from_this()](const std::error_code& ec) {
+        if (!ec && self->m_awaitsWrite && self->m_timer.expiry() <= Clock::now())
+            self->finish(LeafReply::End::Complete);
+    });
+}
+
 void LeafConnection::finish(LeafReply::End end)
 {
+    m_awaitsWrite = false;
     m_reply.end = end;
     const auto done = std::exchange(m_done, nullptr);
     LeafReply reply = std::move(m_reply);
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -63,6 +63,7 @@
     void parse(std::size_t n);
     int headersComplete();
     void takeHeader();
+    void complete();
     void finish(LeafReply::End);
 
     asio::basic_stream_socket<asio::ip::tcp, Strand> m_socket;
@@ -72,6 +73,7 @@
     bool m_keepAlive = true;
     bool m_written = true;
     bool m_hasMessage = false;
+    bool m_awaitsWrite = false; // the answer is whole, the write has not been reported yet
     bool m_inHeaderValue = false;
     std::uint64_t m_exchanges = 0;
     TimePoint m_lastReceived = Clock::now();
--- a/backend/LeafPool.cpp
+++ b/backend/LeafPool.cpp
@@ -43,6 +43,10 @@
 {
     if (exchange->ended)
         return;
+    if (exchange->deadline <= Clock::now()) {
+        end(*exchange, PartStatus::Deadline, Outcome::NotRun);
+        return;
+    }
     m_limit = std::max<std::uint32_t>(connectionLimit, 1);
     exchange->timer.emplace(m_strand);
     exchange->timer->expires_at(exchange->deadline);
@@ -157,6 +161,11 @@
 
 void LeafPool::start(const Connection& connection, const std::shared_ptr<LeafExchange>& exchange)
 {
+    if (exchange->deadline <= Clock::now()) { // its timer has run out and is about to be handled
+        end(*exchange, PartStatus::Deadline, Outcome::NotRun);
+        serve(connection);
+        return;
+    }
     exchange->connection = connection;
     connection->exchange(
         requestOf(*exchange, m_endpoint), [self = shared_from_this(), connection, exchange](LeafReply reply) {
