--- /dev/null
+++ b/coordination/Gossip.cpp
@@ -0,0 +1,442 @@
+#include "coordination/Gossip.h"
+#include "coordination/GossipLimits.h"
+
+#include <algorithm>
+
+namespace citronplank {
+
+namespace {
+
+constexpr std::size_t probeReservedBytes = 300;   // budget that pings leave for acks
+constexpr std::size_t updateReservedBytes = 1200; // budget that updates leave, so that anti-entropy can go on
+constexpr std::uint32_t sendsAfterSync = 2;       // others lack it too if this member did, but most of them will not
+constexpr std::size_t suspectPings = 6;           // expected number over the whole group, for each suspicion
+constexpr std::size_t lastWordReceivers = 4;      // enough that the news of leaving survives 5% loss; they pass it on
+constexpr seconds cleanupInterval { 10 };
+constexpr milliseconds freezeGap { 1000 };
+
+bool isSuspectOrLost(const GossipRecord* record)
+{
+    return record && record->status != static_cast<std::uint8_t>(MemberStatus::Alive);
+}
+
+// Answers to probes may use the whole budget: a member that cannot answer is suspected, which costs everyone more.
+std::size_t keptBytes(const GossipBody& body)
+{
+    if (std::holds_alternative<GossipAck>(body) || std::holds_alternative<GossipNack>(body))
+        return 0;
+    const bool isProbe = std::holds_alternative<GossipPing>(body) || std::holds_alternative<GossipPingRequest>(body);
+    return isProbe ? probeReservedBytes : gossipReservedBytes;
+}
+
+GossipItem itemFrom(const GossipRecord& record)
+{
+    return { record.key, record.payload.value_or(""), record.publisher, record.status == itemRemoved };
+}
+
+} // namespace
+
+Gossip::Gossip(Instance self, std::vector<std::string> seeds, GossipSettings settings, std::uint64_t randomSeed)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_settings(settings)
+    , m_random(randomSeed)
+    , m_budgetBytes(settings.burstBytes)
+{
+    std::erase(m_seeds, m_self.gossipAddress);
+    putSelf(MemberStatus::Alive, {});
+    updateMemberCount();
+}
+
+// ---- Timers -----------------------------------------------------------------------------------------------------
+
+void Gossip::start(TimePoint now)
+{
+    m_started = true;
+    m_lastTick = now;
+    // A random phase spreads the probes of members that start together.
+    m_nextPeriod = now + gossipScaled(m_settings.period, std::uniform_real_distribution<>(0, 1)(m_random));
+    m_nextSync = now;
+    m_nextRejoin = now;
+    m_nextCleanup = now + cleanupInterval;
+}
+
+Gossip::Output Gossip::tick(TimePoint now)
+{
+    Output out;
+    if (!m_started)
+        start(now);
+    const auto gap = now - m_lastTick;
+    refillBudget(now);
+    if (gap >= freezeGap)
+        handleFreeze(gap, now);
+    m_lastTick = std::max(m_lastTick, now);
+    advanceRelays(now, out);
+    advanceProbes(now, out);
+    expireSuspicions(now, out);
+    if (now >= m_nextPeriod)
+        runPeriod(now, out);
+    if (now >= m_nextCleanup) {
+        m_nextCleanup = now + cleanupInterval;
+        m_store.dropRemoved(now - m_settings.removalLifetime, now - m_settings.lostItemLifetime);
+    }
+    return out;
+}
+
+// Acks that arrived during a freeze of this process are still in the socket, so its timers prove nothing.
+void Gossip::handleFreeze(Duration gap, TimePoint now)
+{
+    m_probes.clear();
+    m_relays.clear();
+    for (auto& [name, deadline] : m_suspicions)
+        deadline = std::max(deadline + gap, now + suspicionTimeout());
+    raiseLocalHealth(2);
+    m_nextPeriod = now + m_settings.period;
+}
+
+void Gossip::refillBudget(TimePoint now)
+{
+    if (now <= m_lastTick)
+        return;
+    const double elapsed = std::chrono::duration<double>(now - m_lastTick).count();
+    m_budgetBytes = std::min<double>(m_settings.burstBytes, m_budgetBytes + elapsed * m_settings.bytesPerSecond);
+}
+
+void Gossip::runPeriod(TimePoint now, Output& out)
+{
+    m_nextPeriod += m_settings.period;
+    if (m_nextPeriod <= now)
+        m_nextPeriod = now + m_settings.period;
+    if (m_left)
+        return;
+    startProbe(now, out);
+    if (now >= m_nextSync)
+        sendDigest(now, out);
+    if (now >= m_nextRejoin) {
+        m_nextRejoin = now + (m_alive.empty() ? Duration(gossipFastSyncInterval) : Duration(m_settings.rejoinInterval));
+        rejoin(out);
+    }
+}
+
+// ---- Messages -------------------------------------------------------------------------------------------------------
+
+Gossip::Output Gossip::receive(std::string_view fromAddress, std::string_view bytes, TimePoint now)
+{
+    Output out;
+    const auto datagram = decodeGossipDatagram(bytes);
+    if (!datagram) {
+        ++m_counters.malformed;
+        return out;
+    }
+    const Sender sender { datagram->message.from, std::string(fromAddress) };
+    if (sender.name == m_self.name)
+        return out;
+    // While many members start, those that already know more than the seeds take over part of the seeds' work.
+    if (m_joining && m_started && now >= m_nextSync && !m_alive.contains(sender.name)) {
+        m_nextSync = now + gossipFastSyncInterval;
+        send(sender.address, sender.name, m_store.digest(), out, Extra::None);
+    }
+    const auto* records = std::get_if<GossipRecords>(&datagram->message.body);
+    const bool isSync = records && records->isSync;
+    std::optional<std::uint32_t> sendsLeft;
+    if (isSync)
+        sendsLeft = m_joining ? 0 : sendsAfterSync;
+    std::vector<const GossipRecord*> newer;
+    for (const auto& record : datagram->records)
+        if (const auto* held = accept(record, sendsLeft, now, out))
+            newer.push_back(held);
+    if (isSync && !newer.empty())
+        sendFull(sender.address, newer, false, out);
+    std::visit([&](const auto& body) { handle(body, sender, now, out); }, datagram->message.body);
+    return out;
+}
+
+// ---- Records --------------------------------------------------------------------------------------------------------
+
+const GossipRecord* Gossip::accept(
+    const GossipRecord& record, std::optional<std::uint32_t> sendsLeft, TimePoint now, Output& out)
+{
+    if (record.kind == GossipRecordKind::Member && record.key == m_self.name) {
+        acceptSelf(record, now);
+        return nullptr;
+    }
+    // Items of a publisher that everyone has forgotten must not come back from a member that was away.
+    if (record.kind == GossipRecordKind::Item && !m_store.find(GossipRecordKind::Member, record.publisher))
+        return nullptr;
+    const auto* held = m_store.find(record.kind, record.key);
+    const std::optional<GossipRecord> before = held ? std::optional(*held) : std::nullopt;
+    const auto merge = m_store.merge(record, now, sendsLeft);
+    held = m_store.find(record.kind, record.key);
+    if (merge == GossipStore::Merge::Newer)
+        noteChange(*held, before ? &*before : nullptr, now, out);
+    return merge == GossipStore::Merge::Older ? held : nullptr;
+}
+
+void Gossip::acceptSelf(const GossipRecord& record, TimePoint now)
+{
+    const auto* own = m_store.find(GossipRecordKind::Member, m_self.name);
+    if (!record.isNewerThan(*own) || m_left)
+        return;
+    if (isSuspectOrLost(&record)) {
+        ++m_counters.refutations;
+        raiseLocalHealth(1);
+    }
+    // The clock that gave the incarnation may have been set back since the last run of this instance.
+    m_self.incarnation = record.incarnation;
+    m_selfSequence = record.sequence + 1;
+    putSelf(MemberStatus::Alive, now);
+}
+
+void Gossip::noteChange(const GossipRecord& record, const GossipRecord* before, TimePoint now, Output& out)
+{
+    if (record.kind == GossipRecordKind::Item) {
+        out.changedItems.push_back(itemFrom(record));
+        return;
+    }
+    const auto instance = instanceOf(record.key);
+    if (!instance)
+        return;
+    const auto status = static_cast<MemberStatus>(record.status);
+    if (record.isLive())
+        m_alive.insert_or_assign(record.key, *instance);
+    else
+        m_alive.erase(record.key);
+    if (status == MemberStatus::Suspect) {
+        m_suspicions.try_emplace(record.key, now + suspicionTimeout());
+        tellSuspect(*instance, out);
+    } else {
+        m_suspicions.erase(record.key);
+    }
+    updateMemberCount();
+    // Users have dropped what a lost member published, and its items are not sent again when it returns.
+    if (before && !before->isLive() && record.isLive())
+        m_store.forEachItemOf(
+            record.key, [&](const GossipRecord& item) { out.changedItems.push_back(itemFrom(item)); });
+    const bool isRestart = before && before->incarnation != record.incarnation;
+    if (!before || before->status != record.status || isRestart)
+        out.memberEvents.push_back({ *instance, status });
+}
+
+// A few of those that learn of a suspicion ping the suspect, so that it can refute in time even if it gets no updates.
+void Gossip::tellSuspect(const Instance& suspect, Output& out)
+{
+    if (std::uniform_int_distribution<std::size_t>(0, m_alive.size())(m_random) < suspectPings)
+        send(suspect.gossipAddress, suspect.name, GossipPing { m_nextNumber++, suspect.name }, out, Extra::None);
+}
+
+void Gossip::updateMemberCount()
+{
+    m_store.setSendLimit(static_cast<std::uint32_t>(
+        std::max(3.0, std::ceil(m_settings.sendsPerDoubling * gossipDoublings(m_alive.size() + 1)))));
+}
+
+void Gossip::putSelf(MemberStatus status, TimePoint now)
+{
+    GossipRecord record;
+    record.kind = GossipRecordKind::Member;
+    record.key = m_self.name;
+    record.incarnation = m_self.incarnation;
+    record.sequence = m_selfSequence;
+    record.status = static_cast<std::uint8_t>(status);
+    record.payload = encodeInstance(m_self);
+    m_store.put(std::move(record), now);
+}
+
+void Gossip::putItem(std::string_view key, std::string_view payload, std::uint8_t status, TimePoint now)
+{
+    if (key.empty() || key.size() + payload.size() > maxItemBytes)
+        throw Error(ErrorKind::BadRequest,
+            "gossip item with " + std::to_string(key.size() + payload.size()) + " bytes; allowed are 1 to "
+                + std::to_string(maxItemBytes));
+    GossipRecord record;
+    record.key = key;
+    record.incarnation = m_self.incarnation;
+    record.sequence = 1;
+    record.status = status;
+    record.publisher = m_self.name;
+    record.payload = payload;
+    if (const auto* held = m_store.find(GossipRecordKind::Item, key)) {
+        record.incarnation = std::max(held->incarnation, m_self.incarnation);
+        if (record.incarnation == held->incarnation)
+            record.sequence = held->sequence + 1;
+    }
+    m_store.put(std::move(record), now);
+}
+
+Gossip::Output Gossip::publish(std::string_view key, std::string_view payload, TimePoint now)
+{
+    putItem(key, payload, itemPresent, now);
+    return {};
+}
+
+Gossip::Output Gossip::remove(std::string_view key, TimePoint now)
+{
+    if (const auto* held = m_store.find(GossipRecordKind::Item, key); held && held->isLive())
+        putItem(key, {}, itemRemoved, now);
+    return {};
+}
+
+Gossip::Output Gossip::leave(TimePoint now)
+{
+    Output out;
+    m_left = true;
+    m_probes.clear();
+    m_suspicions.clear();
+    putSelf(MemberStatus::Left, now);
+    const auto* self = m_store.find(GossipRecordKind::Member, m_self.name);
+    for (const auto& name : randomMembers(lastWordReceivers, {}))
+        sendFull(m_alive.at(name).gossipAddress, { self }, false, out);
+    return out;
+}
+
+// ---- Sending --------------------------------------------------------------------------------------------------------
+
+bool Gossip::send(const std::string& address, const std::string& receiver, GossipBody body, Output& out, Extra extra)
+{
+    const std::size_t keepBytes = keptBytes(body);
+    auto bytes = encodeGossipMessage({ m_self.name, std::move(body) });
+    // A suspect or lost member that still answers is told at once, so that it can refute.
+    const auto* record = receiver.empty() ? nullptr : m_store.find(GossipRecordKind::Member, receiver);
+    if (isSuspectOrLost(record)) {
+        const auto notice = encodeGossipRecord(*record);
+        if (bytes.size() + notice.size() <= gossipDatagramBytes)
+            bytes += notice;
+    }
+    if (extra == Extra::Queued && bytes.size() < gossipDatagramBytes) {
+        // Half of what is left keeps some of the budget for the next datagrams of a burst.
+        const double spare = (m_budgetBytes - static_cast<double>(updateReservedBytes + bytes.size())) / 2;
+        if (spare > 0)
+            m_store.appendQueued(bytes, std::min(static_cast<std::size_t>(spare), gossipDatagramBytes - bytes.size()));
+    }
+    return sendBytes(address, bytes, keepBytes, out);
+}
+
+bool Gossip::sendBytes(const std::string& address, const std::string& bytes, std::size_t keepBytes, Output& out)
+{
+    const auto cost = static_cast<double>(bytes.size() + datagramHeaderBytes);
+    if (address.empty() || m_budgetBytes < cost + static_cast<double>(keepBytes)) {
+        ++m_counters.overBudget;
+        return false;
+    }
+    m_budgetBytes -= cost;
+    ++m_counters.datagramsSent;
+    m_counters.bytesSent += bytes.size() + datagramHeaderBytes;
+    out.datagrams.push_back({ address, bytes });
+    return true;
+}
+
+std::optional<Instance> Gossip::instanceOf(std::string_view name) const
+{
+    const auto* record = m_store.find(GossipRecordKind::Member, name);
+    if (!record || !record->payload)
+        return std::nullopt;
+    return decodeInstance(record->key, record->incarnation, *record->payload);
+}
+
+std::vector<std::string> Gossip::randomMembers(std::size_t count, std::string_view except)
+{
+    std::vector<std::string> names;
+    const auto available = m_alive.size() - (m_alive.contains(except) ? 1 : 0);
+    count = std::min(count, available);
+    while (names.size() < count) {
+        auto it = m_alive.begin();
+        std::advance(it, std::uniform_int_distribution<std::size_t>(0, m_alive.size() - 1)(m_random));
+        if (it->first != except && std::find(names.begin(), names.end(), it->first) == names.end())
+            names.push_back(it->first);
+    }
+    return names;
+}
+
+// ---- State ----------------------------------------------------------------------------------------------------------
+
+std::vector<GossipItem> Gossip::items() const
+{
+    std::vector<GossipItem> items;
+    m_store.forEach([&](const GossipRecord& record) {
+        if (record.kind == GossipRecordKind::Item && record.isLive())
+            items.push_back(itemFrom(record));
+    });
+    return items;
+}
+
+std::optional<GossipItem> Gossip::item(std::string_view key) const
+{
+    const auto* record = m_store.find(GossipRecordKind::Item, key);
+    return record && record->isLive() ? std::optional(itemFrom(*record)) : std::nullopt;
+}
+
+std::vector<Member> Gossip::members() const
+{
+    std::vector<Member> members;
+    m_store.forEach([&](const GossipRecord& record) {
+        if (record.kind != GossipRecordKind::Member)
+            return;
+        if (auto instance = instanceOf(record.key))
+            members.push_back({ std::move(*instance), static_cast<MemberStatus>(record.status) });
+    });
+    return members;
+}
+
+std::optional<MemberStatus> Gossip::statusOf(std::string_view name) const
+{
+    const auto* record = m_store.find(GossipRecordKind::Member, name);
+    return record ? std::optional(static_cast<MemberStatus>(record->status)) : std::nullopt;
+}
+
+std::string Gossip::exportRecords() const
+{
+    std::string bytes;
+    m_store.forEach([&](const GossipRecord& record) {
+        if (record.isLive())
+            bytes += encodeGossipRecord(record);
+    });
+    return bytes;
+}
+
+Gossip::Output Gossip::importRecords(std::string_view bytes, TimePoint now)
+{
+    Output out;
+    const auto records = decodeGossipRecords(bytes);
+    if (!records) {
+        ++m_counters.malformed;
+        return out;
+    }
+    for (const auto& record : *records)
+        accept(record, 0, now, out); // the others have them
+    return out;
+}
+
+// ---- Builder --------------------------------------------------------------------------------------------------------
+
+GossipBuilder& GossipBuilder::self(Instance instance)
+{
+    m_self = std::move(instance);
+    return *this;
+}
+
+GossipBuilder& GossipBuilder::seeds(std::vector<std::string> addresses)
+{
+    m_seeds = std::move(addresses);
+    return *this;
+}
+
+GossipBuilder& GossipBuilder::settings(GossipSettings settings)
+{
+    m_settings = settings;
+    return *this;
+}
+
+GossipBuilder& GossipBuilder::randomSeed(std::uint64_t seed)
+{
+    m_randomSeed = seed;
+    return *this;
+}
+
+Gossip GossipBuilder::build() const
+{
+    if (m_self.name.empty() || m_self.gossipAddress.empty())
+        throw Error(ErrorKind::BadRequest, "gossip needs the instance's name and gossip address");
+    return { m_self, m_seeds, m_settings, m_randomSeed };
+}
+
+} // namespace citronplank
