Test the system on real processes and add a schedule of faults

The harness finds the programs beside the test program instead of in the working folder, and the drain delay is set on the cluster, because the daemon refuses a flag that is given twice.

The schedule is built but not run yet.

--- /dev/null
+++ b/bench/FaultSchedule.cpp
@@ -0,0 +1,630 @@
+// bench_FaultSchedule: random faults on a cluster of processes, and checks of the invariants of the design page.
+//
+// The schedule of faults follows from the seed; their effect also depends on timing. All bounds are those of the design
+// page. Prints the seed, the faults with their times and each check with its verdict; exits 0 if all hold.
+#include "tests/ClusterOperations.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <mutex>
+#include <popt.h>
+#include <random>
+#include <set>
+#include <thread>
+
+using namespace citronplank::testing;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int portBase = 24500;
+constexpr milliseconds configurationBound { 3000 };
+constexpr milliseconds zoneOutBound { 5000 };
+constexpr milliseconds readyBound { 20'000 };
+constexpr std::uint64_t coldShedMicroseconds = 1'500'000; // the leaf sheds for 1 s after a fall back into cold start
+constexpr std::uint32_t slots = 2;
+const std::vector<std::string> services {
+    "service=loandesk shards=8 replicas=2 zones=atl,sav,mac,aug slots=2 connections=25 connect-ms=6",
+    "service=latefees shards=6 replicas=2 zones=atl,sav,mac,aug slots=2 connections=25 connect-ms=6",
+};
+
+std::uint64_t inMicroseconds(milliseconds time) { return static_cast<std::uint64_t>(time.count()) * 1000; }
+
+/// Verdicts, and the log of the run.
+class Report {
+public:
+    void log(const std::string& text)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::printf("%8.3f s  %s\n", double(monotonicNow() - m_start) / 1e6, text.c_str());
+        std::fflush(stdout);
+    }
+    void check(const std::string& name, const std::vector<std::string>& violations)
+    {
+        log((violations.empty() ? "ok    " : "FAILED ") + name);
+        for (std::size_t i = 0; i < std::min<std::size_t>(violations.size(), 10); ++i)
+            log("       " + violations[i]);
+        if (violations.size() > 10)
+            log("       and " + std::to_string(violations.size() - 10) + " more");
+        m_failures += violations.empty() ? 0 : 1;
+    }
+    int failures() const { return m_failures; }
+    std::string at(std::uint64_t microseconds) const
+    {
+        return std::to_string(double(microseconds) / 1e6 - double(m_start) / 1e6) + " s";
+    }
+
+private:
+    std::uint64_t m_start = monotonicNow();
+    std::mutex m_mutex;
+    int m_failures = 0;
+};
+
+/// What the threads that watch one instance share with the schedule.
+struct InstanceWatch {
+    std::atomic<int> run { 0 };                 // counts starts
+    std::atomic<std::uint64_t> stoppedAt { 0 }; // of the last planned stop
+    std::atomic<bool> isPlannedStop { false };  // the present end of the process is planned
+    std::atomic<bool> isBeingKilled { false };
+};
+
+/// Polls status pages and sends a query after the other to each instance.
+class Watchers {
+public:
+    Watchers(const Cluster& cluster, std::map<std::string, InstanceWatch>& watches)
+        : m_cluster(cluster)
+        , m_watches(watches)
+    {
+        for (const auto& it : cluster.instances()) {
+            m_threads.emplace_back([this, &it] { watchRules(it); });
+            m_threads.emplace_back([this, &it] { probe(it); });
+        }
+    }
+    ~Watchers() { end(); }
+    void end()
+    {
+        m_ended = true;
+        for (auto& it : m_threads)
+            it.join();
+        m_threads.clear();
+    }
+    std::vector<std::string> reverts() const { return m_reverts; }
+    std::vector<std::string> cutRequests() const { return m_cutRequests; }
+    std::uint64_t probes() const { return m_probes; }
+
+private:
+    void watchRules(const InstanceAddresses& instance)
+    {
+        auto& watch = m_watches.at(instance.name);
+        std::uint64_t version = 0;
+        for (int lastRun = -1; !m_ended; std::this_thread::sleep_for(milliseconds(100))) {
+            const int run = watch.run;
+            const auto now = rulesVersionOf(instance.admin);
+            if (!now || run != watch.run)
+                continue;
+            if (run == lastRun && now < version) {
+                const std::lock_guard lock(m_mutex);
+                m_reverts.push_back(
+                    instance.name + " went from version " + std::to_string(version) + " to " + std::to_string(now));
+            }
+            lastRun = run;
+            version = now;
+        }
+    }
+
+    void probe(const InstanceAddresses& instance)
+    {
+        auto& watch = m_watches.at(instance.name);
+        for (; !m_ended; std::this_thread::sleep_for(milliseconds(50))) {
+            const auto sentAt = monotonicNow();
+            const int run = watch.run;
+            if (watch.isPlannedStop || watch.isBeingKilled)
+                continue;
+            const auto answer = sendQuery(instance.caller, "loandesk", 1000);
+            ++m_probes;
+            const bool isCut
+                = answer.status == 0 && run == watch.run && watch.isPlannedStop && sentAt < watch.stoppedAt;
+            const std::lock_guard lock(m_mutex);
+            if (isCut)
+                m_cutRequests.push_back(instance.name + " cut off a request");
+        }
+    }
+
+    const Cluster& m_cluster;
+    std::map<std::string, InstanceWatch>& m_watches;
+    std::mutex m_mutex;
+    std::vector<std::string> m_reverts;
+    std::vector<std::string> m_cutRequests;
+    std::atomic<std::uint64_t> m_probes { 0 };
+    std::atomic<bool> m_ended { false };
+    std::vector<std::thread> m_threads;
+};
+
+/// Adds one rule after the other through two instances, and takes zones out and in. Serialized by a mutex, because two
+/// edits of one file at the same time would replace each other.
+class Editor {
+public:
+    struct Edit {
+        std::string key;
+        std::string value;
+    };
+
+    explicit Editor(const Cluster& cluster)
+        : m_cluster(cluster)
+        , m_thread([this] { run(); })
+    {
+    }
+    ~Editor() { end(); }
+    void end()
+    {
+        m_ended = true;
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    /// Saves one line through `instance`; returns whether it was accepted within the timeout.
+    bool save(const std::string& instance, const std::string& key, const std::string& value)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto text = readRules(m_cluster, instance);
+        if (text.empty())
+            return false;
+        saveRules(m_cluster, instance, withLine(text, key, key + " " + value + " # ada: fault schedule"));
+        const auto outcome = waitForOutcome(m_cluster, instance, seconds(4));
+        ++m_outcomes[outcome.outcome.empty() ? "none" : outcome.outcome];
+        if (outcome.outcome == "accepted")
+            m_accepted[key] = value;
+        else
+            m_unsettled.insert(key);
+        return outcome.outcome == "accepted";
+    }
+    /// Accepted values by key, but for keys that an edit without a known outcome may have changed since.
+    std::map<std::string, std::string> accepted() const
+    {
+        auto result = m_accepted;
+        for (const auto& key : m_unsettled) {
+            if (!key.starts_with("customer"))
+                result.erase(key);
+        }
+        return result;
+    }
+    json outcomes() const { return m_outcomes; }
+
+private:
+    void run()
+    {
+        for (int n = 0; !m_ended; ++n) {
+            const auto key = "customer edit-" + std::to_string(n) + " share";
+            save(n % 2 ? "aug-1" : "sav-2", key, std::to_string(2 + n % 7));
+            std::this_thread::sleep_for(milliseconds(300));
+        }
+    }
+
+    const Cluster& m_cluster;
+    std::mutex m_mutex;
+    std::map<std::string, std::string> m_accepted;
+    std::set<std::string> m_unsettled;
+    std::map<std::string, int> m_outcomes;
+    std::atomic<bool> m_ended { false };
+    std::thread m_thread;
+};
+
+/// A fault that is in effect until `endsAt`.
+struct ActiveFault {
+    std::string target;
+    std::uint64_t endsAt = 0;
+    std::function<void()> end;
+};
+
+struct ZoneOutage {
+    std::string zone;
+    std::uint64_t acceptedAt = 0;
+    std::uint64_t endsAt = 0;
+};
+
+class FaultSchedule {
+public:
+    FaultSchedule(std::uint64_t seed, std::string only)
+        : m_cluster("faults", portBase)
+        , m_random(seed)
+        , m_only(std::move(only))
+    {
+        for (const auto& it : m_cluster.instances())
+            m_watches[it.name];
+    }
+
+    int run(seconds duration);
+
+private:
+    using Fault = ActiveFault (FaultSchedule::*)();
+
+    std::uint64_t below(std::uint64_t n) { return m_random() % n; }
+    milliseconds between(int from, int to) { return milliseconds(from + static_cast<int>(below(to - from))); }
+    static std::uint64_t after(milliseconds time) { return monotonicNow() + inMicroseconds(time); }
+    bool isTarget(const std::string& name) const
+    {
+        return std::any_of(m_active.begin(), m_active.end(), [&](const auto& it) { return it.target == name; });
+    }
+    std::string freeInstance(bool controlOnly = false);
+    std::string randomLeaf();
+    void restart(const std::string& name);
+    void killNow(const std::string& name);
+    ActiveFault freeze(const std::string& name);
+    ActiveFault leafFault(const std::string& action, const json& more = json::object());
+
+    ActiveFault kill();
+    ActiveFault freezeAny() { return freeze(freeInstance()); }
+    ActiveFault freezeLeader();
+    ActiveFault plannedStop();
+    ActiveFault loseDisk();
+    ActiveFault leafCrash() { return leafFault("crash"); }
+    ActiveFault leafFallOver() { return leafFault("fall_over"); }
+    ActiveFault leafCold() { return leafFault("cold"); }
+    ActiveFault leafSilence() { return leafFault("silence"); }
+    ActiveFault leafDrain() { return leafFault("drain", { { "exit_ms", 3000 } }); }
+    ActiveFault repartition();
+    ActiveFault zoneOut();
+
+    void start();
+    void inject(std::uint64_t until);
+    void endDue(bool all);
+    void heal();
+    void checkAll();
+    std::vector<std::string> editsMissing();
+    std::vector<std::string> overloads(const std::vector<JournalEntry>& journal) const;
+    std::vector<std::string> zoneViolations(const std::vector<JournalEntry>& journal) const;
+
+    Report m_report;
+    Cluster m_cluster;
+    std::mt19937_64 m_random;
+    std::string m_only;
+    std::map<std::string, InstanceWatch> m_watches;
+    std::unique_ptr<ChildProcess> m_load;
+    std::unique_ptr<Watchers> m_watchers;
+    std::unique_ptr<Editor> m_editor;
+    std::vector<ActiveFault> m_active;
+    std::vector<ZoneOutage> m_outages;
+    std::vector<std::string> m_badStops;
+    std::map<std::string, std::string> m_zoneOfLeaf;
+    int m_indexVersion = 1;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Faults
+
+std::string FaultSchedule::freeInstance(bool controlOnly)
+{
+    std::vector<std::string> names;
+    for (const auto& it : m_cluster.instances()) {
+        if (!isTarget(it.name) && (it.control || !controlOnly))
+            names.push_back(it.name);
+    }
+    return names.empty() ? std::string() : names[below(names.size())];
+}
+
+std::string FaultSchedule::randomLeaf()
+{
+    auto it = m_zoneOfLeaf.begin();
+    std::advance(it, static_cast<long>(below(m_zoneOfLeaf.size())));
+    return it->first;
+}
+
+void FaultSchedule::restart(const std::string& name)
+{
+    auto& watch = m_watches.at(name);
+    ++watch.run;
+    m_cluster.startInstance(name);
+    watch.isPlannedStop = false;
+    watch.isBeingKilled = false;
+    m_report.log("restart " + name);
+}
+
+void FaultSchedule::killNow(const std::string& name)
+{
+    m_watches.at(name).isBeingKilled = true;
+    m_cluster.process(name).signal(SIGKILL);
+    m_cluster.process(name).wait(seconds(5));
+}
+
+ActiveFault FaultSchedule::kill()
+{
+    const auto name = freeInstance();
+    m_report.log("kill " + name);
+    killNow(name);
+    return { name, after(between(200, 4000)), [this, name] { restart(name); } };
+}
+
+ActiveFault FaultSchedule::freeze(const std::string& name)
+{
+    m_report.log("freeze " + name);
+    m_cluster.process(name).signal(SIGSTOP);
+    return { name, after(between(300, 6000)), [this, name] {
+                m_cluster.process(name).signal(SIGCONT);
+                m_report.log("continue " + name);
+            } };
+}
+
+ActiveFault FaultSchedule::freezeLeader()
+{
+    const auto leader = controlLeader(m_cluster);
+    return freeze(leader.empty() || isTarget(leader) ? freeInstance() : leader);
+}
+
+ActiveFault FaultSchedule::plannedStop()
+{
+    const auto name = freeInstance();
+    auto& watch = m_watches.at(name);
+    m_report.log("planned stop of " + name);
+    watch.stoppedAt = monotonicNow();
+    watch.isPlannedStop = true;
+    m_cluster.process(name).signal(SIGTERM);
+    return { name, after(between(2000, 5000)), [this, name] {
+                const int code = m_cluster.process(name).wait(seconds(20));
+                if (code != 0)
+                    m_badStops.push_back(name + " ended with code " + std::to_string(code));
+                restart(name);
+            } };
+}
+
+/// A second disk must not be lost before the first one is replaced.
+ActiveFault FaultSchedule::loseDisk()
+{
+    const auto leader = controlLeader(m_cluster);
+    const auto status = leader.empty() ? json() : statusOf(m_cluster.instance(leader).admin);
+    const auto name = freeInstance(true);
+    if (status.is_null() || status["control"]["repair_complete"] != true || name.empty())
+        return leafCrash();
+    m_report.log("kill " + name + " and remove its data folder");
+    killNow(name);
+    std::filesystem::remove_all(m_cluster.dataFolder(name));
+    return { name, after(between(1500, 3000)), [this, name] { restart(name); } };
+}
+
+ActiveFault FaultSchedule::leafFault(const std::string& action, const json& more)
+{
+    const auto leaf = randomLeaf();
+    json command { { "leaf", leaf }, { "do", action } };
+    command.update(more);
+    m_report.log(action + " of leaf " + leaf);
+    commandLeaves(m_cluster, command);
+    if (action != "drain")
+        return { leaf, after(milliseconds(1500)), [] {} };
+    return { leaf, after(milliseconds(4000)), [this, leaf] {
+                commandLeaves(m_cluster, { { "leaf", leaf }, { "do", "boot" } });
+                m_report.log("boot of leaf " + leaf);
+            } };
+}
+
+ActiveFault FaultSchedule::repartition()
+{
+    const int shards = ++m_indexVersion % 2 ? 8 : 5;
+    m_report.log("repartition to " + std::to_string(shards) + " shards, version " + std::to_string(m_indexVersion));
+    commandLeaves(m_cluster,
+        { { "service", "loandesk" },
+            { "repartition",
+                { { "version", m_indexVersion }, { "shards", shards }, { "keep_ms", 3000 }, { "stagger_ms", 20 } } } });
+    return { "repartition", after(milliseconds(4000)), [] {} };
+}
+
+ActiveFault FaultSchedule::zoneOut()
+{
+    const std::vector<std::string> zones { "atl", "sav", "mac", "aug" };
+    const auto& zone = zones[below(zones.size())];
+    const auto editor = freeInstance();
+    if (isTarget("zone") || !m_editor->save(editor, "zone " + zone, "out"))
+        return leafCrash();
+    const auto acceptedAt = monotonicNow();
+    m_report.log("zone " + zone + " out, through " + editor);
+    return { "zone", after(between(7000, 9000)), [this, zone, acceptedAt] {
+                m_outages.push_back({ zone, acceptedAt, monotonicNow() });
+                const bool accepted = m_editor->save("mac-2", "zone " + zone, "in");
+                m_report.log("zone " + zone + (accepted ? " in" : " in, not accepted yet"));
+            } };
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Run
+
+void FaultSchedule::start()
+{
+    std::ofstream(m_cluster.rulesFile("sav-2")) << "# citronplank version 0\n"
+                                                   "service loandesk deadline 2s # ada: whole lists\n"
+                                                   "operation latefees charge non-idempotent # ada: charged once\n";
+    m_cluster.setDrainDelay("1500ms");
+    m_cluster.startAllInstances();
+    startStandInLeaves(m_cluster, services);
+    if (!waitForWholeAnswers(m_cluster, "loandesk", seconds(30)) || !waitForRules(m_cluster, 1, seconds(10)))
+        throw std::runtime_error("the cluster does not start");
+    for (const auto& it : httpGet(m_cluster.leafControl(), "/leaves").json())
+        m_zoneOfLeaf[it["leaf"]] = it["zone"];
+    m_load = startLoad(m_cluster,
+        { "--service", "loandesk,latefees", "--keyed-service", "latefees", "--keyed-share", "0.3", "--resends", "4",
+            "--concurrency", "8", "--deadline-ms", "1500", "--duration-s", "3600" });
+    m_watchers = std::make_unique<Watchers>(m_cluster, m_watches);
+    m_editor = std::make_unique<Editor>(m_cluster);
+    m_report.log("started");
+}
+
+void FaultSchedule::inject(std::uint64_t until)
+{
+    const std::vector<std::pair<std::string, Fault>> faults { { "kill", &FaultSchedule::kill },
+        { "freeze", &FaultSchedule::freezeAny }, { "freeze_leader", &FaultSchedule::freezeLeader },
+        { "stop", &FaultSchedule::plannedStop }, { "disk", &FaultSchedule::loseDisk },
+        { "leaf_crash", &FaultSchedule::leafCrash }, { "leaf_fall_over", &FaultSchedule::leafFallOver },
+        { "leaf_cold", &FaultSchedule::leafCold }, { "leaf_silence", &FaultSchedule::leafSilence },
+        { "leaf_drain", &FaultSchedule::leafDrain }, { "repartition", &FaultSchedule::repartition },
+        { "zone_out", &FaultSchedule::zoneOut } };
+    std::vector<Fault> chosen;
+    for (const auto& [name, fault] : faults) {
+        if (m_only.empty() || m_only == name)
+            chosen.push_back(fault);
+    }
+    if (chosen.empty())
+        throw std::runtime_error("no fault of the name " + m_only);
+    while (monotonicNow() < until) {
+        endDue(false);
+        if (m_active.size() < 2)
+            m_active.push_back((this->*chosen[below(chosen.size())])());
+        std::this_thread::sleep_for(between(200, 1500));
+    }
+}
+
+void FaultSchedule::endDue(bool all)
+{
+    const auto now = monotonicNow();
+    auto due = std::stable_partition(
+        m_active.begin(), m_active.end(), [&](const ActiveFault& it) { return !all && it.endsAt > now; });
+    const std::vector<ActiveFault> ended(due, m_active.end());
+    m_active.erase(due, m_active.end());
+    for (const auto& it : ended)
+        it.end();
+}
+
+void FaultSchedule::heal()
+{
+    m_report.log("healing");
+    endDue(true);
+    m_editor->end();
+    std::vector<std::string> notReady;
+    for (const auto& it : m_cluster.instances()) {
+        if (!m_cluster.waitReady(it.name, readyBound))
+            notReady.push_back(it.name);
+    }
+    m_report.check("all daemons are ready again", notReady);
+}
+
+std::vector<std::string> FaultSchedule::editsMissing()
+{
+    const auto accepted = m_editor->accepted();
+    std::vector<std::string> missing;
+    const auto collect = [&] {
+        missing.clear();
+        for (const auto& it : m_cluster.instances()) {
+            std::map<std::string, std::string> inForce;
+            const auto status = statusOf(it.admin);
+            if (!status.is_null()) {
+                for (const auto& rule : status["rules"])
+                    inForce[rule["key"]] = rule["value"];
+            }
+            for (const auto& [key, value] : accepted) {
+                if (inForce[key] != value)
+                    missing.push_back(std::string(it.name).append(" lacks ").append(key).append(" ").append(value));
+            }
+        }
+        return missing.empty();
+    };
+    eventually(configurationBound, collect);
+    return missing;
+}
+
+std::vector<std::string> FaultSchedule::overloads(const std::vector<JournalEntry>& journal) const
+{
+    std::vector<std::string> violations;
+    std::map<std::string, std::uint64_t> coldAt;
+    for (const auto& it : journal) {
+        if (it.event == "cold")
+            coldAt[it.leaf] = it.microseconds;
+        const bool isTooMuch = it.event == "start" && (it.inFlight > slots || it.inFlight > it.capacity);
+        // A leaf that falls back into cold start without warning sheds until its owner has learned it.
+        const bool isShed = it.event == "refused" && it.result == "shed"
+            && (!coldAt.contains(it.leaf) || it.microseconds > coldAt[it.leaf] + coldShedMicroseconds);
+        if (isTooMuch || isShed)
+            violations.push_back(m_report.at(it.microseconds) + " " + it.leaf + " " + it.event + " " + it.result
+                + ": in flight " + std::to_string(it.inFlight) + ", capacity " + std::to_string(it.capacity));
+    }
+    return violations;
+}
+
+std::vector<std::string> FaultSchedule::zoneViolations(const std::vector<JournalEntry>& journal) const
+{
+    std::vector<std::string> violations;
+    for (const auto& outage : m_outages) {
+        for (const auto& it : journal) {
+            const auto zone = m_zoneOfLeaf.find(it.leaf);
+            if (it.event == "start" && zone != m_zoneOfLeaf.end() && zone->second == outage.zone
+                && it.microseconds > outage.acceptedAt + inMicroseconds(zoneOutBound)
+                && it.microseconds < outage.endsAt)
+                violations.push_back(m_report.at(it.microseconds) + " a part starts on " + it.leaf);
+        }
+    }
+    return violations;
+}
+
+void FaultSchedule::checkAll()
+{
+    m_report.check("every accepted edit is in force on all daemons within 3 s of healing", editsMissing());
+    const bool isWhole = waitForWholeAnswers(m_cluster, "latefees", seconds(15));
+    m_report.check("every entry gives whole answers again",
+        isWhole ? std::vector<std::string> {} : std::vector<std::string> { "not within 15 s" });
+    m_load->signal(SIGTERM);
+    m_load->wait(seconds(15));
+    m_watchers->end();
+    std::this_thread::sleep_for(milliseconds(600)); // the journal is written every 200 ms
+    const auto result = loadResult(m_cluster);
+    std::vector<std::string> wrong;
+    if (!result.is_object() || result["answered"] == 0)
+        wrong.emplace_back("no result of the load generator");
+    else {
+        for (const auto& it : result["wrong_examples"])
+            wrong.push_back(it);
+        m_report.log("load: " + result["requests"].dump() + " requests, " + result["whole"].dump() + " whole, "
+            + result["partial"].dump() + " partial, refused " + result["refusals"].dump() + ", no answer "
+            + result["transport_errors"].dump());
+    }
+    m_report.log("edits: " + m_editor->outcomes().dump());
+    m_report.check("no wrong answer", wrong);
+    std::vector<std::string> history;
+    if (checkKeyedHistory(m_cluster) != 0)
+        history.push_back(readText(m_cluster.folder() / "check.log"));
+    m_report.check("each keyed request ran at most once, and none that was answered as not run", history);
+    const auto journal = readJournal(m_cluster);
+    m_report.check("no leaf received more than its slots or than it can handle cold", overloads(journal));
+    m_report.check("rules versions never went back", m_watchers->reverts());
+    m_report.check("no part started in a zone later than 5 s after it was taken out", zoneViolations(journal));
+    auto stops = m_badStops;
+    for (const auto& it : m_watchers->cutRequests())
+        stops.push_back(it);
+    m_report.check("planned stops cut off no request (" + std::to_string(m_watchers->probes()) + " probes)", stops);
+}
+
+int FaultSchedule::run(seconds duration)
+{
+    start();
+    inject(after(duration));
+    heal();
+    checkAll();
+    return m_report.failures() ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    int seed = 1;
+    int duration = 30;
+    const char* only = nullptr;
+    const std::array<poptOption, 5> table { {
+        { "seed", 0, POPT_ARG_INT, &seed, 0, "seed of the schedule (default 1)", "N" },
+        { "seconds", 0, POPT_ARG_INT, &duration, 0, "time during which faults are injected (default 30)", "S" },
+        { "only", 0, POPT_ARG_STRING, static_cast<void*>(&only), 0, "inject only this kind of fault", "NAME" },
+        POPT_AUTOHELP POPT_TABLEEND,
+    } };
+    auto* context = poptGetContext("bench_FaultSchedule", argc, argv, table.data(), 0);
+    const int option = poptGetNextOpt(context);
+    if (option < -1) {
+        std::fprintf(stderr, "bench_FaultSchedule: %s: %s\n", poptBadOption(context, 0), poptStrerror(option));
+        return 2;
+    }
+    std::printf("seed %d, %d s%s%s\n", seed, duration, only ? ", only " : "", only ? only : "");
+    try {
+        return FaultSchedule(static_cast<std::uint64_t>(seed), only ? only : "").run(seconds(duration));
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "bench_FaultSchedule: %s\n", error.what());
+        return 2;
+    }
+}
--- a/standins/load/Generator.cpp
+++ b/standins/load/Generator.cpp
@@ -62,6 +62,12 @@
         m_io.run_one();
 }
 
+void Generator::stop()
+{
+    m_settings.duration
+        = std::min(m_settings.duration, std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_start));
+}
+
 void Generator::scheduleNext()
 {
     // Exponential gaps, so that requests arrive independently of each other.
--- a/standins/load/Generator.h
+++ b/standins/load/Generator.h
@@ -33,6 +33,8 @@
     Generator(asio::io_context& io, LoadSettings settings, Sender& sender);
     /// Runs to the end of `duration` and until the last reply.
     void run();
+    /// Ends the run early. To be called on the io_context's thread.
+    void stop();
     const Statistics& statistics() const { return m_statistics; }
 
 private:
--- a/standins/load/main.cpp
+++ b/standins/load/main.cpp
@@ -149,6 +149,11 @@
     else
         sender = std::make_unique<DirectSender>(io, options.direct);
     Generator generator(io, options.load, *sender);
+    asio::signal_set signals(io, SIGINT, SIGTERM);
+    signals.async_wait([&](asio::error_code ec, int) {
+        if (!ec)
+            generator.stop();
+    });
     generator.run();
     std::cout << generator.statistics().summary();
     if (!options.resultFile.empty())
--- a/tests/ProcessHarness.cpp
+++ b/tests/ProcessHarness.cpp
@@ -10,8 +10,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace citronplank::testing {
 
 namespace {
@@ -48,9 +46,12 @@
 
 } // namespace
 
+std::filesystem::path programFolder() { return std::filesystem::read_symlink("/proc/self/exe").parent_path(); }
+
 ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const std::filesystem::path& output)
 {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (const auto& it : arguments)
         argv.push_back(const_cast<char*>(it.c_str()));
     argv.push_back(nullptr);
@@ -95,14 +96,14 @@
 
 HttpAnswer httpGet(const std::string& address, const std::string& path)
 {
-    return fromResult(clientFor(address).Get(path.c_str()));
+    return fromResult(clientFor(address).Get(path));
 }
 
 HttpAnswer httpPost(const std::string& address, const std::string& path, const std::string& body,
     const std::map<std::string, std::string>& headers)
 {
     httplib::Headers list(headers.begin(), headers.end());
-    return fromResult(clientFor(address).Post(path.c_str(), list, body, "application/json"));
+    return fromResult(clientFor(address).Post(path, list, body, "application/json"));
 }
 
 bool eventually(std::chrono::milliseconds timeout, const std::function<bool()>& condition)
@@ -119,7 +120,7 @@
 Cluster::Cluster(std::string testName, int portBase)
     : m_testName(std::move(testName))
     , m_portBase(portBase)
-    , m_folder(std::filesystem::current_path() / ("run-" + m_testName))
+    , m_folder(programFolder() / ("run-" + m_testName))
 {
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
@@ -145,7 +146,7 @@
 
 std::string Cluster::leafControl() const { return "127.0.0.1:" + std::to_string(m_portBase + 5); }
 
-void Cluster::startInstance(const std::string& name, const std::vector<std::string>& extraFlags)
+void Cluster::startInstance(const std::string& name)
 {
     const auto& self = instance(name);
     std::vector<std::string> seeds;
@@ -155,15 +156,14 @@
         if (it.control)
             members.push_back(it.name + "=" + it.link);
     }
-    std::vector<std::string> arguments { (std::filesystem::current_path() / "citronplankd").string(), "--name", name,
-        "--region", "georgia", "--zone", self.zone, "--caller-address", self.caller, "--admin-address", self.admin,
+    std::vector<std::string> arguments { (programFolder() / "citronplankd").string(), "--name", name, "--region",
+        "georgia", "--zone", self.zone, "--caller-address", self.caller, "--admin-address", self.admin,
         "--link-address", self.link, "--gossip-address", self.gossip, "--seeds", join(seeds), "--control-members",
-        join(members), "--drain-delay", "500ms", "--rules", rulesFile(name).string() };
+        join(members), "--drain-delay", m_drainDelay, "--rules", rulesFile(name).string() };
     if (self.control) {
         std::filesystem::create_directories(dataFolder(name));
         arguments.insert(arguments.end(), { "--data-dir", dataFolder(name).string() });
     }
-    arguments.insert(arguments.end(), extraFlags.begin(), extraFlags.end());
     m_processes[name] = std::make_unique<ChildProcess>(arguments, m_folder / (name + ".log"));
 }
 
@@ -175,7 +175,7 @@
 
 void Cluster::startLeaves(const std::vector<std::string>& arguments)
 {
-    std::vector<std::string> full { (std::filesystem::current_path() / "standin_leaf").string() };
+    std::vector<std::string> full { (programFolder() / "standin_leaf").string() };
     full.insert(full.end(), arguments.begin(), arguments.end());
     m_processes["leaves"] = std::make_unique<ChildProcess>(full, m_folder / "leaves.log");
 }
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -13,6 +13,9 @@
 
 namespace citronplank::testing {
 
+/// Folder of the running test program, which holds the programs of the project too.
+std::filesystem::path programFolder();
+
 /// One child process. Its output goes to a file; the destructor kills it and waits for it.
 class ChildProcess {
 public:
@@ -70,9 +73,12 @@
     std::filesystem::path rulesFile(const std::string& name) const { return m_folder / ("rules-" + name); }
     std::filesystem::path journal() const { return m_folder / "journal.jsonl"; }
     std::string leafControl() const;
+    int leafPort() const { return m_portBase + 6; }
 
-    void startInstance(const std::string& name, const std::vector<std::string>& extraFlags = {});
+    void startInstance(const std::string& name);
     void startAllInstances();
+    /// For instances that are started from now on; the time that they serve on after SIGTERM.
+    void setDrainDelay(std::string delay) { m_drainDelay = std::move(delay); }
     /// `tables` are stand-in leaf tables, one process hosts all of them.
     void startLeaves(const std::vector<std::string>& arguments);
     ChildProcess& process(const std::string& name) { return *m_processes.at(name); }
@@ -84,6 +90,7 @@
 private:
     std::string m_testName;
     int m_portBase;
+    std::string m_drainDelay = "500ms";
     std::filesystem::path m_folder;
     std::vector<InstanceAddresses> m_instances;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_processes;
