Drop expiries of parts that have ended in the stand-in leaf

A timer that has expired is not cancelled when its handler is queued already. If the connection closed at that moment, the part was counted down twice, the number in flight became -1 and the leaf shed everything for the rest of its run.

--- a/bench/FaultSchedule.cpp
+++ b/bench/FaultSchedule.cpp
@@ -231,7 +231,7 @@
 public:
     FaultSchedule(std::uint64_t seed, std::string only)
         : m_cluster("faults", portBase)
-        , m_random(seed)
+        , m_seed(seed)
         , m_only(std::move(only))
     {
         for (const auto& it : m_cluster.instances())
@@ -281,6 +281,7 @@
 
     Report m_report;
     Cluster m_cluster;
+    std::uint64_t m_seed;
     std::mt19937_64 m_random;
     std::string m_only;
     std::map<std::string, InstanceWatch> m_watches;
@@ -466,7 +467,9 @@
     }
     if (chosen.empty())
         throw std::runtime_error("no fault of the name " + m_only);
-    while (monotonicNow() < until) {
+    for (std::uint64_t step = 0; monotonicNow() < until; ++step) {
+        // Choices of a step do not depend on how many were drawn before, which depends on timing.
+        m_random.seed(m_seed * 100'000 + step);
         endDue(false);
         if (m_active.size() < 2)
             m_active.push_back((this->*chosen[below(chosen.size())])());
--- a/standins/leaf/Leaf.cpp
+++ b/standins/leaf/Leaf.cpp
@@ -155,11 +155,13 @@
     });
 }
 
-void Leaf::after(Part& part, double ms, std::function<void()> action)
+void Leaf::after(const PartPointer& part, double ms, std::function<void()> action)
 {
-    part.timer->expires_after(fromMilliseconds(ms));
-    part.timer->async_wait([action = std::move(action)](asio::error_code ec) {
-        if (!ec)
+    part->timer->expires_after(fromMilliseconds(ms));
+    part->timer->async_wait([this, part, action = std::move(action)](asio::error_code ec) {
+        // Cancelling a timer has no effect on an expiry that is queued already, so the part may have ended.
+        const auto it = m_parts.find(part->session.get());
+        if (!ec && it != m_parts.end() && it->second == part)
             action();
     });
 }
@@ -246,7 +248,7 @@
         return refuse(part, 429, "shed");
     if (m_inFlight < m_capacity)
         return run(part);
-    after(*part, slotGraceMs, [this, part] { startOrShed(part); });
+    after(part, slotGraceMs, [this, part] { startOrShed(part); });
 }
 
 void Leaf::startOrShed(const PartPointer& part)
@@ -287,11 +289,11 @@
     const bool crashes
         = !m_faults.crashMarker.empty() && part->request.body.find(m_faults.crashMarker) != std::string::npos;
     if (crashes)
-        after(*part, std::min(ms, remaining) / 2, [this] { crash(); });
+        after(part, std::min(ms, remaining) / 2, [this] { crash(); });
     else if (ms > remaining)
-        after(*part, remaining, [this, part] { complete(part, "deadline"); });
+        after(part, remaining, [this, part] { complete(part, "deadline"); });
     else
-        after(*part, ms, [this, part] { complete(part, happens(m_faults.failRate) ? "failed" : "ok"); });
+        after(part, ms, [this, part] { complete(part, happens(m_faults.failRate) ? "failed" : "ok"); });
 }
 
 void Leaf::complete(const PartPointer& part, const char* result)
--- a/standins/leaf/Leaf.h
+++ b/standins/leaf/Leaf.h
@@ -82,7 +82,7 @@
     void refuse(const PartPointer& part, int status, const char* reason);
     void onSessionClosed(HttpSession* session);
     void endRun(const char* event);
-    void after(Part& part, double ms, std::function<void()> action);
+    void after(const PartPointer& part, double ms, std::function<void()> action);
     void afterRun(double ms, std::function<void()> action);
     double drawTime();
     bool happens(double rate) { return rate > 0 && std::uniform_real_distribution<double>()(m_random) < rate; }
