Stop only the control role on unreadable state, and hand over the leadership at a planned stop

Cause: an exception from the replica on the control thread ended the whole process; a planned stop of the leader cost one election timeout. Ruled out: catching in the replica, which cannot know the process's roles. Before: terminate. After: the role stops with its reason in the status; the entry role goes on. Conclusion: the storage tests cover the throw, the shell its handling by reading; no process test yet.

--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -77,7 +77,7 @@
     void receive(const std::string& from, ControlMessage message)
     {
         post([this, from, message = std::move(message)] {
-            perform(m_replica.receive(from, message, Clock::now()));
+            run([&] { return m_replica.receive(from, message, Clock::now()); });
             scheduleFlush();
         });
     }
@@ -97,7 +97,15 @@
         post([this, handler = std::move(handler)]() mutable {
             auto id = ++m_lastId;
             m_reads.emplace(id, std::move(handler));
-            perform(m_replica.confirmLeadership(id, Clock::now()));
+            run([&] { return m_replica.confirmLeadership(id, Clock::now()); });
+        });
+    }
+
+    void transferLeadership()
+    {
+        post([this] {
+            if (isLeader())
+                run([&] { return m_replica.transferLeadership(Clock::now()); });
         });
     }
 
@@ -127,7 +135,7 @@
         m_timer.async_wait([this](const asio::error_code& ec) {
             if (ec)
                 return;
-            perform(m_replica.tick(Clock::now()));
+            run([&] { return m_replica.tick(Clock::now()); });
             m_handlers.tick();
             scheduleTick();
         });
@@ -140,11 +148,26 @@
             return;
         post([this] {
             m_flushScheduled = false;
-            perform(m_replica.flush(Clock::now()));
+            run([&] { return m_replica.flush(Clock::now()); });
         });
     }
 
-    void perform(ReplicaOutput output)
+    /// Runs one call of the replica. Stored or received state that cannot be read stops the control role; the entry
+    /// role of this process goes on.
+    template <typename Call>
+    void run(Call&& call)
+    {
+        if (!m_failure.empty())
+            return;
+        try {
+            perform(call());
+        } catch (const Error& error) {
+            m_failure = error.what();
+            updateStatus();
+        }
+    }
+
+    void perform(const ReplicaOutput& output)
     {
         for (const auto& it : output.messages)
             m_handlers.send(it.to, encode(it.message));
@@ -227,6 +250,8 @@
     m_impl->confirmLeadership(std::move(handler));
 }
 
+void ControlService::transferLeadership() { m_impl->transferLeadership(); }
+
 void ControlService::post(std::function<void()> task) { m_impl->post(std::move(task)); }
 
 std::optional<std::vector<RuleLine>> ControlService::linesAt(std::uint64_t rulesVersion)
--- a/daemon/ControlService.h
+++ b/daemon/ControlService.h
@@ -55,6 +55,9 @@
     /// Confirms by a quorum round, started after this call, that this member is leader; `handler` runs on the control
     /// thread. Thread safe.
     void confirmLeadership(std::function<void(bool confirmed)> handler);
+    /// Hands the leadership to an up-to-date member, if this one leads, so that a planned stop needs no election
+    /// timeout. Thread safe.
+    void transferLeadership();
     /// Runs `task` on the control thread. Thread safe.
     void post(std::function<void()> task);
     /// Rule lines of an older version. Thread safe; waits for the control thread for at most 2 s and must not be called
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -219,6 +219,8 @@
     // The leaves are served until a view without this instance is in force.
     while (Clock::now() < handOver && m_lease->isMember())
         std::this_thread::sleep_for(milliseconds(20));
+    if (m_control)
+        m_control->transferLeadership();
     waitForIdle(until);
     m_lease->stop();
     m_membership->leave();
