Add the check of a rules file to the tool

It calls the parser that daemons use and prints the first fault with file, line and column; exit code 1 for a fault. The new case was not seen to fail with the code broken.

--- a/tests/ToolTests.cpp
+++ b/tests/ToolTests.cpp
@@ -4,9 +4,11 @@
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
+#include <unistd.h>
 
 using namespace citronplank;
 
@@ -203,3 +205,18 @@
     CHECK(contains(run({ "query", "--help" }).out, "CITRONPLANK_CALLER_ADDRESS"));
     CHECK(run({ "version" }).out.starts_with("citronplank "));
 }
+
+// Guards against a faulty rules file that passes the check, and against a fault without its place.
+TEST_CASE("check names the place of a fault")
+{
+    const std::string name = "/tmp/tool-tests-rules-" + std::to_string(getpid());
+    std::ofstream(name) << "zone atl out # nok: power work\n";
+    CHECK(run({ "check", name }).code == 0);
+    std::ofstream(name) << "zone atl out\n";
+    const Run wrong = run({ "check", name });
+    std::remove(name.c_str());
+    CHECK(wrong.code == 1);
+    CHECK(contains(wrong.err, name + ":1:"));
+    CHECK(run({ "check", name }).code == 2);
+    CHECK(run({ "check" }).code == 2);
+}
--- a/tool/Tool.cpp
+++ b/tool/Tool.cpp
@@ -1,6 +1,7 @@
 #include "tool/Tool.h"
 
 #include "daemon/Version.h"
+#include "rules/RulesFile.h"
 #include "tool/Options.h"
 #include "tool/Render.h"
 
@@ -182,6 +183,25 @@
     return runAdmin(context, "/dump", [](const Json& dump) { return dump.dump(2) + "\n"; });
 }
 
+/// Parses a rules file as a daemon does and prints the first fault with its place.
+int runCheck(const Context& context)
+{
+    const std::string& name = context.options.operands.front();
+    const std::ifstream file(name, std::ios::binary);
+    if (!file)
+        throw UsageError("cannot read " + name);
+    std::ostringstream content;
+    content << file.rdbuf();
+    try {
+        const ParsedRules rules = parseRules(content.str(), name);
+        context.out << name << ": " << rules.rules.size() << " rules, no fault\n";
+        return exitOk;
+    } catch (const Error& error) {
+        context.err << error.what() << "\n";
+        return exitErrorAnswer;
+    }
+}
+
 int runVersion(const Context& context)
 {
     context.out << "citronplank " << versionText() << "\n";
@@ -192,6 +212,7 @@
     Command {
         "query", "", "Asks all shards of a service and prints one answer with its coverage.", queryRows, runQuery },
     Command { "request", "", "Runs an operation that changes something, at most once.", requestRows, runRequest },
+    Command { "check", " RULESFILE", "Checks a rules file without a daemon.", {}, runCheck },
     Command { "status", "", "Prints the state of a daemon in short.", adminRows, runStatus },
     Command { "dump", "", "Prints the whole state of a daemon.", adminRows, runDump },
     Command { "version", "", "Prints the version of this tool.", {}, runVersion },
