Connect to leaves when they become owned and close when they are lost

Cause: the first part after a hand-over paid for the connection, 6 ms at loandesk; a former owner kept connections that the leaf counts. Ruled out: keeping them for a later return; a leaf accepts about 25. Before: connections were made by the first part and closed after 60 s idle. After: made when the allowance begins, closed when it ends.

--- a/daemon/DaemonImpl.h
+++ b/daemon/DaemonImpl.h
@@ -72,6 +72,7 @@
 
     // Leaves (DaemonLeaves.cpp)
     void syncGates();
+    void keepConnections(const Announcement&, std::uint32_t limit);
     void every(milliseconds interval, std::function<void()> task);
     std::string ownerOf(std::string_view zone, std::string_view leaf) const;
     HttpAnswer onAnnouncement(const std::string& body);
@@ -108,7 +109,8 @@
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<AdminServer> m_adminServer;
 
-    std::set<std::string> m_gatedLeaves; // leaves with a gate here; used by syncGates only
+    std::set<std::string> m_gatedLeaves;       // leaves with a gate here; used by syncGates only
+    std::map<std::string, bool> m_ownedLeaves; // whether parts may be sent to them; used by syncGates only
     std::atomic<bool> m_hasDirectory { false };
     std::atomic<bool> m_heardPeer { false };
 };
--- a/daemon/DaemonLeaves.cpp
+++ b/daemon/DaemonLeaves.cpp
@@ -38,19 +38,36 @@
                 continue;
             current.insert(leaf.leaf);
             m_parts->setLeaf(leaf);
-            if (isIndependent)
-                m_parts->setAllowance(leaf.leaf, { leaf.slots, now + announcementLapse });
-            else
-                m_parts->setAllowance(leaf.leaf, m_lease->allowanceOf(leaf, now));
+            auto allowance = isIndependent ? LeafAllowance { leaf.slots, now + announcementLapse }
+                                           : m_lease->allowanceOf(leaf, now);
+            m_parts->setAllowance(leaf.leaf, allowance);
+            keepConnections(leaf, allowance.limit);
         }
     }
     for (const auto& leaf : m_gatedLeaves) {
-        if (!current.contains(leaf))
+        if (!current.contains(leaf)) {
             m_parts->removeLeaf(leaf);
+            m_ownedLeaves.erase(leaf);
+        }
     }
     m_gatedLeaves = std::move(current);
 }
 
+/// A new owner connects before the first part needs it, since a connection costs several milliseconds; a former owner
+/// closes its connections, since the leaf accepts only so many.
+void Daemon::Impl::keepConnections(const Announcement& leaf, std::uint32_t limit)
+{
+    bool isOwned = limit > 0;
+    auto [it, isNew] = m_ownedLeaves.try_emplace(leaf.leaf, false);
+    if (it->second == isOwned)
+        return;
+    it->second = isOwned;
+    if (isOwned)
+        m_leafClient->warm(leaf.leaf, leaf.address, std::min(leaf.slots, leaf.connections));
+    else
+        m_leafClient->forget(leaf.leaf);
+}
+
 /// The owner of a leaf by the newest view of its zone; before the first view by the zone's live instances.
 std::string Daemon::Impl::ownerOf(std::string_view zone, std::string_view leaf) const
 {
