Measure the slopes of a query's parts, the gates and the leaf directory

Cause: docs/CAPACITY.md has to derive entry and owner from measured slopes, and no program measured them. Ruled out: measuring through sockets, which adds the load of the machine to the slope of a core. After: bench_QuerySlopes prints time per part in QueryExecution, LeafGates and the part codecs, rendering, layout choice and the directory's memory.

--- /dev/null
+++ b/bench/QuerySlopes.cpp
@@ -0,0 +1,245 @@
+// Prints the processor time of a query's steps for each part and how it grows, and the memory of the leaf directory, as
+// tables. Only the cores and codecs run: no socket, no thread and no leaf.
+//
+//     bench_QuerySlopes
+#include "coordination/LeafDirectory.h"
+#include "daemon/CallerApi.h"
+#include "daemon/PartMessages.h"
+#include "query/LeafGates.h"
+#include "query/QueryExecution.h"
+
+#include <cstdio>
+#include <ctime>
+#include <malloc.h>
+#include <random>
+
+using namespace citronplank;
+
+namespace {
+
+constexpr std::size_t partsMeasured = 200'000; // for each point, so that a point takes well over the clock's grain
+constexpr std::uint32_t replicasOfShard = 2;
+
+double cpuSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
+/// Runs `function` until `count` units are done, `unitsPerCall` each, and returns microseconds for each unit.
+template <typename Function>
+double microsecondsEach(std::size_t count, std::size_t unitsPerCall, Function function)
+{
+    const std::size_t calls = count / unitsPerCall + 1;
+    const double before = cpuSeconds();
+    for (std::size_t i = 0; i < calls; ++i)
+        function();
+    return (cpuSeconds() - before) * 1e6 / static_cast<double>(calls * unitsPerCall);
+}
+
+/// Stops a run whose outcome is not the expected one, because its figures would mean nothing.
+void require(bool condition, const char* what)
+{
+    if (!condition)
+        throw std::runtime_error(what);
+}
+
+Announcement announcementOf(std::uint32_t shard, std::uint32_t replica, std::uint32_t shards)
+{
+    return { .leaf = "loandesk-" + std::to_string(shard) + "-" + std::to_string(replica),
+        .service = "loandesk",
+        .zone = "zone-" + std::to_string(replica % 4),
+        .address = "10.20." + std::to_string(shard / 200) + "." + std::to_string(shard % 200) + ":8080",
+        .boot = 1'764'844'800,
+        .sequence = 1,
+        .slots = 2,
+        .connections = 25,
+        .versions = { { 1'764'844'000, shard, shards } } };
+}
+
+std::vector<Announcement> announcementsOf(std::size_t count)
+{
+    std::vector<Announcement> announcements;
+    const auto shards = static_cast<std::uint32_t>(count / replicasOfShard);
+    for (std::uint32_t shard = 0; shard < shards; ++shard)
+        for (std::uint32_t replica = 0; replica < replicasOfShard; ++replica)
+            announcements.push_back(announcementOf(shard, replica, shards));
+    return announcements;
+}
+
+std::string itemsOf(std::size_t bytes) { return "[\"" + std::string(bytes > 4 ? bytes - 4 : 0, 'x') + "\"]"; }
+
+PartResult resultOf(const Part& part)
+{
+    return { .partId = part.partId,
+        .status = PartStatus::Ok,
+        .outcome = Outcome::Ran,
+        .shard = part.shard,
+        .leafTime = milliseconds(5),
+        .body = itemsOf(200) };
+}
+
+QueryAnswer runQuery(ReplicaStatistics& policies, const std::shared_ptr<const PinnedLayout>& layout,
+    std::uint64_t queryId, TimePoint& now)
+{
+    auto query = QueryBuilder()
+                     .query({ .service = "loandesk", .operation = "list", .deadline = milliseconds(130), .body = "{}" })
+                     .queryId(queryId)
+                     .layout(layout)
+                     .build(policies);
+    const auto started = query->start(now);
+    now += milliseconds(5);
+    QueryActions last;
+    for (const auto& it : started.sends)
+        last = query->onResult(resultOf(it.part), now);
+    require(last.finish && std::holds_alternative<QueryAnswer>(*last.finish), "the query has no answer");
+    return std::get<QueryAnswer>(*last.finish);
+}
+
+void measureQueries()
+{
+    std::printf("entry: one query over all shards, 2 replicas each, 200-byte items, against the number of shards\n");
+    std::printf("%8s %16s %18s %16s\n", "shards", "execution us/part", "render us/part", "answer bytes");
+    for (const std::size_t shards : { 10, 100, 1000 }) {
+        LayoutChooser chooser;
+        const auto layout = chooser.choose("loandesk", announcementsOf(shards * replicasOfShard));
+        std::mt19937_64 random { 42 };
+        ReplicaStatistics policies(PolicySettings::adaptive(), [&] { return random(); });
+        TimePoint now { seconds(1) };
+        std::uint64_t queryId = 0;
+        QueryAnswer answer;
+        const double execution
+            = microsecondsEach(partsMeasured, shards, [&] { answer = runQuery(policies, layout, ++queryId, now); });
+        require(answer.parts.size() == shards, "the answer does not cover all shards");
+        std::size_t bytes = 0;
+        const double render = microsecondsEach(partsMeasured, shards, [&] { bytes = renderAnswer(answer).size(); });
+        std::printf("%8zu %16.2f %18.2f %16zu\n", shards, execution, render, bytes);
+    }
+}
+
+void measureGates()
+{
+    std::printf("\nowner: submit and result of one part, 2 slots each, against the number of leaves\n");
+    std::printf("%8s %16s %18s %18s\n", "leaves", "gates us/part", "status us/leaf", "heap B/leaf");
+    for (const std::size_t count : { 8, 50, 200, 1000 }) {
+        TimePoint now { seconds(1) };
+        const auto announcements = announcementsOf(count);
+        const double heapBefore = heapBytes();
+        LeafGates gates;
+        for (const auto& it : announcements) {
+            gates.setLeaf(it, now);
+            gates.setAllowance(it.leaf, { .limit = 2, .until = now + seconds(1'000'000) }, now);
+        }
+        const double heap = (heapBytes() - heapBefore) / static_cast<double>(count);
+        std::uint64_t partId = 0;
+        const double each = microsecondsEach(partsMeasured, count, [&] {
+            std::vector<GateDispatch> running;
+            for (const auto& it : announcements) {
+                const Part part { .partId = ++partId,
+                    .service = it.service,
+                    .leaf = it.leaf,
+                    .shard = it.versions[0],
+                    .remaining = milliseconds(130),
+                    .fingerprint = 7,
+                    .body = "{}" };
+                auto actions = gates.submit("entry/1", part, now);
+                require(actions.dispatches.size() == 1, "a part was not dispatched at once");
+                running.push_back(std::move(actions.dispatches[0]));
+            }
+            now += milliseconds(5);
+            for (const auto& it : running)
+                require(gates.onResult(resultOf(it.part), now).answers.size() == 1, "a part was not answered");
+        });
+        const double status
+            = microsecondsEach(20'000, count, [&] { require(gates.status(now).size() == count, "a gate is missing"); });
+        std::printf("%8zu %16.2f %18.2f %18.0f\n", count, each, status, heap);
+    }
+}
+
+void measureMessages()
+{
+    std::printf("\npart messages against the size of the body\n");
+    std::printf("%8s %12s %12s %12s %12s %12s %12s\n", "body B", "request B", "encode us", "decode us", "result B",
+        "encode us", "decode us");
+    for (const std::size_t size : { 20, 200, 2000, 20'000 }) {
+        Part part { .queryId = 1ULL << 40U,
+            .partId = partIdOf(1ULL << 40U, 1),
+            .service = "loandesk",
+            .operation = "list",
+            .leaf = "loandesk-123-0",
+            .shard = { 1'764'844'000, 123, 1000 },
+            .remaining = milliseconds(130),
+            .fingerprint = hash64("body"),
+            .body = itemsOf(size) };
+        auto result = resultOf(part);
+        result.body = part.body;
+        const auto request = encodePart(part);
+        const auto answer = encodePartResult(result);
+        const auto each = [](auto function) { return microsecondsEach(partsMeasured, 1, function); };
+        std::printf("%8zu %12zu %12.2f %12.2f %12zu %12.2f %12.2f\n", size, request.size(),
+            each([&] { require(encodePart(part).size() == request.size(), "sizes differ"); }),
+            each([&] { require(decodePart(request).partId == part.partId, "identities differ"); }), answer.size(),
+            each([&] { require(encodePartResult(result).size() == answer.size(), "sizes differ"); }),
+            each([&] { require(decodePartResult(answer).partId == part.partId, "identities differ"); }));
+    }
+}
+
+void measureLayouts()
+{
+    std::printf("\nLayoutChooser::choose against the number of announcements of the service\n");
+    std::printf("%8s %14s %20s\n", "leaves", "choose us", "us/announcement");
+    for (const std::size_t count : { 40, 400, 2000 }) {
+        const auto announcements = announcementsOf(count);
+        LayoutChooser chooser;
+        const double each = microsecondsEach(20'000, count,
+            [&] { require(chooser.choose("loandesk", announcements)->isComplete(), "the layout is not complete"); });
+        std::printf("%8zu %14.0f %20.2f\n", count, each * static_cast<double>(count), each);
+    }
+}
+
+void measureDirectory()
+{
+    std::printf("\nleaf directory against the number of leaves\n");
+    std::printf("%8s %12s %14s %18s %14s %16s %14s\n", "leaves", "heap B/leaf", "export B/leaf", "import us/leaf",
+        "expire us", "renewal us", "replicasOf us");
+    for (const std::size_t count : { 100, 1000, 6500 }) {
+        TimePoint now { seconds(1) };
+        auto announcements = announcementsOf(count);
+        LeafDirectory source("registrar");
+        std::size_t leaf = 0;
+        for (const auto& it : announcements)
+            source.announce(it, now);
+        const double renewal = microsecondsEach(20'000, 1, [&] {
+            auto& it = announcements[leaf++ % announcements.size()];
+            ++it.sequence;
+            source.announce(it, now);
+        });
+        const auto bytes = source.exportAll();
+        const double heapBefore = heapBytes();
+        LeafDirectory directory("reader");
+        const double importBefore = cpuSeconds();
+        directory.importAll(bytes, now);
+        const double import = (cpuSeconds() - importBefore) * 1e6;
+        const double heap = (heapBytes() - heapBefore) / static_cast<double>(count);
+        require(directory.leafCount() == count, "a leaf is missing");
+        const double expire = microsecondsEach(20, 1, [&] { directory.expire(now); });
+        const double read = microsecondsEach(20, 1, [&] { directory.replicasOf("loandesk"); });
+        std::printf("%8zu %12.0f %14.0f %18.2f %14.0f %16.2f %14.0f\n", count, heap,
+            static_cast<double>(bytes.size()) / static_cast<double>(count), import / static_cast<double>(count), expire,
+            renewal, read);
+    }
+}
+
+} // namespace
+
+int main()
+{
+    measureQueries();
+    measureGates();
+    measureMessages();
+    measureLayouts();
+    measureDirectory();
+}
