Separate known gates from running parts in the slope of LeafGates

Cause: the first version ran one part on each leaf at once, so its slope mixed two loops of LeafGates::settle.

--- a/bench/QuerySlopes.cpp
+++ b/bench/QuerySlopes.cpp
@@ -120,42 +120,56 @@
     }
 }
 
+/// One part on each leaf of `from`, all of them running at once, then their results.
+void runParts(LeafGates& gates, std::span<const Announcement> from, std::uint64_t& partId, TimePoint& now)
+{
+    std::vector<GateDispatch> running;
+    for (const auto& it : from) {
+        const Part part { .partId = ++partId,
+            .service = it.service,
+            .leaf = it.leaf,
+            .shard = it.versions[0],
+            .remaining = milliseconds(130),
+            .fingerprint = 7,
+            .body = "{}" };
+        auto actions = gates.submit("entry/1", part, now);
+        require(actions.dispatches.size() == 1, "a part was not dispatched at once");
+        running.push_back(std::move(actions.dispatches[0]));
+    }
+    now += milliseconds(5);
+    for (const auto& it : running)
+        require(gates.onResult(resultOf(it.part), now).answers.size() == 1, "a part was not answered");
+}
+
 void measureGates()
 {
-    std::printf("\nowner: submit and result of one part, 2 slots each, against the number of leaves\n");
-    std::printf("%8s %16s %18s %18s\n", "leaves", "gates us/part", "status us/leaf", "heap B/leaf");
-    for (const std::size_t count : { 8, 50, 200, 1000 }) {
+    std::printf(
+        "\nowner: submit and result of one part, against the number of leaves that the gates know; with one part\n"
+        "running on each leaf, and with 8 parts running in all, as an owner of 8 leaves of its zone has\n");
+    std::printf("%8s %16s %16s %18s %16s %14s\n", "leaves", "all us/part", "8 us/part", "allowance us/call",
+        "status us/leaf", "heap B/leaf");
+    for (const std::size_t count : { 8, 50, 200, 1000, 1624 }) {
         TimePoint now { seconds(1) };
         const auto announcements = announcementsOf(count);
         const double heapBefore = heapBytes();
         LeafGates gates;
+        const LeafAllowance allowance { .limit = 2, .until = now + seconds(1'000'000) };
         for (const auto& it : announcements) {
             gates.setLeaf(it, now);
-            gates.setAllowance(it.leaf, { .limit = 2, .until = now + seconds(1'000'000) }, now);
+            gates.setAllowance(it.leaf, allowance, now);
         }
         const double heap = (heapBytes() - heapBefore) / static_cast<double>(count);
         std::uint64_t partId = 0;
-        const double each = microsecondsEach(partsMeasured, count, [&] {
-            std::vector<GateDispatch> running;
-            for (const auto& it : announcements) {
-                const Part part { .partId = ++partId,
-                    .service = it.service,
-                    .leaf = it.leaf,
-                    .shard = it.versions[0],
-                    .remaining = milliseconds(130),
-                    .fingerprint = 7,
-                    .body = "{}" };
-                auto actions = gates.submit("entry/1", part, now);
-                require(actions.dispatches.size() == 1, "a part was not dispatched at once");
-                running.push_back(std::move(actions.dispatches[0]));
-            }
-            now += milliseconds(5);
-            for (const auto& it : running)
-                require(gates.onResult(resultOf(it.part), now).answers.size() == 1, "a part was not answered");
-        });
+        const double all = microsecondsEach(partsMeasured, count, [&] { runParts(gates, announcements, partId, now); });
+        constexpr std::size_t owned = 8;
+        const double few = microsecondsEach(
+            partsMeasured, owned, [&] { runParts(gates, std::span(announcements).first(owned), partId, now); });
+        std::size_t next = 0;
+        const double renewal = microsecondsEach(
+            20'000, 1, [&] { gates.setAllowance(announcements[next++ % announcements.size()].leaf, allowance, now); });
         const double status
             = microsecondsEach(20'000, count, [&] { require(gates.status(now).size() == count, "a gate is missing"); });
-        std::printf("%8zu %16.2f %18.2f %18.0f\n", count, each, status, heap);
+        std::printf("%8zu %16.2f %16.2f %18.2f %16.2f %14.0f\n", count, all, few, renewal, status, heap);
     }
 }
 
