Answer configuration fetches with the difference

Ruled out: ControlState's own difference, which diskless daemons lack. Before: always full. After: lines, views and blocks newer than the asker's version and the removals since; full if removals are not known that far. Conclusion: a change costs its own size.

--- a/daemon/ConfigurationTable.cpp
+++ b/daemon/ConfigurationTable.cpp
@@ -25,6 +25,33 @@
     return made;
 }
 
+/// Notes the keys of `before` that `after` lacks. A key that is seen to be gone later than it was removed does no harm:
+/// removing a line that a peer does not hold changes nothing.
+void noteRemovals(
+    const PublishedState& before, const PublishedState& after, std::map<std::string, std::uint64_t>& removed)
+{
+    std::set<std::string_view> present;
+    for (const auto& it : after.lines) {
+        present.insert(it.line.key);
+        removed.erase(it.line.key);
+    }
+    for (const auto& it : before.lines) {
+        if (!present.contains(it.line.key))
+            removed[it.line.key] = after.version;
+    }
+}
+
+template <typename Item>
+std::vector<Item> newerThan(const std::vector<Item>& items, std::uint64_t version)
+{
+    std::vector<Item> newer;
+    for (const auto& it : items) {
+        if (it.version > version)
+            newer.push_back(it);
+    }
+    return newer;
+}
+
 } // namespace
 
 std::string encodeFreshness(const FreshnessNotice& notice)
@@ -62,6 +89,9 @@
         auto published = state.current->published;
         if (!applyDifference(published, difference))
             return false;
+        noteRemovals(state.current->published, published, state.removed);
+        if (state.removalsSince == 0)
+            state.removalsSince = published.version;
         state.current = makeConfiguration(std::move(published), *state.current);
         state.history[state.current->published.rulesVersion] = state.current->lines;
         while (state.history.size() > ruleVersionsKept)
@@ -72,18 +102,26 @@
 
 PublishedDifference ConfigurationTable::differenceFor(std::uint64_t version) const
 {
-    auto configuration = current();
-    const auto& published = configuration->published;
-    PublishedDifference difference;
-    difference.cluster = published.cluster;
-    difference.fromVersion = version;
-    difference.version = published.version;
-    difference.rulesVersion = published.rulesVersion;
-    difference.full = true;
-    difference.lines = published.lines;
-    difference.views = published.views;
-    difference.blocked = published.blocked;
-    return difference;
+    return m_state.with([&](State& state) {
+        const auto& published = state.current->published;
+        PublishedDifference difference;
+        difference.cluster = published.cluster;
+        difference.fromVersion = version;
+        difference.version = published.version;
+        difference.rulesVersion = published.rulesVersion;
+        difference.full = version == 0 || state.removalsSince == 0 || version < state.removalsSince;
+        auto since = difference.full ? 0 : version;
+        difference.lines = newerThan(published.lines, since);
+        difference.views = newerThan(published.views, since);
+        difference.blocked = newerThan(published.blocked, since);
+        if (!difference.full) {
+            for (const auto& [key, removedIn] : state.removed) {
+                if (removedIn > version)
+                    difference.removedKeys.push_back(key);
+            }
+        }
+        return difference;
+    });
 }
 
 std::optional<std::vector<RuleLine>> ConfigurationTable::linesAt(std::uint64_t rulesVersion) const
--- a/daemon/ConfigurationTable.h
+++ b/daemon/ConfigurationTable.h
@@ -43,7 +43,8 @@
     std::shared_ptr<const Configuration> current() const;
     /// Applies a difference from a peer. Returns false if it leads to no newer version of the same cluster.
     bool apply(const PublishedDifference&);
-    /// The difference that brings a peer from `version` to the current one; it is a full one.
+    /// The difference that brings a peer from `version` to the current one. It is a full one if the removals since that
+    /// version are not known here.
     PublishedDifference differenceFor(std::uint64_t version) const;
     /// Lines of a version that was in force here; version 0 is empty.
     std::optional<std::vector<RuleLine>> linesAt(std::uint64_t rulesVersion) const;
@@ -61,6 +62,8 @@
     struct State {
         std::shared_ptr<const Configuration> current = std::make_shared<Configuration>();
         std::map<std::uint64_t, std::vector<RuleLine>> history;
+        std::map<std::string, std::uint64_t> removed; // keys and the version in which they were seen to be gone
+        std::uint64_t removalsSince = 0;              // removals are complete from this version on; 0: none held
         FreshnessNotice notice;
         std::optional<TimePoint> noticedAt;
         std::optional<TimePoint> completeAt; // when a notice named a version that is held
