Do not send on idle connections that the entry has closed

In one run of SystemTests the case of planned stops saw one request without an answer ("closed" after 0.4 ms): a keyed request sent on a pooled connection about 0.5 s after the entry's process had ended and been restarted. From the times in the history and the log it was not in flight during the stop. The load generator did not look for the end of an idle connection before it wrote; a query is repeated then, a keyed request is not. The check of the test is unchanged.

--- a/standins/HttpClient.h
+++ b/standins/HttpClient.h
@@ -28,6 +28,15 @@
 
     bool isBusy() const { return static_cast<bool>(m_callback); }
     bool isConnected() const { return m_isConnected; }
+    /// False if the server has closed the idle connection. Precondition: not busy.
+    bool isReusable()
+    {
+        char byte = 0;
+        asio::error_code ec;
+        m_socket.non_blocking(true, ec);
+        m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        return m_isConnected && ec == asio::error::would_block;
+    }
 
     /// Sends one request. `headers` are complete lines, each with its line end. Precondition: not busy.
     void request(const std::string& method, const std::string& target, const std::string& headers,
--- a/standins/load/EntrySender.cpp
+++ b/standins/load/EntrySender.cpp
@@ -61,6 +61,9 @@
     auto& entry = choose();
     --exchange->triesLeft;
     std::shared_ptr<HttpClient> client;
+    // A connection that the entry closed while it was idle cannot carry a request.
+    while (!entry.idle.empty() && !entry.idle.back()->isReusable())
+        entry.idle.pop_back();
     if (entry.idle.empty())
         client = std::make_shared<HttpClient>(m_io, entry.address);
     else {
