Accept rule changes that are in force already

Ruled out: rewriting the header of an edited file, which would hide the lines that others changed since. Conclusion: only changes with another value conflict.

--- a/coordination/ControlState.cpp
+++ b/coordination/ControlState.cpp
@@ -31,25 +31,41 @@
 
 EditResult ControlState::edit(const EditRules& command, std::uint64_t index)
 {
-    if (auto refused = refusal(command))
+    if (!isWellFormed(command))
+        return { EditStatus::Invalid, m_data.rulesVersion };
+    // A file that is saved again while its submission is under way submits the accepted lines once more.
+    auto effective = command;
+    std::erase_if(effective.changes, [this](const RuleChange& change) { return isInForce(change); });
+    if (auto refused = refusal(effective))
         return *refused;
-    if (!command.changes.empty())
-        writeLines(command, index);
+    if (!effective.changes.empty())
+        writeLines(effective, index);
     return { EditStatus::Accepted, m_data.rulesVersion };
 }
 
+bool ControlState::isWellFormed(const EditRules& command)
+{
+    std::set<std::string_view> keys;
+    return std::all_of(command.changes.begin(), command.changes.end(), [&](const RuleChange& change) {
+        bool otherKey = change.line && change.line->key != change.key;
+        return !change.key.empty() && !otherKey && keys.insert(change.key).second;
+    });
+}
+
+bool ControlState::isInForce(const RuleChange& change) const
+{
+    auto line = m_data.lines.find(change.key);
+    if (line == m_data.lines.end())
+        return !change.line;
+    return change.line == line->second.line;
+}
+
 std::optional<EditResult> ControlState::refusal(const EditRules& command) const
 {
     if (command.baseVersion > m_data.rulesVersion)
         return EditResult { EditStatus::BaseUnknown, m_data.rulesVersion };
     if (command.baseVersion < m_data.oldestBase)
         return EditResult { EditStatus::BaseTooOld, m_data.rulesVersion };
-    std::set<std::string_view> keys;
-    for (const auto& change : command.changes) {
-        bool otherKey = change.line && change.line->key != change.key;
-        if (change.key.empty() || otherKey || !keys.insert(change.key).second)
-            return EditResult { EditStatus::Invalid, m_data.rulesVersion };
-    }
     for (const auto& change : command.changes) {
         auto line = m_data.lines.find(change.key);
         if (line != m_data.lines.end() && line->second.version > command.baseVersion) {
--- a/coordination/ControlState.h
+++ b/coordination/ControlState.h
@@ -185,6 +185,8 @@
     EditResult edit(const EditRules&, std::uint64_t index);
     std::optional<EditResult> refusal(const EditRules&) const;
     bool isValidTogether(const EditRules&) const;
+    static bool isWellFormed(const EditRules&);
+    bool isInForce(const RuleChange&) const;
     void writeLines(const EditRules&, std::uint64_t index);
     void trimHistory();
     void remember(const std::string& submissionId, const EditResult&);
--- a/tests/ControlStateTests.cpp
+++ b/tests/ControlStateTests.cpp
@@ -61,6 +61,22 @@
     CHECK(machine.apply<EditResult>(twice).status == EditStatus::Invalid);
 }
 
+// Guards against an operator who is refused for a conflict with the own earlier edit: a file that is saved again while
+// its submission is under way keeps the old header and submits the accepted line once more.
+TEST_CASE("a change that is in force already is no conflict")
+{
+    Machine machine;
+    CHECK(machine.edit("a", 0, "zone atl", "out").status == EditStatus::Accepted);
+    EditRules again { "b", "author b", 0,
+        { { "zone atl", RuleLine { "zone atl", "out", "c" } }, { "zone mac", RuleLine { "zone mac", "out", "c" } } } };
+    CHECK(machine.apply<EditResult>(again).status == EditStatus::Accepted);
+    CHECK(machine.state.lines().at("zone atl").version == 1);
+    CHECK(machine.state.lines().at("zone mac").version == 2);
+    CHECK(machine.remove("c", 2, "zone atl").status == EditStatus::Accepted);
+    CHECK(machine.remove("d", 2, "zone atl").status == EditStatus::Accepted);
+    CHECK(machine.edit("e", 2, "zone atl", "out").status == EditStatus::Conflict);
+}
+
 // Guards against an edit that is applied twice, or answered differently, when its author sends it again.
 TEST_CASE("a resend gets the first answer")
 {
