Let the fault schedule wait for undecided edits and ready instances

Cause: the schedule took the late outcome of one edit for that of the next (edit-4 accepted after a freeze, counted for edit-6), and stopped a process in the millisecond of its start, before main could set its signals. Conclusion: an edit is saved only after the outcome of the one before is known; the check itself is unchanged.

--- a/bench/FaultSchedule.cpp
+++ b/bench/FaultSchedule.cpp
@@ -172,10 +172,12 @@
     {
         const std::lock_guard lock(m_mutex);
         const auto text = readRules(m_cluster, instance);
-        if (text.empty())
+        // The outcome of an undecided edit would be taken for that of the next one.
+        if (text.empty() || !isDecided(instance))
             return false;
         saveRules(m_cluster, instance, withLine(text, key, key + " " + value + " # ada: fault schedule"));
         const auto outcome = waitForOutcome(m_cluster, instance, seconds(4));
+        m_undecided[instance] = outcome.outcome.empty();
         ++m_outcomes[outcome.outcome.empty() ? "none" : outcome.outcome];
         if (outcome.outcome == "accepted")
             m_accepted[key] = value;
@@ -196,6 +198,13 @@
     json outcomes() const { return m_outcomes; }
 
 private:
+    bool isDecided(const std::string& instance)
+    {
+        bool& isUndecided = m_undecided[instance];
+        isUndecided = isUndecided && waitForOutcome(m_cluster, instance, milliseconds(0)).outcome.empty();
+        return !isUndecided;
+    }
+
     void run()
     {
         for (int n = 0; !m_ended; ++n) {
@@ -210,6 +219,7 @@
     std::map<std::string, std::string> m_accepted;
     std::set<std::string> m_unsettled;
     std::map<std::string, int> m_outcomes;
+    std::map<std::string, bool> m_undecided; // by instance: the last edit has no outcome yet
     std::atomic<bool> m_ended { false };
     std::thread m_thread;
 };
@@ -359,6 +369,9 @@
 ActiveFault FaultSchedule::plannedStop()
 {
     const auto name = freeInstance();
+    // A process that was started a moment ago has not set its signal handling yet and serves nobody.
+    if (name.empty() || !m_cluster.waitReady(name, seconds(10)))
+        return leafCrash();
     auto& watch = m_watches.at(name);
     m_report.log("planned stop of " + name);
     watch.stoppedAt = monotonicNow();
