--- a/coordination/ControlState.cpp
+++ b/coordination/ControlState.cpp
@@ -97,6 +97,7 @@
             merged.erase(change.key);
     }
     std::vector<RuleLine> lines;
+    lines.reserve(merged.size());
     for (const auto& [key, line] : merged)
         lines.push_back(line);
     return m_validator(lines);
