--- a/daemon/DaemonStatus.cpp
+++ b/daemon/DaemonStatus.cpp
@@ -140,6 +140,7 @@
     auto gates = m_parts->counters();
     line("gate_dispatched_total", gates.dispatched);
     line("gate_refused_queue_full_total", gates.refusedQueueFull);
+    line("gate_refused_busy_total", gates.refusedBusy);
     line("gate_refused_wait_total", gates.refusedWait);
     line("gate_refused_rules_total", gates.refusedRules);
     line("gate_refused_blocked_total", gates.refusedBlocked);
--- a/daemon/PartMessages.cpp
+++ b/daemon/PartMessages.cpp
@@ -38,13 +38,13 @@
 std::string encodePart(const Part& part)
 {
     return pack(part.queryId, part.partId, part.service, part.operation, part.leaf, packShard(part.shard),
-        static_cast<std::int64_t>(part.remaining.count()), part.requestKey, part.fingerprint, part.body);
+        static_cast<std::int64_t>(part.remaining.count()), part.requestKey, part.fingerprint, part.waits, part.body);
 }
 
 Part decodePart(std::string_view bytes)
 {
     using Packed = std::tuple<std::uint64_t, std::uint64_t, std::string, std::string, std::string, PackedShard,
-        std::int64_t, std::string, std::uint64_t, std::string>;
+        std::int64_t, std::string, std::uint64_t, bool, std::string>;
     auto packed = unpack<Packed>(bytes);
     Part part;
     part.queryId = std::get<0>(packed);
@@ -56,19 +56,20 @@
     part.remaining = milliseconds(std::get<6>(packed));
     part.requestKey = std::move(std::get<7>(packed));
     part.fingerprint = std::get<8>(packed);
-    part.body = std::move(std::get<9>(packed));
+    part.waits = std::get<9>(packed);
+    part.body = std::move(std::get<10>(packed));
     return part;
 }
 
 std::string encodePartResult(const PartResult& result)
 {
     return pack(result.partId, static_cast<std::uint8_t>(result.status), static_cast<std::uint8_t>(result.outcome),
-        packShard(result.shard), static_cast<std::int64_t>(result.leafTime.count()), result.body);
+        packShard(result.shard), result.wasBusy, static_cast<std::int64_t>(result.leafTime.count()), result.body);
 }
 
 PartResult decodePartResult(std::string_view bytes)
 {
-    using Packed = std::tuple<std::uint64_t, std::uint8_t, std::uint8_t, PackedShard, std::int64_t, std::string>;
+    using Packed = std::tuple<std::uint64_t, std::uint8_t, std::uint8_t, PackedShard, bool, std::int64_t, std::string>;
     auto packed = unpack<Packed>(bytes);
     if (std::get<1>(packed) > static_cast<std::uint8_t>(PartStatus::Unreachable)
         || std::get<2>(packed) > static_cast<std::uint8_t>(Outcome::MayHaveRun))
@@ -78,8 +79,9 @@
     result.status = static_cast<PartStatus>(std::get<1>(packed));
     result.outcome = static_cast<Outcome>(std::get<2>(packed));
     result.shard = unpackShard(std::get<3>(packed));
-    result.leafTime = std::chrono::microseconds(std::get<4>(packed));
-    result.body = std::move(std::get<5>(packed));
+    result.wasBusy = std::get<4>(packed);
+    result.leafTime = std::chrono::microseconds(std::get<5>(packed));
+    result.body = std::move(std::get<6>(packed));
     return result;
 }
 
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -271,6 +271,7 @@
     milliseconds remaining { 0 };  // until the deadline, measured when the message is sent
     std::string requestKey;        // empty for idempotent parts
     std::uint64_t fingerprint = 0; // of service, operation and body; identifies a poison request
+    bool waits = true;             // false: refuse it at once if no slot is free, because another replica can be asked
     std::string body;
 };
 
@@ -289,7 +290,8 @@
     std::uint64_t partId = 0;
     PartStatus status = PartStatus::Unreachable;
     Outcome outcome = Outcome::NotRun;
-    ShardVersion shard;                       // version and shard the body was computed on
+    ShardVersion shard;   // version and shard the body was computed on
+    bool wasBusy = false; // refused by the owner because `Part::waits` was false and no slot was free
     std::chrono::microseconds leafTime { 0 }; // from dispatch at the owner to the answer
     std::string body;
 };
--- a/query/LeafGates.cpp
+++ b/query/LeafGates.cpp
@@ -97,6 +97,11 @@
     return !gate.leaf.draining && !isLeafOut && !m_rules.zonesOut.contains(gate.leaf.zone) && limitOf(gate, now) > 0;
 }
 
+bool LeafGates::hasFreeSlot(const Gate& gate, TimePoint now) const
+{
+    return gate.queue.empty() && gate.running.size() < limitOf(gate, now);
+}
+
 /// True if the part can probably end in time behind those that are due before it. An idle gate always tries: the
 /// recent latency may be out of date, and only a completion corrects it.
 bool LeafGates::meetsDeadline(const Gate& gate, std::uint32_t limit, TimePoint deadline, TimePoint now) const
@@ -138,6 +143,10 @@
     } else if (isBlocked) {
         ++m_counters.refusedBlocked;
         refuse(queued, PartStatus::Blocked, actions);
+    } else if (!part.waits && !hasFreeSlot(found->second, now)) {
+        ++m_counters.refusedBusy;
+        refuse(queued, PartStatus::Refused, actions);
+        actions.answers.back().result.wasBusy = true;
     } else if (found->second.queue.size() >= m_settings.queueLimit) {
         ++m_counters.refusedQueueFull;
         refuse(queued, PartStatus::Refused, actions);
--- a/query/LeafGates.h
+++ b/query/LeafGates.h
@@ -55,6 +55,7 @@
 struct GateCounters {
     std::uint64_t dispatched = 0;
     std::uint64_t refusedQueueFull = 0;
+    std::uint64_t refusedBusy = 0;    // `Part::waits` was false and no slot was free
     std::uint64_t refusedWait = 0;    // the deadline could not be met
     std::uint64_t refusedRules = 0;   // zone or leaf out, draining, not owner, no lease
     std::uint64_t refusedBlocked = 0; // poison request
@@ -145,6 +146,7 @@
     std::uint32_t runningOf(const Gate&) const;
     bool runsSuspect(const Gate&) const;
     bool mayStart(const Gate&, TimePoint now) const;
+    bool hasFreeSlot(const Gate&, TimePoint now) const;
     bool meetsDeadline(const Gate&, std::uint32_t limit, TimePoint deadline, TimePoint now) const;
     static void observe(Gate&, Duration latency);
     static Duration recentLatency(const Gate&);
--- a/query/QueryExecution.h
+++ b/query/QueryExecution.h
@@ -112,6 +112,7 @@
     void onCrashed(const Attempt&, QueryActions&, TimePoint now);
     void onFailedAttempt(std::uint32_t shard, PartStatus, const PartResult&, QueryActions&, TimePoint now);
     bool allowsExtraParts(TimePoint now) const;
+    bool sendInstead(std::uint32_t shard, std::uint64_t busyPart, QueryActions&, TimePoint now);
     bool retry(std::uint32_t shard, PartStatus, const PartResult&, QueryActions&, TimePoint now);
     void setMissing(std::uint32_t shard, MissingReason);
     void giveUpOnLayout();
--- a/query/QueryExecutionImpl.h
+++ b/query/QueryExecutionImpl.h
@@ -106,6 +106,8 @@
         .shard = { .version = layout().version, .shard = shard, .of = layout().shardCount },
         .remaining = std::chrono::ceil<milliseconds>(m_stop->deadline() - now),
         .fingerprint = m_fingerprint,
+        // A busy leaf is worth waiting for only if there is no other replica to ask first. A hedge never waits.
+        .waits = m_isSuspect || isRetry || (!isHedge && candidates.size() == 1),
         .body = m_context.query.body };
     send.zone = replica.zone;
     send.address = replica.address;
@@ -156,7 +158,9 @@
     const bool waitedInVain = status == PartStatus::Deadline && result.outcome == Outcome::NotRun;
     if (status == PartStatus::Ok || waitedInVain)
         actions.partWait = now - attempt.sentAt - (waitedInVain ? Duration::zero() : Duration(result.leafTime));
-    PartResult judged { .partId = result.partId, .status = status, .outcome = result.outcome };
+    PartResult judged {
+        .partId = result.partId, .status = status, .outcome = result.outcome, .wasBusy = result.wasBusy
+    };
     endAttempt(attempt, judged, status == PartStatus::Ok, now);
     const auto shard = attempt.shard;
     if (status == PartStatus::Ok) {
@@ -184,7 +188,7 @@
         m_policies.onPartAnswered(service, leaf, elapsed, now);
     else if (speaksAgainstLeaf)
         m_policies.onPartFailed(leaf, now);
-    else if (result.status == PartStatus::Refused)
+    else if (result.status == PartStatus::Refused && !result.wasBusy)
         m_policies.onPartRefused(leaf, now);
     else
         m_policies.onPartAbandoned(service, leaf, Duration::zero(), now);
@@ -286,6 +290,20 @@
     return !m_crashed && !m_isSuspect && m_policies.suspicionOf(m_fingerprint, now) == Suspicion::None;
 }
 
+/// Sends the shard to another replica than the busy one, where it waits. Nothing ran, so no budget is used, and the
+/// busy replica stays open for a hedge.
+template <QueryPolicies Policies>
+bool QueryExecution<Policies>::sendInstead(
+    std::uint32_t shard, std::uint64_t busyPart, QueryActions& actions, TimePoint now)
+{
+    const auto busyReplica = m_attempts.at(busyPart).replica;
+    if (!sendAttempt(shard, false, true, actions, now))
+        return false;
+    m_shards[shard].tried[busyReplica] = false;
+    m_hedgeQueue.push_back(actions.sends.back().part.partId);
+    return true;
+}
+
 /// Sends the shard to another replica if its failure and the budget allow that.
 template <QueryPolicies Policies>
 bool QueryExecution<Policies>::retry(
@@ -293,6 +311,8 @@
 {
     auto& it = m_shards[shard];
     std::vector<std::uint32_t> indices;
+    if (result.wasBusy)
+        return it.running == 0 && !m_crashed && sendInstead(shard, result.partId, actions, now);
     if (it.running > 0 || !allowsExtraParts(now) || untried(it, shard, indices).empty())
         return false;
     const auto& service = m_context.query.service;
