--- a/tests/LeafGatesTests.cpp
+++ b/tests/LeafGatesTests.cpp
@@ -73,6 +73,19 @@
     CHECK(gates.status(now).at(0).limit == 1);
 }
 
+// Guards against parts that wait behind a busy leaf while another replica is idle.
+TEST_CASE_FIXTURE(Fixture, "a part that does not wait is refused at once if no slot is free")
+{
+    const Part running { .partId = nextPart++, .leaf = "l", .remaining = milliseconds(100), .waits = false };
+    CHECK(gates.submit("e", running, now).dispatches.size() == 1);
+    const Part second { .partId = nextPart++, .leaf = "l", .remaining = milliseconds(100), .waits = false };
+    const auto refused = gates.submit("e", second, now);
+    CHECK(onlyAnswer(refused) == PartStatus::Refused);
+    CHECK(refused.answers[0].result.wasBusy);
+    CHECK(refused.answers[0].result.outcome == Outcome::NotRun);
+    CHECK(submit().answers.empty());
+}
+
 // Guards against sending after the lease ended, without waiting for any message.
 TEST_CASE_FIXTURE(Fixture, "nothing starts after the end of the lease and queued parts are refused as not run")
 {
--- a/tests/QueryExecutionTests.cpp
+++ b/tests/QueryExecutionTests.cpp
@@ -113,6 +113,23 @@
     CHECK(answerOf(done).coverage.missing.at(0).reason == MissingReason::Refused);
 }
 
+// Guards against a shard that is lost, or uses up the retry budget, because its first replica was busy.
+TEST_CASE_FIXTURE(Fixture, "a part that met a busy leaf waits at the other replica")
+{
+    const auto first = start(layoutOf(1, 60, 2)); // more shards than the retry budget allows at once
+    QueryActions done;
+    for (const auto& it : first.sends) {
+        CHECK_FALSE(it.part.waits);
+        const auto second
+            = query->onResult({ .partId = it.part.partId, .status = PartStatus::Refused, .wasBusy = true }, now);
+        REQUIRE(second.sends.size() == 1);
+        CHECK(second.sends[0].part.leaf != it.part.leaf);
+        CHECK(second.sends[0].part.waits);
+        done = result(second.sends[0], PartStatus::Ok);
+    }
+    CHECK(answerOf(done).coverage.isWhole());
+}
+
 // Guards against merging two index versions into one answer, and against a second restart.
 TEST_CASE_FIXTURE(Fixture, "after a version change the whole query restarts once on the new layout")
 {
