--- a/coordination/ControlState.cpp
+++ b/coordination/ControlState.cpp
@@ -87,20 +87,11 @@
 {
     if (!m_validator)
         return true;
-    std::map<std::string, RuleLine> merged;
+    std::vector<RuleLine> inForce;
+    inForce.reserve(m_data.lines.size());
     for (const auto& [key, it] : m_data.lines)
-        merged.emplace(key, it.line);
-    for (const auto& change : command.changes) {
-        if (change.line)
-            merged.insert_or_assign(change.key, *change.line);
-        else
-            merged.erase(change.key);
-    }
-    std::vector<RuleLine> lines;
-    lines.reserve(merged.size());
-    for (const auto& [key, line] : merged)
-        lines.push_back(line);
-    return m_validator(lines);
+        inForce.push_back(it.line);
+    return m_validator(withChanges(inForce, command.changes));
 }
 
 void ControlState::writeLines(const EditRules& command, std::uint64_t index)
--- a/coordination/Vocabulary.cpp
+++ b/coordination/Vocabulary.cpp
@@ -55,6 +55,24 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
+std::vector<RuleLine> withChanges(std::span<const RuleLine> lines, std::span<const RuleChange> changes)
+{
+    std::map<std::string, RuleLine> merged;
+    for (const auto& it : lines)
+        merged.emplace(it.key, it);
+    for (const auto& change : changes) {
+        if (change.line)
+            merged.insert_or_assign(change.key, *change.line);
+        else
+            merged.erase(change.key);
+    }
+    std::vector<RuleLine> result;
+    result.reserve(merged.size());
+    for (auto& [key, line] : merged)
+        result.push_back(std::move(line));
+    return result;
+}
+
 std::uint64_t hash64(std::string_view text, std::uint64_t seed) { return XXH64(text.data(), text.size(), seed); }
 
 } // namespace citronplank
--- a/daemon/RulesService.cpp
+++ b/daemon/RulesService.cpp
@@ -10,21 +10,8 @@
 
 std::string invalidReason(const RulesSubmission& submission, const std::vector<RuleLine>& inForce)
 {
-    std::map<std::string, RuleLine> merged;
-    for (const auto& it : inForce)
-        merged.emplace(it.key, it);
-    for (const auto& change : submission.changes) {
-        if (change.line)
-            merged.insert_or_assign(change.key, *change.line);
-        else
-            merged.erase(change.key);
-    }
-    std::vector<RuleLine> lines;
-    lines.reserve(merged.size());
-    for (const auto& [key, line] : merged)
-        lines.push_back(line);
     try {
-        toRules(lines);
+        toRules(withChanges(inForce, submission.changes));
     } catch (const RulesError& error) {
         return "together with the rules in force: " + error.reason();
     }
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -204,6 +204,9 @@
     bool operator==(const RuleChange&) const = default;
 };
 
+/// The lines after the changes, ordered by key. Thread safe.
+std::vector<RuleLine> withChanges(std::span<const RuleLine> lines, std::span<const RuleChange> changes);
+
 // ---------------------------------------------------------------------------------------------------------------
 // Queries and answers
 
