--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -24,10 +24,20 @@
 
 } // namespace
 
-LeafConnection::LeafConnection(const Strand& strand, std::size_t maximumAnswerBytes)
+std::string_view LeafReply::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0)
+            return value;
+    }
+    return {};
+}
+
+LeafConnection::LeafConnection(const Strand& strand, std::size_t maximumAnswerBytes, bool acceptsCloseDelimited)
     : m_socket(strand)
     , m_timer(strand)
     , m_maximumAnswerBytes(maximumAnswerBytes)
+    , m_acceptsCloseDelimited(acceptsCloseDelimited)
 {
 }
 
@@ -57,8 +67,9 @@
     });
 }
 
-void LeafConnection::exchange(std::string request, std::function<void(LeafReply)> done)
+void LeafConnection::exchange(std::string request, std::function<void(LeafReply)> done, bool isHead)
 {
+    m_isHead = isHead;
     m_timer.cancel();
     m_idleEnded = nullptr;
     m_phase = Phase::Busy;
@@ -127,6 +138,13 @@
             callback();
         return;
     }
+    if (ec == asio::error::eof && m_acceptsCloseDelimited && http_body_is_final(&m_parser) == 0
+        && m_reply.status != 0) {
+        http_parser_execute(&m_parser, &callbacks(), m_buf.data(), 0);
+        m_keepAlive = false;
+        finish(m_hasMessage ? LeafReply::End::Complete : LeafReply::End::Lost);
+        return;
+    }
     if (ec) {
         finish(LeafReply::End::Lost);
         return;
@@ -206,6 +224,8 @@
 
 void LeafConnection::takeHeader()
 {
+    if (!m_headerName.empty())
+        m_reply.headers.emplace_back(m_headerName, m_headerValue);
     if (strcasecmp(m_headerName.c_str(), "Index-Version") == 0)
         m_reply.version = numberIn<std::uint64_t>(m_headerValue);
     else if (strcasecmp(m_headerName.c_str(), "Shard") == 0)
@@ -222,8 +242,11 @@
     const bool hasBody = m_reply.status / 100 != 1 && m_reply.status != 204 && m_reply.status != 304;
     const bool hasLength = m_parser.content_length != ULLONG_MAX;
     // An answer that ends with the connection cannot be told from a truncated one.
-    if (hasBody && !hasLength && (m_parser.flags & F_CHUNKED) == 0)
+    bool isCloseDelimited = hasBody && !m_isHead && !hasLength && (m_parser.flags & F_CHUNKED) == 0;
+    if (isCloseDelimited && !m_acceptsCloseDelimited)
         return -1;
+    if (m_isHead)
+        return 1;
     return hasLength && m_parser.content_length > m_maximumAnswerBytes ? -1 : 0;
 }
 
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -24,7 +24,11 @@
     bool anyByte = false; // some of an answer had arrived
     std::optional<std::uint64_t> version;
     std::optional<std::uint32_t> shard;
+    std::vector<std::pair<std::string, std::string>> headers; // all, as sent
     std::string body;
+
+    /// Value of the first header of that name, compared without regard to case; empty when absent.
+    std::string_view header(std::string_view name) const;
 };
 
 /// One HTTP/1.1 connection to a leaf, for one exchange at a time. Not thread safe: every call and callback is on the
@@ -34,12 +38,14 @@
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Timer = asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Strand>;
 
-    LeafConnection(const Strand&, std::size_t maximumAnswerBytes);
+    /// With `acceptsCloseDelimited` an answer without a length is complete when the leaf ends the connection in order.
+    LeafConnection(const Strand&, std::size_t maximumAnswerBytes, bool acceptsCloseDelimited = false);
 
     /// Connects and calls `done` once, unless closed before. Precondition: called once.
     void connect(const asio::ip::tcp::endpoint&, milliseconds timeout, std::function<void(bool)> done);
     /// Writes a request and calls `done` once with the reply, unless closed before. Precondition: connected and idle.
-    void exchange(std::string request, std::function<void(LeafReply)> done);
+    /// `isHead`: the answer has no body whatever its headers say.
+    void exchange(std::string request, std::function<void(LeafReply)> done, bool isHead = false);
     /// Sets the callback for an end of the connection between exchanges: by the leaf, by unexpected bytes, or after
     /// `idleTimeout`. Precondition: connected and idle.
     void watchIdle(milliseconds idleTimeout, std::function<void()> ended);
@@ -69,6 +75,8 @@
     asio::basic_stream_socket<asio::ip::tcp, Strand> m_socket;
     Timer m_timer;
     std::size_t m_maximumAnswerBytes;
+    bool m_acceptsCloseDelimited;
+    bool m_isHead = false;
     Phase m_phase = Phase::Connecting;
     bool m_keepAlive = true;
     bool m_written = true;
--- /dev/null
+++ b/backend/UpstreamClient.cpp
@@ -0,0 +1,224 @@
+#include "backend/UpstreamClient.h"
+
+#include <charconv>
+
+namespace citronplank {
+
+namespace {
+
+std::string poolKey(const Announcement& leaf) { return leaf.leaf + "@" + leaf.address; }
+
+asio::ip::tcp::endpoint endpointOf(const std::string& address)
+{
+    auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    std::error_code ec;
+    if (colon != std::string::npos) {
+        auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+        const char* end = address.data() + address.size();
+        auto [stop, error] = std::from_chars(address.data() + colon + 1, end, port);
+        if (!ec && error == std::errc() && stop == end && port != 0)
+            return { ip, port };
+    }
+    throw Error(ErrorKind::BadRequest, "bad leaf address " + address);
+}
+
+/// Seconds of "timeout=N" in a Keep-Alive header.
+std::optional<seconds> idleTimeoutIn(std::string_view header)
+{
+    constexpr std::string_view name = "timeout=";
+    auto at = header.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    header.remove_prefix(at + name.size());
+    int n = 0;
+    if (std::from_chars(header.data(), header.data() + header.size(), n).ec != std::errc())
+        return std::nullopt;
+    return seconds(n);
+}
+
+} // namespace
+
+UpstreamClient::Pool& UpstreamClient::poolOf(const Announcement& leaf)
+{
+    auto [it, isNew] = m_pools.try_emplace(poolKey(leaf));
+    if (isNew) {
+        try {
+            it->second.endpoint = endpointOf(leaf.address);
+        } catch (const Error&) {
+            m_pools.erase(it);
+            throw;
+        }
+    }
+    return it->second;
+}
+
+void UpstreamClient::send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request,
+    bool isHead, Callback callback)
+{
+    auto& pool = poolOf(leaf);
+    auto key = poolKey(leaf);
+    auto& exchange = m_exchanges[attempt];
+    exchange = { key, nullptr, std::move(callback), Clock::now(), nullptr, isHead };
+    while (!pool.idle.empty()) {
+        auto idle = std::move(pool.idle.back());
+        pool.idle.pop_back();
+        if (!idle.connection->isOpen()) {
+            --pool.open;
+            continue;
+        }
+        exchange.connection = std::move(idle.connection);
+        start(attempt, std::move(request));
+        return;
+    }
+    if (pool.open < limit) {
+        connect(attempt, pool, std::move(request));
+        return;
+    }
+    asio::post(m_strand, [self = shared_from_this(), attempt] {
+        LeafReply reply;
+        reply.end = LeafReply::End::NotWritten;
+        self->onReply(attempt, std::move(reply));
+    });
+}
+
+void UpstreamClient::connect(std::uint64_t attempt, Pool& pool, std::string request)
+{
+    ++pool.open;
+    ++m_counters.connects;
+    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maximumAnswerBytes, true);
+    m_exchanges.at(attempt).connection = connection;
+    connection->connect(pool.endpoint, m_settings.connectTimeout,
+        [self = shared_from_this(), attempt, request = std::move(request)](bool ok) mutable {
+            if (!self->m_exchanges.contains(attempt))
+                return;
+            if (ok) {
+                self->start(attempt, std::move(request));
+                return;
+            }
+            ++self->m_counters.connectFailures;
+            LeafReply reply;
+            reply.end = LeafReply::End::NotWritten;
+            self->onReply(attempt, std::move(reply));
+        });
+}
+
+void UpstreamClient::start(std::uint64_t attempt, std::string request)
+{
+    ++m_counters.exchanges;
+    auto& exchange = m_exchanges.at(attempt);
+    exchange.connection->exchange(
+        std::move(request),
+        [self = shared_from_this(), attempt](LeafReply reply) { self->onReply(attempt, std::move(reply)); },
+        exchange.isHead);
+}
+
+void UpstreamClient::onReply(std::uint64_t attempt, LeafReply reply)
+{
+    auto node = m_exchanges.extract(attempt);
+    if (!node)
+        return;
+    auto& exchange = node.mapped();
+    if (exchange.graceTimer)
+        exchange.graceTimer->cancel();
+    if (exchange.connection)
+        keep(exchange.leaf, exchange.connection, reply);
+    if (exchange.callback)
+        exchange.callback(std::move(reply));
+}
+
+/// Puts a connection back if it can serve another exchange.
+void UpstreamClient::keep(const std::string& leaf, const Connection& connection, const LeafReply& reply)
+{
+    auto pool = m_pools.find(leaf);
+    if (pool == m_pools.end() || reply.end != LeafReply::End::Complete || !connection->isReusable()) {
+        connection->close();
+        if (pool != m_pools.end())
+            --pool->second.open;
+        return;
+    }
+    Duration timeout = m_settings.idleTimeout;
+    if (auto named = idleTimeoutIn(reply.header("Keep-Alive")))
+        timeout = std::chrono::duration_cast<Duration>(*named * m_settings.idleShare);
+    pool->second.idle.push_back({ connection, Clock::now() });
+    connection->watchIdle(std::chrono::duration_cast<milliseconds>(timeout),
+        [weak = weak_from_this(), leaf, raw = std::weak_ptr<LeafConnection>(connection)] {
+            auto self = weak.lock();
+            auto ended = raw.lock();
+            if (self && ended)
+                self->forget(leaf, ended);
+        });
+}
+
+void UpstreamClient::forget(const std::string& leaf, const Connection& connection)
+{
+    auto pool = m_pools.find(leaf);
+    if (pool == m_pools.end())
+        return;
+    auto n = std::erase_if(pool->second.idle, [&](const Idle& it) { return it.connection == connection; });
+    pool->second.open -= static_cast<std::uint32_t>(n);
+    m_counters.closedByLeaf += n;
+}
+
+void UpstreamClient::cancel(std::uint64_t attempt, milliseconds grace)
+{
+    auto found = m_exchanges.find(attempt);
+    if (found == m_exchanges.end())
+        return;
+    ++m_counters.cancelled;
+    auto& exchange = found->second;
+    exchange.callback = nullptr;
+    exchange.graceTimer = std::make_shared<LeafConnection::Timer>(m_strand);
+    exchange.graceTimer->expires_after(grace);
+    exchange.graceTimer->async_wait(
+        [self = shared_from_this(), attempt, timer = exchange.graceTimer](const std::error_code& ec) {
+            auto node = ec ? decltype(self->m_exchanges)::node_type {} : self->m_exchanges.extract(attempt);
+            if (!node || !node.mapped().connection)
+                return;
+            auto& ended = node.mapped();
+            ended.connection->close();
+            if (auto pool = self->m_pools.find(ended.leaf); pool != self->m_pools.end())
+                --pool->second.open;
+            self->closeSilent(ended.leaf, ended.startedAt);
+        });
+}
+
+/// A connection that brought nothing may have gone silent, and so may those that were last heard of before it.
+void UpstreamClient::closeSilent(const std::string& leaf, TimePoint since)
+{
+    auto pool = m_pools.find(leaf);
+    if (pool == m_pools.end())
+        return;
+    auto n = std::erase_if(pool->second.idle, [&](const Idle& it) {
+        if (it.connection->lastReceived() >= since)
+            return false;
+        it.connection->close();
+        return true;
+    });
+    pool->second.open -= static_cast<std::uint32_t>(n);
+    m_counters.silentClosed += n;
+}
+
+void UpstreamClient::keepOnly(const std::set<std::string, std::less<>>& leaves)
+{
+    std::erase_if(m_pools, [&](auto& it) {
+        auto name = std::string_view(it.first).substr(0, it.first.rfind('@'));
+        if (leaves.contains(name))
+            return false;
+        for (auto& idle : it.second.idle)
+            idle.connection->close();
+        return true;
+    });
+}
+
+void UpstreamClient::closeAll()
+{
+    for (auto& [attempt, exchange] : m_exchanges) {
+        if (exchange.connection)
+            exchange.connection->close();
+    }
+    m_exchanges.clear();
+    keepOnly({});
+}
+
+} // namespace citronplank
--- a/coordination/ControlEntries.cpp
+++ b/coordination/ControlEntries.cpp
@@ -68,6 +68,7 @@
     }
     return n;
 }
+std::size_t bytesOf(const PutDocument& it) { return it.content.size(); }
 std::size_t bytesOf(const BeginRequest& it) { return it.key.size() + it.attempt.size(); }
 std::size_t bytesOf(const FinishRequest& it) { return it.key.size() + it.attempt.size() + it.answer.size(); }
 std::size_t bytesOf(const ChangeView& it)
--- a/coordination/ControlLog.h
+++ b/coordination/ControlLog.h
@@ -45,6 +45,9 @@
     /// pass. Does nothing if this member is not the leader or no voter is live. Callers serialize.
     ControlOutput transferLeadership(TimePoint now);
 
+    /// Names of members to ask besides the configured ones, for example those known by gossip. Callers serialize.
+    void setContacts(std::set<std::string> names) { m_contacts = std::move(names); }
+
     /// No precondition. Callers serialize.
     ControlLogStatus status() const;
     bool isLeader() const { return m_role == ControlRole::Leader; }
@@ -137,6 +140,7 @@
     bool hasCluster() const { return cluster() != 0; }
     bool isEmpty() const { return !hasCluster() && m_term == 0; }
     bool isConfigured(const std::string& name) const;
+    Duration longestElection() const { return 2 * m_settings.electionTimeout; }
     void sendProbes();
     void bootstrapIfAllEmpty();
     void storeBootstrap(const Bootstrap&);
@@ -146,6 +150,9 @@
     std::optional<Membership> nextMembership();
     std::optional<Membership> withoutReplacedVoter() const;
     std::optional<Membership> withoutSilentLearner() const;
+    std::optional<Membership> withoutSilentVoter() const;
+    std::size_t liveVoters() const;
+    bool mayPromote() const;
     std::optional<Membership> withPromotedLearner() const;
     std::optional<Membership> withNewLearner();
     bool isRepairComplete() const;
@@ -181,6 +188,7 @@
     std::optional<TimePoint> m_heardLeaderAt;
     TimePoint m_nextProbe;
     std::map<std::string, ProbeResult> m_probeResults; // by name
+    std::set<std::string> m_contacts;                  // members named by answers to probes or by setContacts
     std::optional<InstallSnapshot> m_incoming;         // its chunk collects the data received so far
 
     // Candidate
@@ -233,7 +241,7 @@
     m_term = std::max(stored.vote.term, m_window.lastTerm());
     if (m_term == stored.vote.term)
         m_votedFor = stored.vote.votedFor;
-    if (!isConfigured(m_settings.name))
+    if (!m_settings.openMembership && !isConfigured(m_settings.name))
         throw Error(ErrorKind::BadRequest, m_settings.name + " is not one of the configured control members");
     resetElectionTimer();
 }
--- a/coordination/ControlLogElection.h
+++ b/coordination/ControlLogElection.h
@@ -8,14 +8,14 @@
 template <ControlStorage Storage>
 void ControlLog<Storage>::resetElectionTimer()
 {
-    auto span = static_cast<std::uint64_t>((longestElectionTimeout - shortestElectionTimeout).count());
-    m_electionDeadline = m_now + shortestElectionTimeout + milliseconds(m_random() % (span + 1));
+    auto span = static_cast<std::uint64_t>(m_settings.electionTimeout.count());
+    m_electionDeadline = m_now + m_settings.electionTimeout + milliseconds(m_random() % (span + 1));
 }
 
 template <ControlStorage Storage>
 bool ControlLog<Storage>::knowsLiveLeader() const
 {
-    return isLeader() || (m_heardLeaderAt && m_now - *m_heardLeaderAt < shortestElectionTimeout);
+    return isLeader() || (m_heardLeaderAt && m_now - *m_heardLeaderAt < m_settings.electionTimeout);
 }
 
 template <ControlStorage Storage>
@@ -195,7 +195,7 @@
 template <ControlStorage Storage>
 void ControlLog<Storage>::checkQuorum()
 {
-    if (isLeader() && m_now - m_quorumAt > longestElectionTimeout)
+    if (isLeader() && m_now - m_quorumAt > longestElection())
         stepDown();
 }
 
--- a/coordination/ControlLogMembers.h
+++ b/coordination/ControlLogMembers.h
@@ -24,6 +24,8 @@
     std::set<std::string> names(m_settings.configuredMembers.begin(), m_settings.configuredMembers.end());
     for (const auto& it : m_members.current().voters)
         names.insert(it.name);
+    if (m_settings.openMembership)
+        names.insert(m_contacts.begin(), m_contacts.end());
     names.erase(m_settings.name);
     for (const auto& it : names)
         sendToName(it, Probe { isEmpty() });
@@ -47,6 +49,8 @@
 {
     m_probeResults.insert_or_assign(
         envelope.from.name, ProbeResult { envelope.from, envelope.cluster, message.empty, m_now });
+    for (const auto& it : message.membership.voters)
+        m_contacts.insert(it.name);
     bootstrapIfAllEmpty();
 }
 
@@ -56,7 +60,8 @@
 void ControlLog<Storage>::bootstrapIfAllEmpty()
 {
     const auto& names = m_settings.configuredMembers;
-    if (!isEmpty() || names.empty() || *std::min_element(names.begin(), names.end()) != m_settings.name)
+    if (!m_settings.mayBootstrap || !isEmpty() || names.empty()
+        || *std::min_element(names.begin(), names.end()) != m_settings.name)
         return;
     Membership membership;
     for (const auto& name : std::set<std::string>(names.begin(), names.end())) {
@@ -149,8 +154,7 @@
 {
     auto found = m_peers.find(member);
     return member == self()
-        || (found != m_peers.end() && found->second.answered
-            && m_now - found->second.lastAnswer < longestElectionTimeout);
+        || (found != m_peers.end() && found->second.answered && m_now - found->second.lastAnswer < longestElection());
 }
 
 /// Takes the next step of a repair or of growth. One change at a time: two changes in flight could give disjoint
@@ -171,7 +175,11 @@
         return next;
     if (auto next = withoutSilentLearner())
         return next;
-    if (auto next = withPromotedLearner())
+    if (mayPromote()) {
+        if (auto next = withPromotedLearner())
+            return next;
+    }
+    if (auto next = withoutSilentVoter())
         return next;
     return withNewLearner();
 }
@@ -204,6 +212,47 @@
     return n > 0 ? std::optional(next) : std::nullopt;
 }
 
+template <ControlStorage Storage>
+std::size_t ControlLog<Storage>::liveVoters() const
+{
+    const auto& voters = m_members.current().voters;
+    return static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [&](const ControlMember& it) {
+        auto peer = m_peers.find(it);
+        return it == self()
+            || (peer != m_peers.end() && m_now - peer->second.lastAnswer < m_settings.silentVoterTimeout);
+    }));
+}
+
+/// With open membership a learner becomes a voter only in place of one that is missing: a greater majority would make
+/// every change wait for more disks.
+template <ControlStorage Storage>
+bool ControlLog<Storage>::mayPromote() const
+{
+    return !m_settings.openMembership || liveVoters() < m_settings.voterTarget;
+}
+
+/// Removes a silent voter once enough others are live, so that the loss of another one leaves a majority.
+template <ControlStorage Storage>
+std::optional<Membership> ControlLog<Storage>::withoutSilentVoter() const
+{
+    auto next = m_members.current();
+    if (!m_settings.openMembership || next.voters.size() <= m_settings.voterTarget)
+        return std::nullopt;
+    for (auto it = next.voters.begin(); it != next.voters.end(); ++it) {
+        auto peer = m_peers.find(*it);
+        if (*it == self() || peer == m_peers.end() || m_now - peer->second.lastAnswer < m_settings.silentVoterTimeout)
+            continue;
+        next.voters.erase(it);
+        return next;
+    }
+    // More voters than wanted, all live: the one added last leaves. It stays as a learner.
+    if (next.voters.back() == self())
+        return std::nullopt;
+    next.learners.push_back(next.voters.back());
+    next.voters.pop_back();
+    return next;
+}
+
 template <ControlStorage Storage>
 std::optional<Membership> ControlLog<Storage>::withPromotedLearner() const
 {
@@ -224,7 +273,7 @@
 template <ControlStorage Storage>
 std::optional<Membership> ControlLog<Storage>::withNewLearner()
 {
-    std::erase_if(m_joiners, [&](const auto& it) { return m_now - it.second.second > longestElectionTimeout; });
+    std::erase_if(m_joiners, [&](const auto& it) { return m_now - it.second.second > longestElection(); });
     for (const auto& [name, it] : m_joiners) {
         const auto& joiner = it.first;
         auto next = m_members.current();
@@ -233,7 +282,8 @@
         auto live = [&](const ControlMember& other) { return sameName(other) && isLive(other); };
         bool replacesLive = std::any_of(next.voters.begin(), next.voters.end(), live)
             || std::any_of(next.learners.begin(), next.learners.end(), live);
-        bool allowed = isConfigured(joiner.name) || std::any_of(next.voters.begin(), next.voters.end(), sameName);
+        bool allowed = m_settings.openMembership || isConfigured(joiner.name)
+            || std::any_of(next.voters.begin(), next.voters.end(), sameName);
         if (known || replacesLive || !allowed || joiner.disk == 0)
             continue;
         std::erase_if(next.learners, sameName);
--- a/coordination/ControlLogReplication.h
+++ b/coordination/ControlLogReplication.h
@@ -37,7 +37,7 @@
         m_readRound = m_round;
         m_readRoundWanted = false;
     }
-    m_nextHeartbeat = m_now + controlHeartbeatInterval;
+    m_nextHeartbeat = m_now + m_settings.heartbeatInterval;
     for (auto& [member, peer] : m_peers)
         sendEntries(member, peer);
     updateQuorum();
--- a/coordination/ControlLogTypes.h
+++ b/coordination/ControlLogTypes.h
@@ -22,7 +22,7 @@
 struct ControlLogSettings {
     std::string name;                           // of this member
     std::vector<std::string> configuredMembers; // all control members' names, this one included
-    std::uint64_t seed = 0;                     // of election timeouts and the cluster identity; random in production
+    std::uint64_t seed = 0; // of election timeouts and the cluster identity; random in production
     std::function<std::uint64_t(TimePoint)> wallTimeMs; // wall clock at a point of the steady clock, ms since 1970
     std::uint64_t entriesPerSnapshot = 256;
     // A snapshot above this size also waits until the log has grown by half of it, so that its cost stays proportional
@@ -30,6 +30,15 @@
     std::size_t smallSnapshotBytes = 1024UL * 1024;
     std::uint64_t entriesKeptInMemory = 512; // before the snapshot, for members that are a little behind
     std::size_t snapshotChunkBytes = 256UL * 1024;
+    // Members that are not configured may join: they become learners, and voters while there are fewer than
+    // `voterTarget` live ones. The configured names are then only the first voters and who to ask at first.
+    bool openMembership = false;
+    bool mayBootstrap = true;    // false: this member never creates a cluster
+    std::size_t voterTarget = 0; // with open membership: voters to keep
+    // With open membership: a voter that is silent for this long is replaced by a live learner.
+    milliseconds silentVoterTimeout { 2500 };
+    milliseconds heartbeatInterval { controlHeartbeatInterval };
+    milliseconds electionTimeout { shortestElectionTimeout }; // the random timeout is at most twice as long
 };
 
 enum class ControlRole : std::uint8_t {
--- a/coordination/ControlMessages.cpp
+++ b/coordination/ControlMessages.cpp
@@ -68,6 +68,16 @@
     archive(it.expiresMs);
 }
 template <typename A>
+void fields(A& archive, PutDocument& it)
+{
+    archive(it.version, it.content);
+}
+template <typename A>
+void fields(A& archive, DocumentResult& it)
+{
+    archive(it.stored, it.storedVersion);
+}
+template <typename A>
 void fields(A& archive, NoResult&)
 {
     archive();
--- a/coordination/ControlMessages.h
+++ b/coordination/ControlMessages.h
@@ -77,11 +77,19 @@
     bool operator==(const ChangeMembers&) const = default;
 };
 
+/// Replaces the serving configuration as a whole. The highest version wins; any other changes nothing.
+struct PutDocument {
+    std::uint64_t version = 0;
+    std::string content; // opaque to the control state, so that it is read back as it was sent
+    bool operator==(const PutDocument&) const = default;
+};
+
 struct NoOp {
     bool operator==(const NoOp&) const = default;
 };
 
-using Command = std::variant<NoOp, ChangeMembers, EditRules, BeginRequest, FinishRequest, ChangeView, BlockFingerprint>;
+using Command = std::variant<NoOp, ChangeMembers, EditRules, BeginRequest, FinishRequest, ChangeView, BlockFingerprint,
+    PutDocument>;
 
 struct LogEntry {
     std::uint64_t index = 0; // 1 is the bootstrap entry
@@ -143,11 +151,18 @@
     bool operator==(const BlockResult&) const = default;
 };
 
+struct DocumentResult {
+    bool stored = false;             // false: a document of this or a higher version was there before
+    std::uint64_t storedVersion = 0; // of the document now in force
+    bool operator==(const DocumentResult&) const = default;
+};
+
 struct NoResult {
     bool operator==(const NoResult&) const = default;
 };
 
-using CommandResult = std::variant<NoResult, EditResult, BeginResult, FinishResult, ViewResult, BlockResult>;
+using CommandResult
+    = std::variant<NoResult, EditResult, BeginResult, FinishResult, ViewResult, BlockResult, DocumentResult>;
 
 // ---------------------------------------------------------------------------------------------------------------
 // Messages
--- a/coordination/ControlReplica.h
+++ b/coordination/ControlReplica.h
@@ -101,6 +101,9 @@
         return std::move(m_out);
     }
 
+    /// See ControlLog. Callers serialize.
+    void setContacts(std::set<std::string> names) { m_log.setContacts(std::move(names)); }
+
     /// The references stay valid as long as the object; their content changes with each call. Callers serialize.
     const ControlState& state() const { return m_state; }
     const ControlLog<Storage>& log() const { return m_log; }
--- a/coordination/ControlState.cpp
+++ b/coordination/ControlState.cpp
@@ -251,6 +251,15 @@
     return BlockResult { blocked.expiresMs };
 }
 
+CommandResult ControlState::applyCommand(const PutDocument& command, std::uint64_t index)
+{
+    if (command.version <= m_data.document.version)
+        return DocumentResult { false, m_data.document.version };
+    m_data.document = { command.version, command.content, index };
+    m_data.publishedVersion = index;
+    return DocumentResult { true, command.version };
+}
+
 CommandResult ControlState::applyCommand(const ChangeMembers& command, std::uint64_t index)
 {
     if (m_data.membership.cluster != command.membership.cluster)
@@ -291,7 +300,8 @@
 
 PublishedState ControlState::published() const
 {
-    PublishedState state { m_data.membership.cluster, m_data.publishedVersion, m_data.rulesVersion, {}, {}, {} };
+    PublishedState state { m_data.membership.cluster, m_data.publishedVersion, m_data.rulesVersion, {}, {}, {},
+        m_data.document };
     for (const auto& [key, it] : m_data.lines)
         state.lines.push_back(it);
     for (const auto& [zone, it] : m_data.views)
@@ -326,6 +336,8 @@
         if (it.version > result.fromVersion)
             result.blocked.push_back(it);
     }
+    if (m_data.document.index > result.fromVersion)
+        result.document = m_data.document;
     return result;
 }
 
@@ -364,6 +376,8 @@
     });
     merge(state.lines, difference.lines, [](const VersionedLine& it) { return std::string_view(it.line.key); });
     merge(state.views, difference.views, [](const ZoneView& it) { return std::string_view(it.zone); });
+    if (difference.document && difference.document->version >= state.document.version)
+        state.document = *difference.document;
     merge(state.blocked, difference.blocked, [](const BlockedFingerprint& it) { return it.fingerprint; });
     return true;
 }
--- a/coordination/ControlState.h
+++ b/coordination/ControlState.h
@@ -49,6 +49,14 @@
     bool operator==(const RequestRecord&) const = default;
 };
 
+/// The serving configuration in force, see ServingConfiguration; its content is opaque here.
+struct StoredDocument {
+    std::uint64_t version = 0; // chosen by the operator; 0: there is none yet
+    std::string content;
+    std::uint64_t index = 0; // log index of the command that stored it
+    bool operator==(const StoredDocument&) const = default;
+};
+
 /// What every daemon holds: the part of the state that is spread from peer to peer.
 struct PublishedState {
     ClusterId cluster = 0;
@@ -57,6 +65,7 @@
     std::vector<VersionedLine> lines;        // ordered by key
     std::vector<ZoneView> views;             // ordered by zone
     std::vector<BlockedFingerprint> blocked; // ordered by fingerprint; the reader drops expired ones
+    StoredDocument document;
     bool operator==(const PublishedState&) const = default;
 };
 
@@ -71,6 +80,7 @@
     std::vector<std::string> removedKeys;
     std::vector<ZoneView> views;
     std::vector<BlockedFingerprint> blocked;
+    std::optional<StoredDocument> document; // absent: as before
     bool operator==(const PublishedDifference&) const = default;
 };
 
@@ -123,6 +133,7 @@
     std::map<std::string, RequestRecord> requests;
     std::map<std::string, ZoneView> views;
     std::map<std::uint64_t, BlockedFingerprint> blocked;
+    StoredDocument document;
     bool operator==(const ControlStateData&) const = default;
 };
 
@@ -158,6 +169,7 @@
     const std::map<std::string, VersionedLine>& lines() const { return m_data.lines; }
     const std::map<std::string, ZoneView>& views() const { return m_data.views; }
     const std::map<std::uint64_t, BlockedFingerprint>& blocked() const { return m_data.blocked; }
+    const StoredDocument& document() const { return m_data.document; }
     std::size_t requestCount() const { return m_data.requests.size(); }
     /// The record of a request key, or null. Callers serialize.
     const RequestRecord* request(const std::string& key) const;
@@ -181,6 +193,7 @@
     CommandResult applyCommand(const ChangeView&, std::uint64_t index);
     CommandResult applyCommand(const BlockFingerprint&, std::uint64_t index);
     CommandResult applyCommand(const ChangeMembers&, std::uint64_t index);
+    CommandResult applyCommand(const PutDocument&, std::uint64_t index);
     CommandResult applyCommand(const NoOp&, std::uint64_t index);
     EditResult edit(const EditRules&, std::uint64_t index);
     std::optional<EditResult> refusal(const EditRules&) const;
--- a/coordination/ControlStateCodec.cpp
+++ b/coordination/ControlStateCodec.cpp
@@ -28,15 +28,20 @@
     archive(it.attempt, it.fingerprint, it.keyTimeMs, it.state, it.outcome, it.answer, it.answerOmitted);
 }
 template <typename A>
+void fields(A& archive, StoredDocument& it)
+{
+    archive(it.version, it.content, it.index);
+}
+template <typename A>
 void fields(A& archive, PublishedState& it)
 {
-    archive(it.cluster, it.version, it.rulesVersion, it.lines, it.views, it.blocked);
+    archive(it.cluster, it.version, it.rulesVersion, it.lines, it.views, it.blocked, it.document);
 }
 template <typename A>
 void fields(A& archive, PublishedDifference& it)
 {
     archive(it.cluster, it.fromVersion, it.version, it.rulesVersion, it.full, it.lines, it.removedKeys, it.views,
-        it.blocked);
+        it.blocked, it.document);
 }
 template <typename A>
 void fields(A& archive, RuleVersion::Previous& it)
@@ -62,7 +67,7 @@
 void fields(A& archive, ControlStateData& it)
 {
     archive(it.appliedIndex, it.clockMs, it.rulesVersion, it.publishedVersion, it.oldestBase, it.membership, it.lines,
-        it.removed, it.history, it.submissions, it.requests, it.views, it.blocked);
+        it.removed, it.history, it.submissions, it.requests, it.views, it.blocked, it.document);
 }
 
 } // namespace codec
--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -48,6 +48,12 @@
     updateMemberCount();
 }
 
+void Gossip::setSeeds(std::vector<std::string> addresses)
+{
+    m_seeds = std::move(addresses);
+    std::erase(m_seeds, m_self.gossipAddress);
+}
+
 // ---- Timers -----------------------------------------------------------------------------------------------------
 
 void Gossip::start(TimePoint now)
--- a/coordination/Gossip.h
+++ b/coordination/Gossip.h
@@ -96,6 +96,8 @@
     /// All live records, for a starting member. Callers serialize calls.
     std::string exportRecords() const;
 
+    /// Replaces the addresses to join by. Callers serialize calls.
+    void setSeeds(std::vector<std::string> addresses);
     /// All present items, ordered by key. Callers serialize calls.
     std::vector<GossipItem> items() const;
     /// One item, if present. Callers serialize calls.
--- a/coordination/LeafDirectory.cpp
+++ b/coordination/LeafDirectory.cpp
@@ -17,12 +17,13 @@
 bool hasSameContent(const Announcement& a, const Announcement& b)
 {
     return a.leaf == b.leaf && a.service == b.service && a.zone == b.zone && a.address == b.address && a.boot == b.boot
-        && a.slots == b.slots && a.connections == b.connections && a.versions == b.versions && a.draining == b.draining;
+        && a.slots == b.slots && a.connections == b.connections && a.versions == b.versions && a.draining == b.draining
+        && (a.warmupLeft.count() > 0) == (b.warmupLeft.count() > 0);
 }
 
 void pack(Packer& packer, const Announcement& announcement)
 {
-    packer.pack_array(10);
+    packer.pack_array(11);
     packer.pack(announcement.leaf);
     packer.pack(announcement.service);
     packer.pack(announcement.zone);
@@ -38,6 +39,7 @@
         packer.pack(it.shard);
         packer.pack(it.of);
     }
+    packer.pack(announcement.warmupLeft.count());
 }
 
 template <typename Value>
@@ -66,6 +68,7 @@
     for (std::size_t i = 0; i < numbers.size(); i += 3)
         announcement.versions.push_back(
             { numbers[i], static_cast<std::uint32_t>(numbers[i + 1]), static_cast<std::uint32_t>(numbers[i + 2]) });
+    announcement.warmupLeft = milliseconds(valueAt<milliseconds::rep>(object, 10));
     return announcement;
 }
 
@@ -83,8 +86,9 @@
 
 } // namespace
 
-LeafDirectory::LeafDirectory(std::string self)
+LeafDirectory::LeafDirectory(std::string self, milliseconds lapse)
     : m_self(std::move(self))
+    , m_lapse(lapse)
 {
 }
 
@@ -114,7 +118,7 @@
 
 bool LeafDirectory::hasRenewal(const Entry& entry, TimePoint now) const
 {
-    return entry.renewed && now < *entry.renewed + announcementLapse;
+    return entry.renewed && now < *entry.renewed + m_lapse;
 }
 
 void LeafDirectory::publish(Entry& entry, Output& out)
@@ -137,6 +141,9 @@
     if (encodeRecord(announcement, m_self).size() > maxRecordBytes)
         throw Error(ErrorKind::BadRequest, "the announcement of leaf " + announcement.leaf + " is too long");
     Output out;
+    if (isReplacedAt(announcement))
+        return out;
+    forgetReplacedAt(announcement, out);
     const auto [it, isNew] = m_entries.try_emplace(announcement.leaf);
     auto& entry = it->second;
     if (!isNew && freshness(announcement) < freshness(entry.announcement))
@@ -150,7 +157,47 @@
         = entry.registrar != m_self && (entry.renewalsInRow >= renewalsToTakeOver || entry.registrarLost.has_value());
     if (hasNewContent || takesOver)
         publish(entry, out);
-    out.changed = hasNewContent;
+    out.changed = out.changed || hasNewContent;
+    return out;
+}
+
+/// Whether a leaf that started later announced the same address: the announcement is then a late one of a leaf that has
+/// ended, and the address belongs to another one.
+bool LeafDirectory::isReplacedAt(const Announcement& announcement) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& it) {
+        const auto& other = it.second.announcement;
+        return other.leaf != announcement.leaf && other.address == announcement.address
+            && other.boot > announcement.boot;
+    });
+}
+
+void LeafDirectory::forgetReplacedAt(const Announcement& announcement, Output& out)
+{
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        const auto& other = it->second.announcement;
+        if (other.leaf == announcement.leaf || other.address != announcement.address
+            || other.boot >= announcement.boot) {
+            ++it;
+            continue;
+        }
+        out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
+        it = erase(it, out);
+    }
+}
+
+LeafDirectory::Output LeafDirectory::depart(std::string_view leaf, TimePoint now)
+{
+    Output out;
+    const auto it = m_entries.find(leaf);
+    if (it == m_entries.end())
+        return out;
+    auto& entry = it->second;
+    out.changed = !entry.announcement.draining;
+    entry.announcement.draining = true;
+    ++entry.announcement.sequence;
+    entry.renewed = now;
+    publish(entry, out);
     return out;
 }
 
@@ -236,7 +283,7 @@
         if (isOwn && !hasRenewal(entry, now)) {
             out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
             it = erase(it, out);
-        } else if (entry.registrarLost && now >= *entry.registrarLost + announcementLapse && !hasRenewal(entry, now)) {
+        } else if (entry.registrarLost && now >= *entry.registrarLost + m_lapse && !hasRenewal(entry, now)) {
             // The item of this daemon's earlier run has no other owner that could remove it.
             if (entry.registrar == m_self)
                 out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
--- a/coordination/LeafDirectory.h
+++ b/coordination/LeafDirectory.h
@@ -31,11 +31,14 @@
     };
 
     /// `self` is the name of this daemon as a member.
-    explicit LeafDirectory(std::string self);
+    /// `lapse` is the time without a renewal after which a leaf is gone.
+    explicit LeafDirectory(std::string self, milliseconds lapse = announcementLapse);
 
     /// A leaf announced itself to this daemon. An announcement older than the one held is ignored. Throws Error
     /// (BadRequest) when a name, the address, or a shard is invalid.
     Output announce(const Announcement&, TimePoint now);
+    /// A leaf said that it leaves now. It counts as draining until its announcement lapses. Unknown names are ignored.
+    Output depart(std::string_view leaf, TimePoint now);
     /// An item with a key that starts with leafKeyPrefix arrived by gossip. Malformed payloads are ignored.
     Output applyItem(std::string_view key, std::string_view payload, bool removed, TimePoint now);
     /// Names the daemons that are alive, this one included or not. Call at every change of membership.
@@ -78,8 +81,11 @@
     void publish(Entry&, Output&);
     void applyRecord(Record, TimePoint now, Output&);
     Entries::iterator erase(Entries::iterator, Output&);
+    bool isReplacedAt(const Announcement&) const;
+    void forgetReplacedAt(const Announcement&, Output&);
 
     std::string m_self;
+    milliseconds m_lapse;
     Entries m_entries;
     std::set<std::string, std::less<>> m_liveRegistrars;
     bool m_registrarsKnown = false;
--- a/daemon/ConfigurationTable.cpp
+++ b/daemon/ConfigurationTable.cpp
@@ -114,6 +114,8 @@
         difference.lines = newerThan(published.lines, since);
         difference.views = newerThan(published.views, since);
         difference.blocked = newerThan(published.blocked, since);
+        if (published.document.index > since)
+            difference.document = published.document;
         if (!difference.full) {
             for (const auto& [key, removedIn] : state.removed) {
                 if (removedIn > version)
--- a/daemon/ControlClient.cpp
+++ b/daemon/ControlClient.cpp
@@ -3,10 +3,15 @@
 namespace citronplank {
 
 ControlClient::ControlClient(std::vector<std::string> members, Sender sender)
-    : m_members(std::move(members))
-    , m_sender(std::move(sender))
+    : m_sender(std::move(sender))
     , m_table(LockRank::Requests)
 {
+    setMembers(std::move(members));
+}
+
+void ControlClient::setMembers(std::vector<std::string> members)
+{
+    m_table.with([&](Table& table) { table.members = std::move(members); });
 }
 
 ControlClient::Offer ControlClient::prepareOffer(Table& table, std::uint64_t id, Pending& it, TimePoint now)
@@ -16,13 +21,13 @@
     it.answerDue = now + proposalAnswerTimeout;
     auto member = table.leader;
     if (member.empty())
-        member = m_members[table.nextMember++ % m_members.size()];
+        member = table.members[table.nextMember++ % table.members.size()];
     return { member, { id, it.command } };
 }
 
 void ControlClient::submit(Command command, milliseconds timeout, Handler handler, TimePoint now)
 {
-    if (m_members.empty()) {
+    if (m_table.with([](Table& table) { return table.members.empty(); })) {
         handler({ ProposeStatus::NotLeader, 0, {} });
         return;
     }
--- a/daemon/ControlClient.h
+++ b/daemon/ControlClient.h
@@ -28,6 +28,8 @@
     /// `members` are the names of all control members.
     ControlClient(std::vector<std::string> members, Sender sender);
 
+    /// Replaces the members' names.
+    void setMembers(std::vector<std::string> members);
     /// Submits once. Before a leader has taken the command it is offered to the members in turn until `timeout`; after
     /// that it is never sent again, because the caller decides whether a second submission is harmless.
     void submit(Command, milliseconds timeout, Handler, TimePoint now);
@@ -50,6 +52,7 @@
     };
     struct Table {
         std::map<std::uint64_t, Pending> pending;
+        std::vector<std::string> members;
         std::string leader;
         std::size_t nextMember = 0;
         std::uint64_t lastId = 0;
@@ -63,7 +66,6 @@
     Offer prepareOffer(Table&, std::uint64_t id, Pending&, TimePoint now);
     void sendOffers(const std::vector<Offer>&, TimePoint now);
 
-    std::vector<std::string> m_members;
     Sender m_sender;
     mutable Guarded<Table> m_table;
 };
--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -37,6 +37,9 @@
     ControlLogSettings made;
     made.name = settings.name;
     made.configuredMembers = settings.members;
+    made.openMembership = settings.openMembership;
+    made.mayBootstrap = settings.mayBootstrap;
+    made.voterTarget = settings.voterTarget;
     made.seed = (std::uint64_t { random() } << 32U) | random();
     made.wallTimeMs = wallTimeMs;
     return made;
@@ -109,6 +112,11 @@
         });
     }
 
+    void setContacts(std::set<std::string> names)
+    {
+        post([this, names = std::move(names)]() mutable { m_replica.setContacts(std::move(names)); });
+    }
+
     std::optional<std::vector<RuleLine>> linesAt(std::uint64_t version)
     {
         auto promise = std::make_shared<std::promise<std::optional<std::vector<RuleLine>>>>();
@@ -252,6 +260,8 @@
 
 void ControlService::transferLeadership() { m_impl->transferLeadership(); }
 
+void ControlService::setContacts(std::set<std::string> names) { m_impl->setContacts(std::move(names)); }
+
 void ControlService::post(std::function<void()> task) { m_impl->post(std::move(task)); }
 
 std::optional<std::vector<RuleLine>> ControlService::linesAt(std::uint64_t rulesVersion)
--- a/daemon/ControlService.h
+++ b/daemon/ControlService.h
@@ -12,6 +12,9 @@
     std::string name;
     std::vector<std::string> members; // names of all configured control members, this one included
     std::string dataFolder;
+    bool openMembership = false; // this and the next two: see ControlLogSettings
+    bool mayBootstrap = true;
+    std::size_t voterTarget = 0;
 };
 
 /// What a status page shows of the control role.
@@ -58,6 +61,8 @@
     /// Hands the leadership to an up-to-date member, if this one leads, so that a planned stop needs no election
     /// timeout. Thread safe.
     void transferLeadership();
+    /// See ControlLog. Thread safe.
+    void setContacts(std::set<std::string> names);
     /// Runs `task` on the control thread. Thread safe.
     void post(std::function<void()> task);
     /// Rule lines of an older version. Thread safe; waits for the control thread for at most 2 s and must not be called
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -7,40 +7,9 @@
 
 namespace citronplank {
 
-namespace {
-
-std::uint64_t makeIncarnation()
-{
-    auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
-std::vector<std::string> namesOf(const std::map<std::string, std::string>& members)
-{
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (const auto& [name, address] : members)
-        names.push_back(name);
-    return names;
-}
-
-} // namespace
-
 Daemon::Impl::Impl(const Settings& settings)
-    : m_settings(settings)
-    , m_incarnation(makeIncarnation())
-    , m_work(asio::make_work_guard(m_io))
+    : Node(settings)
 {
-    m_controlClient = std::make_unique<ControlClient>(namesOf(settings.controlMembers),
-        [this](const std::string& member, const Propose& proposal) { return offerProposal(member, proposal); });
-    LinkSettings links;
-    links.listenAddress = settings.linkAddress;
-    links.sender = settings.name;
-    links.incarnation = m_incarnation;
-    m_links = std::make_unique<Links>(m_io, links);
-    Instance self { settings.name, settings.region, settings.zone, settings.linkAddress, settings.gossipAddress,
-        settings.adminAddress, m_incarnation, settings.isControlMember() };
-    m_membership = std::make_unique<MembershipService>(m_io, self, settings.seeds, membershipHandlers());
     m_leafClient = std::make_unique<LeafClient>(m_io, LeafClientSettings {});
     m_parts = std::make_unique<PartService>(*m_leafClient,
         PartServiceHandlers {
@@ -51,7 +20,9 @@
         [this](const std::string& member, const ZoneMessage& message) { sendZoneMessage(member, message); });
     m_entry = std::make_unique<EntryService>(
         m_io, EntrySettings { settings.name, settings.zone, m_incarnation }, m_configuration, entryLinks());
-    m_control = makeControl();
+    if (m_control)
+        m_views = std::make_unique<ViewService>(*m_control,
+            [this](const std::string& member, const ZoneMessage& message) { sendZoneMessage(member, message); });
     if (!settings.rulesFile.empty())
         m_rules = std::make_unique<RulesService>(settings.rulesFile.string(), settings.name, m_configuration,
             RulesLinks { entryLinks().submit, [this](std::uint64_t version) {
@@ -69,45 +40,25 @@
 
 Daemon::Impl::~Impl()
 {
-    m_timersEnded = true;
     if (m_rules)
         m_rules->stop();
     m_adminServer->stop();
-    if (m_control)
-        m_control->stop();
-    m_links->stop();
-    m_membership->stop();
-    m_io.stop();
-    for (auto& it : m_workers)
-        it.join();
+    shutDownNode();
 }
 
 // ---------------------------------------------------------------------------------------------------------------
 // Construction
 
-std::unique_ptr<ControlService> Daemon::Impl::makeControl()
-{
-    if (!m_settings.isControlMember())
-        return nullptr;
-    ControlServiceHandlers handlers;
-    handlers.send
-        = [this](const std::string& name, std::string bytes) { sendTo(name, MessageKind::Control, std::move(bytes)); };
-    handlers.published = [this](const PublishedDifference& difference) { onPublished(difference); };
-    handlers.freshness = [this](const Freshness& freshness) { onFreshness(freshness); };
-    handlers.views = [this](const std::vector<ZoneView>& views, std::uint64_t) { m_views->onViews(views); };
-    handlers.tick = [this] { m_views->tick(); };
-    auto control = std::make_unique<ControlService>(
-        ControlServiceSettings { m_settings.name, namesOf(m_settings.controlMembers), m_settings.dataDir.string() },
-        std::move(handlers));
-    m_views = std::make_unique<ViewService>(
-        *control, [this](const std::string& member, const ZoneMessage& message) { sendZoneMessage(member, message); });
-    return control;
-}
+void Daemon::Impl::onMembers() { m_lease->setLiveMembers(m_membership->liveNamesIn(m_settings.zone)); }
+
+void Daemon::Impl::onViews(const std::vector<ZoneView>& views) { m_views->onViews(views); }
 
-MembershipHandlers Daemon::Impl::membershipHandlers()
+void Daemon::Impl::onControlTick() { m_views->tick(); }
+
+void Daemon::Impl::onLinkDown(const std::string& address, Lane lane)
 {
-    return { [this](const GossipItem& item) { onItem(item); },
-        [this] { m_lease->setLiveMembers(m_membership->liveNamesIn(m_settings.zone)); }, [] {} };
+    if (lane == Lane::Part)
+        m_router->onLinkDown(address);
 }
 
 PartRouterLinks Daemon::Impl::routerLinks()
@@ -165,34 +116,17 @@
 
 void Daemon::Impl::start()
 {
-    m_links->onReceive([this](const Envelope& envelope) { onEnvelope(envelope); });
-    m_links->onLinkState([this](const std::string& address, Lane lane, bool isUp) {
-        if (!isUp && lane == Lane::Part)
-            m_router->onLinkDown(address);
-        if (!isUp)
-            log(LogLevel::Info, "link", "The link to " + address + " is down.");
-    });
-    m_links->start();
-    m_membership->start();
     every(gateTick, [this] { m_parts->onTimer(Clock::now()); });
     every(leaseTick, [this] {
         m_lease->tick(Clock::now());
-        m_controlClient->onTimer(Clock::now());
         syncGates();
     });
-    every(catchUpTick, [this] {
-        if (!m_hasDirectory || !m_configuration.isFresh(Clock::now()))
-            catchUp();
-        updateReadiness();
-    });
-    if (m_control)
-        m_control->start();
+    every(readinessTick, [this] { updateReadiness(); });
     if (m_rules)
         m_rules->start();
     m_callerServer->start();
     m_adminServer->start();
-    for (unsigned i = 0; i < m_settings.workers; ++i)
-        m_workers.emplace_back([this] { m_io.run(); });
+    startNode();
     log(LogLevel::Info, "query", m_settings.name + " in zone " + m_settings.zone + " started.");
 }
 
--- a/daemon/DaemonLeaves.cpp
+++ b/daemon/DaemonLeaves.cpp
@@ -1,27 +1,8 @@
 #include "backend/AnnouncementCodec.h"
 #include "daemon/DaemonImpl.h"
 
-#include <asio/steady_timer.hpp>
-
 namespace citronplank {
 
-/// Runs `task` on the workers every `interval`, never twice at once.
-void Daemon::Impl::every(milliseconds interval, std::function<void()> task)
-{
-    auto timer = std::make_shared<asio::steady_timer>(m_io);
-    auto step = std::make_shared<std::function<void(const asio::error_code&)>>();
-    *step = [this, interval, task = std::move(task), timer, weak = std::weak_ptr(step)](const asio::error_code& ec) {
-        auto self = weak.lock();
-        if (ec || !self || m_timersEnded)
-            return;
-        task();
-        timer->expires_after(interval);
-        timer->async_wait([self](const asio::error_code& it) { (*self)(it); });
-    };
-    timer->expires_after(interval);
-    timer->async_wait([step](const asio::error_code& it) { (*step)(it); });
-}
-
 /// Brings the gates in line with the directory and the lease. A gate that is not renewed closes by itself when the
 /// lease ends, so a daemon that was frozen starts nothing on an outdated view.
 void Daemon::Impl::syncGates()
--- /dev/null
+++ b/daemon/ItemBroadcast.cpp
@@ -0,0 +1,93 @@
+#include "daemon/ItemBroadcast.h"
+
+#include <msgpack.hpp>
+
+namespace citronplank {
+
+namespace {
+
+using PackedItem = std::tuple<std::string, std::string, bool>;
+
+} // namespace
+
+std::string encodeItems(std::span<const DirectoryItem> items)
+{
+    std::vector<PackedItem> packed;
+    packed.reserve(items.size());
+    for (const auto& it : items)
+        packed.emplace_back(it.key, it.payload, it.removed);
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, packed);
+    return { buf.data(), buf.size() };
+}
+
+std::vector<DirectoryItem> decodeItems(std::string_view bytes)
+{
+    try {
+        std::vector<DirectoryItem> items;
+        for (auto& [key, payload, removed] :
+            msgpack::unpack(bytes.data(), bytes.size()).get().as<std::vector<PackedItem>>())
+            items.push_back({ key, payload, removed });
+        return items;
+    } catch (const std::exception&) {
+        throw Error(ErrorKind::BadRequest, "malformed directory items");
+    }
+}
+
+void ItemBroadcast::finish(Running& it, bool known)
+{
+    if (auto done = std::exchange(it.done, nullptr))
+        done(known);
+}
+
+void ItemBroadcast::start(
+    std::span<const DirectoryItem> items, const std::vector<std::string>& peers, TimePoint now, Done done)
+{
+    if (peers.empty()) {
+        if (done)
+            done(true);
+        return;
+    }
+    auto number = ++m_lastNumber;
+    auto& it = m_running[number];
+    it = { encodeItems(items), { peers.begin(), peers.end() }, peers.size(), now, now, std::move(done) };
+    for (const auto& peer : peers)
+        m_sender(peer, number, it.body);
+}
+
+void ItemBroadcast::onAck(const std::string& peer, std::uint64_t number)
+{
+    auto found = m_running.find(number);
+    if (found == m_running.end())
+        return;
+    found->second.waiting.erase(peer);
+    if (!found->second.waiting.empty())
+        return;
+    auto node = m_running.extract(found);
+    finish(node.mapped(), true);
+}
+
+void ItemBroadcast::onTimer(const std::set<std::string, std::less<>>& live, TimePoint now)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto& [number, it] : m_running)
+        numbers.push_back(number);
+    for (auto number : numbers) {
+        auto& it = m_running.at(number);
+        std::erase_if(it.waiting, [&](const std::string& peer) { return !live.contains(peer); });
+        auto reached = static_cast<double>(it.peers - it.waiting.size()) / static_cast<double>(it.peers);
+        if (it.waiting.empty() || now - it.startedAt >= confirmLimit)
+            finish(it, it.waiting.empty() || reached >= leastShare);
+        if (it.waiting.empty() || now - it.startedAt >= lifetime) {
+            m_running.erase(number);
+            continue;
+        }
+        if (now - it.sentAt < resendInterval)
+            continue;
+        it.sentAt = now;
+        for (const auto& peer : it.waiting)
+            m_sender(peer, number, it.body);
+    }
+}
+
+} // namespace citronplank
--- a/daemon/MembershipService.cpp
+++ b/daemon/MembershipService.cpp
@@ -22,12 +22,12 @@
 
 } // namespace
 
-MembershipService::MembershipService(
-    asio::io_context& io, const Instance& self, std::vector<std::string> seeds, MembershipHandlers handlers)
+MembershipService::MembershipService(asio::io_context& io, const Instance& self, std::vector<std::string> seeds,
+    MembershipHandlers handlers, milliseconds lapse)
     : m_self(self.name)
     , m_handlers(std::move(handlers))
     , m_gossip(LockRank::Members, makeGossip(self, std::move(seeds)))
-    , m_directory(LockRank::Directory, self.name)
+    , m_directory(LockRank::Directory, self.name, lapse)
     , m_strand(asio::make_strand(io))
     , m_timer(m_strand)
     , m_socket(io, self.gossipAddress, [this](const std::string& from, std::string_view bytes) {
@@ -90,6 +90,36 @@
     });
 }
 
+void MembershipService::announce(const Announcement& announcement, std::function<void(bool)> done)
+{
+    change([this, announcement, done = std::move(done)]() mutable {
+        try {
+            perform(m_directory.with([&](LeafDirectory& it) { return it.announce(announcement, Clock::now()); }), done);
+        } catch (const Error&) {
+            ++m_refusedInputs;
+            done(false);
+        }
+    });
+}
+
+void MembershipService::depart(std::string leaf, std::function<void(bool)> done)
+{
+    change([this, leaf = std::move(leaf), done = std::move(done)]() mutable {
+        perform(m_directory.with([&](LeafDirectory& it) { return it.depart(leaf, Clock::now()); }), std::move(done));
+    });
+}
+
+void MembershipService::applyItems(std::vector<DirectoryItem> items, std::function<void()> done)
+{
+    change([this, items = std::move(items), done = std::move(done)] {
+        for (const auto& it : items)
+            perform(m_directory.with([&](LeafDirectory& directory) {
+                return directory.applyItem(it.key, it.payload, it.removed, Clock::now());
+            }));
+        done();
+    });
+}
+
 void MembershipService::publish(std::string key, std::string payload)
 {
     change([this, key = std::move(key), payload = std::move(payload)] {
@@ -104,6 +134,11 @@
     });
 }
 
+void MembershipService::setSeeds(std::vector<std::string> seeds)
+{
+    change([this, seeds = std::move(seeds)] { m_gossip.with([&](Gossip& it) { it.setSeeds(seeds); }); });
+}
+
 std::vector<GossipItem> MembershipService::items()
 {
     return m_gossip.with([](Gossip& it) { return it.items(); });
@@ -130,7 +165,7 @@
     m_handlers.membersChanged();
 }
 
-void MembershipService::perform(const LeafDirectory::Output& output)
+void MembershipService::perform(const LeafDirectory::Output& output, std::function<void(bool)> done)
 {
     if (output.changed)
         ++m_directoryVersion;
@@ -142,6 +177,10 @@
     }
     if (output.changed)
         m_handlers.directoryChanged();
+    if (m_handlers.broadcast && !output.items.empty())
+        m_handlers.broadcast(output.items, std::move(done));
+    else if (done)
+        done(true);
 }
 
 std::vector<Member> MembershipService::members() const
@@ -203,6 +242,18 @@
     });
 }
 
+std::vector<Announcement> MembershipService::leaves() const
+{
+    return m_directory.with([](LeafDirectory& directory) {
+        std::vector<Announcement> all;
+        for (const auto& service : directory.services()) {
+            auto replicas = directory.replicasOf(service);
+            all.insert(all.end(), std::make_move_iterator(replicas.begin()), std::make_move_iterator(replicas.end()));
+        }
+        return all;
+    });
+}
+
 std::uint64_t MembershipService::directoryHash() const
 {
     return m_directory.with([](LeafDirectory& it) { return it.contentHash(); });
--- a/daemon/MembershipService.h
+++ b/daemon/MembershipService.h
@@ -18,6 +18,8 @@
     std::function<void(const GossipItem&)> itemChanged; // items of other parts than the directory
     std::function<void()> membersChanged;
     std::function<void()> directoryChanged;
+    /// Items that this instance publishes; gossip carries them as well. `done` runs once they are known elsewhere.
+    std::function<void(std::vector<DirectoryItem>, std::function<void(bool known)> done)> broadcast {};
 };
 
 /// Every method is thread safe. Changes are applied one after the other on a strand: two workers that applied a removal
@@ -26,8 +28,15 @@
 class MembershipService {
 public:
     /// Binds the gossip address of `self`. Precondition: `io` outlives this object. Throws Error(Internal).
-    MembershipService(asio::io_context& io, const Instance& self, std::vector<std::string> seeds, MembershipHandlers);
+    /// `lapse`: see LeafDirectory.
+    MembershipService(asio::io_context& io, const Instance& self, std::vector<std::string> seeds, MembershipHandlers,
+        milliseconds lapse = announcementLapse);
 
+    /// Sets the handler `broadcast`. Precondition: called before `start`.
+    void onBroadcast(std::function<void(std::vector<DirectoryItem>, std::function<void(bool known)> done)> handler)
+    {
+        m_handlers.broadcast = std::move(handler);
+    }
     /// Starts the timer. Precondition: called once.
     void start();
     /// Announces that this instance leaves; keep running for about a second so that it spreads.
@@ -37,8 +46,17 @@
 
     /// A leaf announced itself to this instance. Invalid announcements are ignored.
     void announce(const Announcement&);
+    /// The same; `done` runs once others know of it: with false if they could not be reached in time. Without a change
+    /// it runs at once. Called with false for an invalid announcement.
+    void announce(const Announcement&, std::function<void(bool known)> done);
+    /// A leaf said that it leaves now; see LeafDirectory::depart.
+    void depart(std::string leaf, std::function<void(bool known)> done);
+    /// Takes over items that another instance broadcast, then calls `done` on the strand.
+    void applyItems(std::vector<DirectoryItem>, std::function<void()> done);
     void publish(std::string key, std::string payload);
     void removeItem(std::string key);
+    /// Replaces the addresses to join by.
+    void setSeeds(std::vector<std::string> seeds);
     std::vector<GossipItem> items();
 
     std::vector<Member> members() const;
@@ -52,6 +70,7 @@
     std::vector<std::string> services() const;
     std::vector<Announcement> replicasOf(std::string_view service) const;
     std::vector<Announcement> leavesIn(std::string_view zone) const;
+    std::vector<Announcement> leaves() const;
     /// Counts changes of the directory.
     std::uint64_t directoryVersion() const { return m_directoryVersion.load(); }
     std::uint64_t directoryHash() const;
@@ -68,7 +87,7 @@
     void tick();
     void change(std::function<void()>);
     void perform(const Gossip::Output&);
-    void perform(const LeafDirectory::Output&);
+    void perform(const LeafDirectory::Output&, std::function<void(bool)> done = nullptr);
 
     std::string m_self;
     MembershipHandlers m_handlers;
--- /dev/null
+++ b/daemon/Node.cpp
@@ -0,0 +1,352 @@
+#include "daemon/Node.h"
+
+#include "daemon/Logging.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <random>
+
+namespace citronplank {
+
+namespace {
+
+constexpr milliseconds catchUpTick { 200 };      // fetches of configuration and directory
+constexpr milliseconds controlClientTick { 20 }; // offers and time-outs of proposals
+constexpr std::string_view freshnessKey = "control/freshness";
+/// This many peers are told directly of freshness and suspicions. Gossip alone took up to 5 s for freshness while an
+/// index roll used its budget, and a poison request that was resent every 100 ms crashed a third leaf before gossip had
+/// spread the first crash. Beyond this number of peers gossip carries the notice.
+constexpr std::size_t directPeers = 128;
+
+std::uint64_t makeIncarnation()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+std::vector<std::string> namesOf(const std::map<std::string, std::string>& members)
+{
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (const auto& [name, address] : members)
+        names.push_back(name);
+    return names;
+}
+
+} // namespace
+
+std::uint64_t wallTimeMs()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+Node::Node(const Settings& settings)
+    : m_settings(settings)
+    , m_incarnation(makeIncarnation())
+    , m_work(asio::make_work_guard(m_io))
+{
+    m_controlClient = std::make_unique<ControlClient>(namesOf(settings.controlMembers),
+        [this](const std::string& member, const Propose& proposal) { return offerProposal(member, proposal); });
+    LinkSettings links;
+    links.listenAddress = settings.linkAddress;
+    links.sender = settings.name;
+    links.incarnation = m_incarnation;
+    m_links = std::make_unique<Links>(m_io, links);
+    Instance self { settings.name, settings.region, settings.zone, settings.linkAddress, settings.gossipAddress,
+        settings.adminAddress, m_incarnation, settings.isControlMember() };
+    MembershipHandlers handlers;
+    handlers.itemChanged = [this](const GossipItem& item) {
+        if (item.key == freshnessKey && !item.removed)
+            onFreshnessNotice(item.payload);
+        else
+            onItem(item);
+    };
+    handlers.membersChanged = [this] { onMembersChanged(); };
+    handlers.directoryChanged = [this] { onDirectory(); };
+    m_membership = std::make_unique<MembershipService>(
+        m_io, self, settings.seeds, std::move(handlers), settings.announcementLapse);
+    m_control = makeControl();
+}
+
+Node::~Node() { shutDownNode(); }
+
+std::unique_ptr<ControlService> Node::makeControl()
+{
+    if (!m_settings.isControlMember())
+        return nullptr;
+    ControlServiceHandlers handlers;
+    handlers.send
+        = [this](const std::string& name, std::string bytes) { sendTo(name, MessageKind::Control, std::move(bytes)); };
+    handlers.published = [this](const PublishedDifference& difference) {
+        onPublished(difference);
+        if (m_control && m_control->isLeader())
+            tellPeers(MessageKind::ConfigurationAnswer, encode(difference));
+    };
+    handlers.freshness = [this](const Freshness& freshness) { onFreshness(freshness); };
+    handlers.views = [this](const std::vector<ZoneView>& views, std::uint64_t) { onViews(views); };
+    handlers.tick = [this] { onControlTick(); };
+    ControlServiceSettings settings { m_settings.name, namesOf(m_settings.controlMembers), m_settings.dataDir.string(),
+        m_settings.openControl, m_settings.bootstrap, m_settings.voterTarget };
+    return std::make_unique<ControlService>(settings, std::move(handlers));
+}
+
+void Node::startNode()
+{
+    m_links->onReceive([this](const Envelope& envelope) { onEnvelope(envelope); });
+    m_links->onLinkState([this](const std::string& address, Lane lane, bool isUp) {
+        if (!isUp)
+            onLinkDown(address, lane);
+        log(LogLevel::Info, "link", "The link to " + address + (isUp ? " is up." : " is down."));
+    });
+    m_links->start();
+    m_membership->start();
+    every(controlClientTick, [this] { m_controlClient->onTimer(Clock::now()); });
+    every(catchUpTick, [this] {
+        if (!m_hasDirectory || !m_configuration.isFresh(Clock::now()))
+            catchUp();
+    });
+    if (m_control)
+        m_control->start();
+    for (unsigned i = 0; i < m_settings.workers; ++i)
+        m_workers.emplace_back([this] { m_io.run(); });
+}
+
+void Node::shutDownNode()
+{
+    if (m_timersEnded.exchange(true))
+        return;
+    if (m_control)
+        m_control->stop();
+    m_links->stop();
+    m_membership->stop();
+    m_io.stop();
+    for (auto& it : m_workers)
+        it.join();
+}
+
+void Node::every(milliseconds interval, std::function<void()> task)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_io);
+    auto step = std::make_shared<std::function<void(const asio::error_code&)>>();
+    *step = [this, interval, task = std::move(task), timer, weak = std::weak_ptr(step)](const asio::error_code& ec) {
+        auto self = weak.lock();
+        if (ec || !self || m_timersEnded)
+            return;
+        task();
+        timer->expires_after(interval);
+        timer->async_wait([self](const asio::error_code& it) { (*self)(it); });
+    };
+    timer->expires_after(interval);
+    timer->async_wait([step](const asio::error_code& it) { (*step)(it); });
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Messages
+
+void Node::onEnvelope(const Envelope& envelope)
+{
+    try {
+        dispatch(envelope);
+    } catch (const Error& error) {
+        log(LogLevel::Warning, "link", "A message from " + envelope.sender + " is dropped: " + error.what() + ".");
+    }
+}
+
+void Node::dispatch(const Envelope& envelope)
+{
+    switch (static_cast<MessageKind>(envelope.kind)) {
+    case MessageKind::Control:
+        return onControlMessage(envelope);
+    case MessageKind::ConfigurationFetch:
+        return onConfigurationFetch(envelope);
+    case MessageKind::ConfigurationAnswer:
+        return onPublished(decodePublishedDifference(envelope.body));
+    case MessageKind::DirectoryFetch:
+        return onDirectoryFetch(envelope);
+    case MessageKind::DirectoryAnswer:
+        return onDirectoryAnswer(envelope);
+    case MessageKind::Freshness:
+        return onFreshnessNotice(envelope.body);
+    default:
+        return onMessage(envelope);
+    }
+}
+
+void Node::onMessage(const Envelope& envelope)
+{
+    throw Error(ErrorKind::BadRequest, "unknown message kind " + std::to_string(envelope.kind));
+}
+
+void Node::onItem(const GossipItem& /*item*/) { }
+
+void Node::onControlMessage(const Envelope& envelope)
+{
+    auto message = decodeControlMessage(envelope.body);
+    if (const auto* answer = std::get_if<ProposeAnswer>(&message.body))
+        m_controlClient->onAnswer(*answer, Clock::now());
+    else if (m_control)
+        m_control->receive(envelope.sender, std::move(message));
+}
+
+/// Control members are known from the settings, so that they find each other before gossip does. With open membership
+/// a control member's name is its IP address and all instances use the same port.
+std::string Node::addressOf(const std::string& name) const
+{
+    if (auto it = m_settings.controlMembers.find(name); it != m_settings.controlMembers.end())
+        return it->second;
+    auto address = m_membership->linkAddressOf(name);
+    if (address.empty() && m_settings.openControl)
+        address = name + m_settings.linkAddress.substr(m_settings.linkAddress.rfind(':'));
+    return address;
+}
+
+bool Node::sendTo(const std::string& name, MessageKind kind, std::string body, std::uint64_t correlation)
+{
+    Envelope envelope;
+    envelope.kind = static_cast<std::uint16_t>(kind);
+    envelope.body = std::move(body);
+    envelope.correlation = correlation;
+    if (name == m_settings.name) {
+        envelope.from = m_links->address();
+        envelope.sender = name;
+        envelope.incarnation = m_incarnation;
+        asio::post(m_io, [this, envelope = std::move(envelope)] { onEnvelope(envelope); });
+        return true;
+    }
+    auto address = addressOf(name);
+    return !address.empty() && m_links->send(address, Lane::Control, std::move(envelope));
+}
+
+bool Node::offerProposal(const std::string& member, const Propose& proposal)
+{
+    ControlMessage message;
+    message.from.name = m_settings.name;
+    message.body = proposal;
+    return sendTo(member, MessageKind::Control, encode(message));
+}
+
+void Node::tellPeers(MessageKind kind, const std::string& body)
+{
+    auto peers = m_membership->livePeers();
+    for (std::size_t i = 0; i < std::min(peers.size(), directPeers); ++i)
+        sendTo(peers[i].name, kind, body);
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Configuration and directory
+
+void Node::onPublished(const PublishedDifference& difference)
+{
+    if (m_configuration.apply(difference)) {
+        log(LogLevel::Info, "config",
+            "version=" + std::to_string(difference.version)
+                + " document=" + std::to_string(m_configuration.current()->published.document.version) + " in force");
+        onConfiguration();
+    }
+}
+
+void Node::onFreshness(const Freshness& freshness)
+{
+    FreshnessNotice notice { m_control->state().membership().cluster, m_control->state().publishedVersion(),
+        freshness.timestampMs, m_settings.name };
+    m_configuration.noteFreshness(notice, Clock::now());
+    m_controlClient->noteLeader(m_settings.name);
+    auto bytes = encodeFreshness(notice);
+    m_membership->publish(std::string(freshnessKey), bytes);
+    tellPeers(MessageKind::Freshness, bytes);
+}
+
+void Node::onFreshnessNotice(std::string_view bytes)
+{
+    auto notice = decodeFreshness(bytes);
+    if (!m_configuration.noteFreshness(notice, Clock::now()))
+        return;
+    m_controlClient->noteLeader(notice.leader);
+    if (notice.publishedVersion > m_configuration.current()->published.version)
+        catchUp();
+}
+
+/// With open membership the control members are those that gossip knows.
+void Node::onMembersChanged()
+{
+    if (m_settings.openControl) {
+        std::set<std::string> control;
+        for (const auto& it : m_membership->livePeers()) {
+            if (it.controlMember)
+                control.insert(it.name);
+        }
+        if (m_control) {
+            control.insert(m_settings.name);
+            m_control->setContacts(control);
+        }
+        for (const auto& [name, address] : m_settings.controlMembers)
+            control.insert(name);
+        m_controlClient->setMembers({ control.begin(), control.end() });
+    }
+    onMembers();
+}
+
+void Node::catchUp()
+{
+    auto notice = m_configuration.lastNotice();
+    auto peers = m_membership->livePeers();
+    if (peers.empty())
+        return;
+    thread_local std::mt19937 random { std::random_device {}() };
+    std::shuffle(peers.begin(), peers.end(), random);
+    auto isNear = [&](const Instance& it) { return it.zone == m_settings.zone; };
+    if (m_configuration.current()->published.version < notice.publishedVersion || notice.leader.empty()) {
+        auto member = std::find_if(peers.begin(), peers.end(), [](const Instance& it) { return it.controlMember; });
+        auto near = std::find_if(peers.begin(), peers.end(), isNear);
+        if (near != peers.end())
+            fetchFrom(*near, MessageKind::ConfigurationFetch);
+        if (member != peers.end())
+            fetchFrom(*member, MessageKind::ConfigurationFetch);
+    }
+    if (!m_hasDirectory) {
+        auto near = std::find_if(peers.begin(), peers.end(), isNear);
+        fetchFrom(near != peers.end() ? *near : peers.front(), MessageKind::DirectoryFetch);
+    }
+}
+
+void Node::fetchFrom(const Instance& peer, MessageKind kind)
+{
+    Envelope envelope;
+    envelope.kind = static_cast<std::uint16_t>(kind);
+    envelope.body = encodeConfigurationFetch({ m_configuration.current()->published.version });
+    m_links->send(peer.linkAddress, Lane::Control, std::move(envelope));
+}
+
+void Node::onConfigurationFetch(const Envelope& envelope)
+{
+    auto fetch = decodeConfigurationFetch(envelope.body);
+    auto difference = m_configuration.differenceFor(fetch.sinceVersion);
+    if (difference.cluster == 0 || difference.version <= fetch.sinceVersion)
+        return;
+    Envelope answer;
+    answer.kind = static_cast<std::uint16_t>(MessageKind::ConfigurationAnswer);
+    answer.body = encode(difference);
+    m_links->send(envelope.from, Lane::Control, std::move(answer));
+}
+
+void Node::onDirectoryFetch(const Envelope& envelope)
+{
+    Envelope answer;
+    answer.kind = static_cast<std::uint16_t>(MessageKind::DirectoryAnswer);
+    answer.body = m_membership->exportDirectory();
+    // A peer that is itself starting has not heard all announcements.
+    answer.correlation = m_hasDirectory ? 1 : 0;
+    m_links->send(envelope.from, Lane::Control, std::move(answer));
+}
+
+void Node::onDirectoryAnswer(const Envelope& envelope)
+{
+    bool isComplete = envelope.correlation == 1;
+    m_membership->importDirectory(envelope.body, [this, isComplete] {
+        if (isComplete)
+            m_hasDirectory = true;
+    });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/Node.h
@@ -0,0 +1,91 @@
+// What every daemon is made of, whatever it serves: links, gossip, the control role and the configuration in force.
+#pragma once
+
+#include "daemon/ConfigurationTable.h"
+#include "daemon/ControlClient.h"
+#include "daemon/ControlService.h"
+#include "daemon/MembershipService.h"
+#include "daemon/PartMessages.h"
+#include "daemon/Settings.h"
+#include "transport/Links.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <atomic>
+#include <thread>
+
+namespace citronplank {
+
+/// Base of the daemons. The protected methods run on the workers unless they say otherwise. A derived class calls
+/// `startNode` once it is complete and `shutDownNode` first in its destructor, because the hooks are virtual.
+class Node {
+public:
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+protected:
+    explicit Node(const Settings&);
+    virtual ~Node();
+
+    /// Starts links, gossip, the control role, timers and workers. Precondition: called once.
+    void startNode();
+    /// Ends timers and threads; no hook starts afterwards. May be called twice; not on a worker.
+    void shutDownNode();
+
+    // Hooks
+    virtual void onMessage(const Envelope&); // of a kind that the node does not handle; throws Error(BadRequest)
+    virtual void onConfiguration() { }       // another version of the published state is in force
+    virtual void onItem(const GossipItem&);  // neither a leaf nor a freshness notice
+    virtual void onMembers() { }
+    virtual void onDirectory() { }
+    virtual void onLinkDown(const std::string& /*address*/, Lane) { }
+    virtual void onViews(const std::vector<ZoneView>&) { } // on the control thread
+    virtual void onControlTick() { }                       // on the control thread, every 20 ms
+
+    // Messages. Thread safe.
+    std::string addressOf(const std::string& name) const;
+    bool sendTo(const std::string& name, MessageKind, std::string body, std::uint64_t correlation = 0);
+    /// Sends a notice to the peers without waiting for gossip, which carries it as well.
+    void tellPeers(MessageKind kind, const std::string& body);
+    /// Runs `task` on the workers every `interval`, never twice at once.
+    void every(milliseconds interval, std::function<void()> task);
+
+    /// Asks for what this daemon lacks: a peer of the own zone first, then any control member.
+    void catchUp();
+    bool hasConfiguration() const { return m_configuration.current()->published.cluster != 0; }
+
+    Settings m_settings;
+    std::uint64_t m_incarnation;
+    TimePoint m_startedAt = Clock::now();
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::vector<std::thread> m_workers;
+    std::atomic<bool> m_timersEnded { false };
+
+    ConfigurationTable m_configuration;
+    std::unique_ptr<ControlClient> m_controlClient;
+    std::unique_ptr<Links> m_links;
+    std::unique_ptr<MembershipService> m_membership;
+    std::unique_ptr<ControlService> m_control;
+    std::atomic<bool> m_hasDirectory { false };
+
+private:
+    void onEnvelope(const Envelope&);
+    void dispatch(const Envelope&);
+    void onControlMessage(const Envelope&);
+    bool offerProposal(const std::string& member, const Propose&);
+    std::unique_ptr<ControlService> makeControl();
+    void onPublished(const PublishedDifference&);
+    void onFreshness(const Freshness&);
+    void onFreshnessNotice(std::string_view bytes);
+    void onMembersChanged();
+    void fetchFrom(const Instance&, MessageKind);
+    void onConfigurationFetch(const Envelope&);
+    void onDirectoryFetch(const Envelope&);
+    void onDirectoryAnswer(const Envelope&);
+};
+
+/// Milliseconds since 1970. Thread safe.
+std::uint64_t wallTimeMs();
+
+} // namespace citronplank
--- a/daemon/PartMessages.h
+++ b/daemon/PartMessages.h
@@ -23,6 +23,8 @@
     DirectoryAnswer = 9,
     Freshness = 10,
     Suspicion = 11,
+    DirectoryItems = 12,
+    DirectoryAck = 13,
 };
 
 /// Asks a peer for rules and views newer than `sinceVersion`.
--- /dev/null
+++ b/daemon/RouteService.cpp
@@ -0,0 +1,282 @@
+#include "daemon/RouteService.h"
+
+#include "daemon/Logging.h"
+
+namespace citronplank {
+
+namespace {
+
+/// An attempt whose result is no longer wanted keeps its connection if the leaf answers within this time: a new
+/// connection costs the leaf more than the rest of a short request. Leaves should not work for nobody much longer.
+constexpr milliseconds cancelGrace { 250 };
+
+double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+std::string decimal(double value)
+{
+    std::array<char, 32> buf {};
+    auto n = std::snprintf(buf.data(), buf.size(), "%.1f", value);
+    return { buf.data(), static_cast<std::size_t>(n) };
+}
+
+std::string_view kindName(RouteOutcome::Kind kind)
+{
+    switch (kind) {
+    case RouteOutcome::Kind::Forwarded:
+        return "forwarded";
+    case RouteOutcome::Kind::Merged:
+        return "merged";
+    case RouteOutcome::Kind::Error:
+        break;
+    }
+    return "error";
+}
+
+std::string joined(const std::vector<std::string>& names)
+{
+    std::string text;
+    for (const auto& it : names)
+        text += (text.empty() ? "" : ",") + it;
+    return text;
+}
+
+} // namespace
+
+RouteService::RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
+    const RouteProtocol& protocol, const SharedBounds& bounds, Counters& counters)
+    : m_strand(asio::make_strand(io))
+    , m_protocol(protocol)
+    , m_counters(counters)
+    , m_policies(instance, zone)
+    , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
+{
+    m_policies.setBounds(bounds);
+}
+
+RouteService::~RouteService() = default;
+
+void RouteService::setTable(std::shared_ptr<const RouteTable> table)
+{
+    asio::post(m_strand, [this, table = std::move(table)]() mutable { m_policies.setTable(std::move(table)); });
+}
+
+void RouteService::setZonesOut(std::set<std::string, std::less<>> zones)
+{
+    asio::post(m_strand, [this, zones = std::move(zones)]() mutable { m_policies.setZonesOut(std::move(zones)); });
+}
+
+void RouteService::setLeaves(std::vector<Announcement> leaves)
+{
+    asio::post(m_strand, [this, leaves = std::move(leaves)]() mutable {
+        std::set<std::string, std::less<>> names;
+        for (const auto& it : leaves)
+            names.insert(it.leaf);
+        m_upstream->keepOnly(names);
+        m_policies.setLeaves(std::move(leaves), Clock::now());
+    });
+}
+
+void RouteService::setSenders(std::vector<std::string> names)
+{
+    asio::post(m_strand, [this, names = std::move(names)]() mutable { m_policies.setSenders(std::move(names)); });
+}
+
+void RouteService::onRequest(HttpRequest request, Responder responder)
+{
+    ++m_runningCount;
+    asio::post(
+        m_strand, [this, request = std::move(request), responder = std::move(responder), now = Clock::now()]() mutable {
+            begin(std::move(request), std::move(responder), now);
+        });
+}
+
+void RouteService::refuse(
+    const RoutedCall& call, const HttpRequest& request, const Responder& responder, RouteOutcome outcome)
+{
+    log(LogLevel::Info, "query",
+        "request id=" + call.id + " target=" + request.target
+            + " outcome=" + std::string(errorAnswer(outcome.error).name) + " reason=\"" + outcome.reason
+            + "\" config=" + std::to_string(m_policies.table()->configuration().version));
+    m_counters.counter("route_refusals_total").add();
+    responder.answer(m_protocol.renderOutcome(std::move(outcome), call));
+    --m_runningCount;
+}
+
+void RouteService::begin(HttpRequest request, Responder responder, TimePoint arrivedAt)
+{
+    auto call = m_protocol.readCall(request);
+    const auto& table = m_policies.table();
+    if (table->configuration().version == 0) {
+        refuse(call, request, responder, { .error = ErrorKind::NotReady, .reason = "no configuration is known yet" });
+        return;
+    }
+    auto route = table->find(request.header("Host"), request.target);
+    if (!route) {
+        refuse(call, request, responder, { .error = ErrorKind::UnknownService, .reason = "no route matches" });
+        return;
+    }
+    auto deadline = arrivedAt + std::min(route->timeout, call.remaining.value_or(route->timeout));
+    auto id = ++m_lastId;
+    auto execution = std::make_unique<RouteExecution>(
+        route, table, arrivedAt, deadline, id * RouteExecution::attemptsPerRequest, m_policies);
+    responder.onCallerGone([this, id] { asio::post(m_strand, [this, id] { onCallerGone(id); }); });
+    auto& running
+        = *m_running
+               .emplace(id,
+                   std::make_unique<Running>(Running { std::move(call), std::move(request), std::move(responder),
+                       arrivedAt, std::move(execution), LeafConnection::Timer(m_strand) }))
+               .first->second;
+    perform(id, running.execution->start(Clock::now()));
+}
+
+void RouteService::perform(Id id, RouteActions actions)
+{
+    for (auto attempt : actions.cancels)
+        m_upstream->cancel(attempt, cancelGrace);
+    for (const auto& it : actions.sends)
+        sendPart(id, it);
+    if (actions.finish) {
+        finish(id, std::move(*actions.finish));
+        return;
+    }
+    if (!actions.nextTimer)
+        return;
+    auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    auto& timer = found->second->timer;
+    if (timer.expiry() == *actions.nextTimer)
+        return;
+    timer.expires_at(*actions.nextTimer);
+    timer.async_wait([this, id](const std::error_code& ec) {
+        if (!ec)
+            onTimer(id);
+    });
+}
+
+void RouteService::sendPart(Id id, const RouteSend& send)
+{
+    auto& running = *m_running.at(id);
+    m_counters.counter(send.isExtra ? "leaf_requests_extra_total" : "leaf_requests_first_total").add();
+    auto callback = [this, id, attempt = send.attempt, leaf = send.leaf](
+                        LeafReply reply) { onReply(id, attempt, leaf, std::move(reply)); };
+    try {
+        m_upstream->send(send.attempt, send.leaf, send.connectionLimit,
+            m_protocol.renderRequest(running.request, send.leaf, send.remaining), running.request.method == "HEAD",
+            callback);
+    } catch (const Error& error) {
+        log(LogLevel::Warning, "leaf", "leaf=" + send.leaf.leaf + " cannot be sent to: " + error.what());
+        asio::post(m_strand, [callback] {
+            LeafReply reply;
+            reply.end = LeafReply::End::NotWritten;
+            callback(std::move(reply));
+        });
+    }
+}
+
+void RouteService::onReply(Id id, std::uint64_t attempt, const Announcement& leaf, LeafReply reply)
+{
+    auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    auto result = m_protocol.readReply(std::move(reply), found->second->call);
+    result.attempt = attempt;
+    if (result.status != AttemptResult::Status::Answered)
+        logAttempt(*found->second, leaf, result);
+    perform(id, found->second->execution->onResult(std::move(result), Clock::now()));
+}
+
+void RouteService::onTimer(Id id)
+{
+    if (auto found = m_running.find(id); found != m_running.end())
+        perform(id, found->second->execution->onTimer(Clock::now()));
+}
+
+void RouteService::onCallerGone(Id id)
+{
+    auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    m_counters.counter("route_callers_gone_total").add();
+    perform(id, found->second->execution->cancel(Clock::now()));
+    log(LogLevel::Info, "query",
+        "request id=" + found->second->call.id + " route=" + found->second->execution->route().name
+            + " outcome=caller_gone");
+    m_running.erase(id);
+    --m_runningCount;
+}
+
+void RouteService::finish(Id id, RouteOutcome outcome)
+{
+    auto node = m_running.extract(id);
+    auto& running = *node.mapped();
+    auto now = Clock::now();
+    m_counters.latency("route_latency").record(now - running.arrivedAt);
+    m_counters.counter("route_answers_" + std::string(kindName(outcome.kind)) + "_total").add();
+    logAnswer(running, outcome, now);
+    running.responder.answer(m_protocol.renderOutcome(std::move(outcome), running.call));
+    --m_runningCount;
+}
+
+void RouteService::logAnswer(const Running& running, const RouteOutcome& outcome, TimePoint now)
+{
+    const auto& execution = *running.execution;
+    const auto& route = execution.route();
+    auto elapsed = now - running.arrivedAt;
+    bool isPlain = outcome.kind != RouteOutcome::Kind::Error && outcome.missing == 0 && outcome.answer.status / 100 == 2
+        && (route.objective == milliseconds::zero() || elapsed < route.objective);
+    auto level = isPlain ? LogLevel::Debug : LogLevel::Info;
+    if (!isLogged(level))
+        return;
+    const auto& counters = execution.counters();
+    std::string text = "request id=" + running.call.id + " route=" + route.name
+        + " outcome=" + std::string(kindName(outcome.kind)) + " ms=" + decimal(inMilliseconds(elapsed))
+        + " answered=" + std::to_string(execution.answered()) + "/" + std::to_string(execution.parts())
+        + " sends=" + std::to_string(counters.sends) + " hedges=" + std::to_string(counters.hedges) + " retries="
+        + std::to_string(counters.retries) + " refusals=" + std::to_string(counters.refusals) + " failures="
+        + std::to_string(counters.failures) + " config=" + std::to_string(m_policies.table()->configuration().version);
+    if (running.call.remaining)
+        text += " caller_waits_ms=" + std::to_string(running.call.remaining->count());
+    if (outcome.kind == RouteOutcome::Kind::Error)
+        text += " error=" + std::string(errorAnswer(outcome.error).name) + " reason=\"" + outcome.reason + "\"";
+    else
+        text += " status=" + std::to_string(outcome.answer.status);
+    if (auto missing = execution.missingShards(); !missing.empty())
+        text += " missing=" + joined(missing);
+    log(level, "query", text);
+}
+
+void RouteService::logAttempt(const Running& running, const Announcement& leaf, const AttemptResult& result)
+{
+    m_counters.counter("leaf_attempts_" + std::string(attemptStatusName(result.status)) + "_total").add();
+    if (!isLogged(LogLevel::Info))
+        return;
+    log(LogLevel::Info, "leaf",
+        "attempt id=" + running.call.id + " leaf=" + leaf.leaf + " service=" + leaf.service + " address=" + leaf.address
+            + " outcome=" + std::string(attemptStatusName(result.status))
+            + " status=" + std::to_string(result.answer.status)
+            + " ms=" + decimal(inMilliseconds(Clock::now() - running.arrivedAt)));
+}
+
+void RouteService::giveUp()
+{
+    asio::post(m_strand, [this] {
+        std::vector<Id> ids;
+        for (const auto& [id, it] : m_running)
+            ids.push_back(id);
+        for (auto id : ids) {
+            perform(id, m_running.at(id)->execution->cancel(Clock::now()));
+            finish(id, { .error = ErrorKind::OutcomeUnknown, .reason = "this instance stops" });
+        }
+    });
+}
+
+void RouteService::stop()
+{
+    asio::post(m_strand, [this] {
+        m_running.clear();
+        m_upstream->closeAll();
+    });
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/daemon/RoutedDaemon.cpp
@@ -0,0 +1,342 @@
+#include "daemon/RoutedDaemon.h"
+
+#include "daemon/Logging.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <random>
+
+namespace citronplank {
+
+namespace {
+
+constexpr milliseconds leavesTick { 20 };      // changes of the directory are handed on together
+constexpr milliseconds broadcastTick { 50 };   // resends and time-outs
+constexpr milliseconds readinessTick { 100 };  //
+constexpr milliseconds proposalLimit { 2500 }; // operators send again after a few seconds without an answer
+constexpr milliseconds readLimit { 900 };      // operators wait a second for an answer
+constexpr milliseconds readTick { 20 };        //
+constexpr milliseconds idleStopTick { 20 };    //
+constexpr milliseconds stopReserve { 700 };    // of the grace time, for the last answers and the end of the process
+constexpr milliseconds closeReserve { 1400 }; // of the grace time, kept for requests that still run when closing begins
+constexpr std::size_t readyConnections = 64;  // balancers ask once a second
+constexpr const char* zoneAuthor = "operator";
+
+std::string randomId()
+{
+    std::random_device random;
+    return std::to_string((std::uint64_t { random() } << 32U) | random());
+}
+
+} // namespace
+
+RoutedDaemon::RoutedDaemon(RoutedDaemonSettings settings, const RouteProtocol& protocol, ConfigurationDecoder decode,
+    ControlHandler controlHandler)
+    : Node(settings.node)
+    , m_routed(std::move(settings))
+    , m_protocol(protocol)
+    , m_decode(std::move(decode))
+    , m_controlHandler(std::move(controlHandler))
+    , m_broadcastStrand(asio::make_strand(m_io))
+    , m_broadcast([this](const std::string& peer, std::uint64_t number, const std::string& body) {
+        sendTo(peer, MessageKind::DirectoryItems, body, number);
+    })
+{
+    m_membership->onBroadcast([this](std::vector<DirectoryItem> items, std::function<void(bool)> done) {
+        broadcast(std::move(items), std::move(done));
+    });
+    if (!m_routed.callerAddress.empty()) {
+        m_routes = std::make_unique<RouteService>(
+            m_io, m_settings.name, m_settings.zone, m_protocol, m_routed.bounds, m_counters);
+        HttpServerSettings callers;
+        callers.address = m_routed.callerAddress;
+        m_callerServer = std::make_unique<HttpServer>(m_io, callers, [this](HttpRequest request, Responder responder) {
+            m_routes->onRequest(std::move(request), std::move(responder));
+        });
+    }
+    if (!m_routed.readyAddress.empty()) {
+        HttpServerSettings ready;
+        ready.address = m_routed.readyAddress;
+        ready.maximumConnections = readyConnections;
+        m_readyServer = std::make_unique<HttpServer>(m_io, ready,
+            [this](const HttpRequest& request, const Responder& responder) { answerReady(request, responder); });
+    }
+    if (!m_routed.controlAddress.empty()) {
+        HttpServerSettings control;
+        control.address = m_routed.controlAddress;
+        m_controlServer = std::make_unique<HttpServer>(
+            m_io, control, [this](const HttpRequest& request, const Responder& responder) {
+                m_controlHandler(request, responder, *this);
+            });
+    }
+}
+
+RoutedDaemon::~RoutedDaemon() { shutDownNode(); }
+
+void RoutedDaemon::start()
+{
+    every(leavesTick, [this] { pushLeaves(); });
+    every(broadcastTick, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
+    every(readinessTick, [this] { updateReadiness(); });
+    for (auto* it : { m_callerServer.get(), m_readyServer.get(), m_controlServer.get() }) {
+        if (it)
+            it->start();
+    }
+    startNode();
+    log(LogLevel::Info, "start",
+        "instance=" + m_settings.name + " zone=" + m_settings.zone + " callers=" + m_routed.callerAddress
+            + " control=" + m_routed.controlAddress + " data=" + m_settings.dataDir.string());
+}
+
+void RoutedDaemon::stopGracefully()
+{
+    auto end = Clock::now() + m_routed.graceTime - stopReserve;
+    m_stopping = true;
+    m_ready = false;
+    log(LogLevel::Info, "stop", "Readiness is off; requests are still served.");
+    if (m_control)
+        m_control->transferLeadership();
+    if (m_callerServer) {
+        std::this_thread::sleep_for(m_routed.notReadyTime);
+        m_callerServer->beginDrain();
+        std::this_thread::sleep_until(end - closeReserve);
+        m_callerServer->finish([] {});
+        while (Clock::now() < end && (m_routes->runningCount() > 0 || m_callerServer->counters().connections > 0))
+            std::this_thread::sleep_for(idleStopTick);
+        auto left = m_routes->runningCount();
+        m_routes->giveUp();
+        log(LogLevel::Info, "stop", "requests_left=" + std::to_string(left));
+    }
+    m_membership->leave();
+    std::this_thread::sleep_for(m_callerServer ? stopReserve / 2 : 2 * stopReserve);
+    log(LogLevel::Info, "stop", "Stopped.");
+}
+
+void RoutedDaemon::reload(const Settings& settings)
+{
+    m_membership->setSeeds(settings.seeds);
+    log(LogLevel::Info, "reload", "Settings are read again; seeds=" + std::to_string(settings.seeds.size()));
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Beliefs
+
+void RoutedDaemon::onConfiguration()
+{
+    auto current = m_configuration.current();
+    const auto& document = current->published.document;
+    if (m_routes)
+        m_routes->setZonesOut(current->rules.zonesOut);
+    if (!m_routes || document.version <= m_decodedVersion)
+        return;
+    try {
+        auto configuration = m_decode(document.content);
+        m_callerServer->setLimits(configuration.callerLimits);
+        m_routes->setTable(std::make_shared<const RouteTable>(std::move(configuration)));
+        m_decodedVersion = document.version;
+    } catch (const Error& error) {
+        log(LogLevel::Error, "config",
+            "document=" + std::to_string(document.version) + " cannot be read, the one before stays: " + error.what());
+    }
+}
+
+void RoutedDaemon::onMembers()
+{
+    if (!m_routes)
+        return;
+    std::vector<std::string> senders { m_settings.name };
+    for (const auto& it : m_membership->livePeers()) {
+        if (!it.controlMember)
+            senders.push_back(it.name);
+    }
+    log(LogLevel::Info, "members", "senders=" + std::to_string(senders.size()));
+    m_routes->setSenders(std::move(senders));
+}
+
+void RoutedDaemon::onDirectory() { m_leavesChanged = true; }
+
+void RoutedDaemon::pushLeaves()
+{
+    if (!m_leavesChanged.exchange(false))
+        return;
+    auto leaves = m_membership->leaves();
+    auto draining = std::count_if(leaves.begin(), leaves.end(), [](const Announcement& it) { return it.draining; });
+    log(LogLevel::Info, "leaves",
+        "known=" + std::to_string(leaves.size()) + " draining=" + std::to_string(draining)
+            + " directory=" + std::to_string(m_membership->directoryVersion()));
+    if (m_routes)
+        m_routes->setLeaves(std::move(leaves));
+}
+
+void RoutedDaemon::updateReadiness()
+{
+    if (!m_hasDirectory && Clock::now() - m_startedAt > m_routed.directoryWait) {
+        m_hasDirectory = true;
+        log(LogLevel::Info, "leaves", "No peer has a complete directory; this one counts as complete.");
+    }
+    bool isReady = !m_stopping && m_hasDirectory && m_decodedVersion > 0;
+    if (isReady != m_ready.exchange(isReady))
+        log(LogLevel::Info, "ready", isReady ? "Ready." : "Not ready.");
+}
+
+void RoutedDaemon::answerReady(const HttpRequest& /*request*/, const Responder& responder)
+{
+    if (m_ready)
+        responder.answer({ .body = "{\"ready\":true}" });
+    else
+        responder.fail(m_stopping ? ErrorKind::Stopping : ErrorKind::NotReady, "this instance takes no new callers");
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Leaves
+
+void RoutedDaemon::announce(Announcement announcement, std::function<void(bool)> done)
+{
+    m_membership->announce(announcement, std::move(done));
+}
+
+void RoutedDaemon::depart(std::string leaf, std::function<void(bool)> done)
+{
+    m_membership->depart(std::move(leaf), std::move(done));
+}
+
+void RoutedDaemon::broadcast(std::vector<DirectoryItem> items, std::function<void(bool)> done)
+{
+    asio::post(m_broadcastStrand, [this, items = std::move(items), done = std::move(done)]() mutable {
+        std::vector<std::string> peers;
+        for (const auto& it : m_membership->livePeers())
+            peers.push_back(it.name);
+        m_broadcast.start(items, peers, Clock::now(), std::move(done));
+    });
+}
+
+void RoutedDaemon::onBroadcastTimer()
+{
+    std::set<std::string, std::less<>> live;
+    for (const auto& it : m_membership->livePeers())
+        live.insert(it.name);
+    m_broadcast.onTimer(live, Clock::now());
+}
+
+void RoutedDaemon::onMessage(const Envelope& envelope)
+{
+    switch (static_cast<MessageKind>(envelope.kind)) {
+    case MessageKind::DirectoryItems:
+        m_membership->applyItems(
+            decodeItems(envelope.body), [this, sender = envelope.sender, number = envelope.correlation] {
+                pushLeaves();
+                sendTo(sender, MessageKind::DirectoryAck, {}, number);
+            });
+        return;
+    case MessageKind::DirectoryAck:
+        asio::post(m_broadcastStrand,
+            [this, sender = envelope.sender, number = envelope.correlation] { m_broadcast.onAck(sender, number); });
+        return;
+    default:
+        Node::onMessage(envelope);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Configuration
+
+void RoutedDaemon::putConfiguration(std::string content, std::function<void(PutResult, std::string)> done)
+{
+    PutDocument command;
+    try {
+        command.version = m_decode(content).version;
+    } catch (const Error& error) {
+        log(LogLevel::Info, "config", std::string("A configuration is refused: ") + error.what());
+        done(PutResult::Invalid, error.what());
+        return;
+    }
+    command.content = std::move(content);
+    auto version = command.version;
+    m_controlClient->submit(
+        std::move(command), proposalLimit,
+        [version, done = std::move(done)](const SubmitResult& result) {
+            bool accepted = result.status == ProposeStatus::Committed;
+            log(LogLevel::Info, "config",
+                "document=" + std::to_string(version) + (accepted ? " accepted" : " not confirmed")
+                    + " index=" + std::to_string(result.index));
+            done(accepted ? PutResult::Accepted : PutResult::Unknown, {});
+        },
+        Clock::now());
+}
+
+/// A committed entry that was proposed after the request arrived proves that the state at its index is the newest.
+void RoutedDaemon::readConfiguration(std::function<void(std::optional<StoredDocument>)> done)
+{
+    if (!m_control) {
+        done(std::nullopt);
+        return;
+    }
+    auto until = Clock::now() + readLimit;
+    m_controlClient->submit(
+        NoOp {}, readLimit,
+        [this, until, done = std::move(done)](const SubmitResult& result) mutable {
+            if (result.status != ProposeStatus::Committed)
+                done(std::nullopt);
+            else
+                answerRead(result.index, until, std::move(done));
+        },
+        Clock::now());
+}
+
+void RoutedDaemon::answerRead(
+    std::uint64_t index, TimePoint until, std::function<void(std::optional<StoredDocument>)> done)
+{
+    m_control->post([this, index, until, done = std::move(done)]() mutable {
+        if (m_control->state().appliedIndex() >= index) {
+            done(m_control->state().document());
+            return;
+        }
+        if (Clock::now() >= until) {
+            done(std::nullopt);
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_io, readTick);
+        timer->async_wait([this, index, until, done = std::move(done), timer](const asio::error_code& ec) mutable {
+            if (!ec)
+                answerRead(index, until, std::move(done));
+        });
+    });
+}
+
+void RoutedDaemon::setZoneOut(std::string zone, bool out, std::function<void(bool)> done)
+{
+    submitZone(std::move(zone), out, m_configuration.current()->published.rulesVersion, Clock::now() + proposalLimit,
+        std::move(done));
+}
+
+/// A zone that is out is a line of the rules. Another edit of the line in between shows as a conflict; the operator's
+/// newest word counts, so it is submitted again on that version.
+void RoutedDaemon::submitZone(
+    std::string zone, bool out, std::uint64_t base, TimePoint until, std::function<void(bool)> done)
+{
+    EditRules edit;
+    edit.submissionId = m_settings.name + "/" + randomId();
+    edit.author = zoneAuthor;
+    edit.baseVersion = base;
+    auto key = "zone " + zone;
+    RuleLine line { key, "out", std::string(zoneAuthor) + ": zone taken out" };
+    edit.changes.push_back({ key, out ? std::optional(line) : std::nullopt });
+    m_controlClient->submit(
+        std::move(edit), proposalLimit,
+        [this, zone = std::move(zone), out, until, done = std::move(done)](const SubmitResult& result) mutable {
+            const auto* edited = std::get_if<EditResult>(&result.result);
+            bool committed = result.status == ProposeStatus::Committed && edited;
+            if (committed && edited->status != EditStatus::Accepted && edited->status != EditStatus::Invalid
+                && Clock::now() < until) {
+                submitZone(std::move(zone), out, edited->version, until, std::move(done));
+                return;
+            }
+            bool accepted = committed && edited->status == EditStatus::Accepted;
+            log(LogLevel::Info, "rules",
+                "zone=" + zone + (out ? " out" : " in") + (accepted ? " accepted" : " not confirmed"));
+            done(accepted);
+        },
+        Clock::now());
+}
+
+} // namespace citronplank
--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -26,11 +26,15 @@
     std::map<std::string, std::string> controlMembers; // link address by name
     std::filesystem::path dataDir;                     // empty: no control role
     std::filesystem::path rulesFile;                   // empty: follows none
+    bool openControl = false;    // control members find each other, see ControlLogSettings::openMembership
+    bool bootstrap = true;       // with open control: this start may create the cluster
+    std::size_t voterTarget = 0; // with open control
+    milliseconds announcementLapse { citronplank::announcementLapse }; // a leaf not renewed for this long is gone
     unsigned workers = 1;
     milliseconds drainDelay { 3000 };
     LogLevel logLevel = LogLevel::Info;
 
-    bool isControlMember() const { return controlMembers.count(name) != 0; }
+    bool isControlMember() const { return openControl ? !dataDir.empty() : controlMembers.count(name) != 0; }
 };
 
 constexpr int exitStopped = 0;       // planned stop, --help, --version
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -123,6 +123,7 @@
     std::uint32_t connections = 1;      // connections it accepts
     std::vector<ShardVersion> versions; // what it can serve now
     bool draining = false;              // true: no new work
+    milliseconds warmupLeft { 0 };      // how much longer the leaf is in its cold start, by its own account
 };
 
 constexpr milliseconds announcementInterval { 500 };
@@ -207,6 +208,57 @@
 /// The lines after the changes, ordered by key. Thread safe.
 std::vector<RuleLine> withChanges(std::span<const RuleLine> lines, std::span<const RuleChange> changes);
 
+// ---------------------------------------------------------------------------------------------------------------
+// Serving configuration: a complete, versioned document that names the routes callers use and the services behind them.
+// It stands beside the rules: the document is replaced as a whole and the highest version wins.
+
+/// One of the services that share the requests of a route.
+struct WeightedService {
+    std::string service;
+    double weight = 1.0; // share of the requests, relative to the sum of the route's weights
+    bool operator==(const WeightedService&) const = default;
+};
+
+/// Where requests of one host and path prefix go. Exactly one of `targets` and `shards` is not empty.
+struct Route {
+    std::string name;
+    std::string host;
+    std::string pathPrefix;               // begins and ends with '/'; the longest matching prefix of a host wins
+    bool idempotent = true;               // false: a request is never sent to a second leaf once it may have run
+    milliseconds timeout { 1000 };        // greatest time that a caller is kept waiting
+    milliseconds objective { 0 };         // latency that the operator aims for; 0: none
+    std::uint32_t priority = 0;           // 0 is the highest
+    std::uint32_t attempts = 1;           // greatest number of leaves that one request, or one part of it, is sent to
+    std::vector<WeightedService> targets; // a request is forwarded to one leaf of one of these
+    std::vector<std::string> shards;      // a request is forwarded to one leaf of each of these, and the parts merged
+    std::uint32_t topRecords = 0;         // records in a merged answer
+    double minimumCoverage = 0;           // share of the shards below which an answer is an error
+    bool operator==(const Route&) const = default;
+};
+
+/// What the configuration says of the leaves of one service.
+struct ServiceLimits {
+    std::uint32_t connections = 1;    // that a leaf accepts from all callers together
+    double coldRequestsPerSecond = 0; // that a leaf in its cold start bears
+    bool operator==(const ServiceLimits&) const = default;
+};
+
+/// What callers may send and how long they may take.
+struct CallerLimits {
+    std::size_t headerBytes = std::size_t { 16 } << 10U;
+    std::size_t bodyBytes = std::size_t { 1 } << 20U;
+    milliseconds headerTimeout { 5000 };
+    milliseconds idleTimeout { 30000 };
+    bool operator==(const CallerLimits&) const = default;
+};
+
+struct ServingConfiguration {
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::map<std::string, ServiceLimits, std::less<>> services;
+    CallerLimits callerLimits;
+};
+
 // ---------------------------------------------------------------------------------------------------------------
 // Queries and answers
 
--- /dev/null
+++ b/policy/LeafSelector.cpp
@@ -0,0 +1,123 @@
+#include "policy/LeafSelector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronplank {
+
+namespace {
+
+constexpr double learnRate = 0.25;         // weight of one observation
+constexpr double greatestSlowness = 30;    // one very late answer must not shut a leaf out for long
+constexpr double failureCost = 6;          // in usual latencies: a failed attempt costs its time and a second one
+constexpr double failingShare = 0.05;      // failures that are not worth avoiding
+constexpr std::uint32_t greatestShift = 5; // of the backoff
+
+double inUnits(Duration duration) { return static_cast<double>(duration.count()); }
+
+} // namespace
+
+double LeafSelector::decay(const Observed& it, TimePoint now) const
+{
+    return std::exp2(-inUnits(now - it.updatedAt) / inUnits(m_settings.slownessHalfLife));
+}
+
+Duration LeafSelector::expected(const Announcement& leaf, Duration typical, TimePoint now) const
+{
+    double usual = inUnits(typical);
+    double cost = leaf.zone == m_ownZone ? 0 : inUnits(m_settings.otherZoneCost);
+    auto found = m_leaves.find(leaf.leaf);
+    if (found == m_leaves.end())
+        return Duration(static_cast<Duration::rep>(usual + cost));
+    const auto& it = found->second;
+    double weight = decay(it, now);
+    double slowness = 1 + (it.slowness - 1) * weight;
+    double queue = std::max(0.0, static_cast<double>(it.running.size()) + 1 - leaf.slots) / leaf.slots;
+    cost += usual * slowness * (1 + queue);
+    cost += usual * failureCost * std::max(0.0, it.failureRate * weight - failingShare);
+    for (const auto& running : it.running) {
+        // An answer that is overdue says that the leaf pauses now; how much longer is about how long it has been.
+        auto overdue = inUnits(now - running.since) - m_settings.pauseFactor * inUnits(running.typical);
+        if (overdue > 0)
+            cost += inUnits(now - running.since);
+    }
+    return Duration(static_cast<Duration::rep>(cost));
+}
+
+std::optional<std::size_t> LeafSelector::choose(
+    std::span<const Announcement* const> candidates, Duration typical, TimePoint now) const
+{
+    std::optional<std::size_t> best;
+    Duration bestCost {};
+    bool bestBacksOff = false;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        auto cost = expected(*candidates[i], typical, now);
+        bool backsOff = isBackingOff(candidates[i]->leaf, now);
+        bool better = !best || (bestBacksOff && !backsOff) || (bestBacksOff == backsOff && cost < bestCost);
+        if (!better)
+            continue;
+        best = i;
+        bestCost = cost;
+        bestBacksOff = backsOff;
+    }
+    return best;
+}
+
+void LeafSelector::onStart(const std::string& leaf, std::uint64_t attempt, Duration typical, TimePoint now)
+{
+    auto [it, isNew] = m_leaves.try_emplace(leaf);
+    if (isNew)
+        it->second.updatedAt = now;
+    it->second.running.push_back({ attempt, now, typical });
+}
+
+void LeafSelector::learn(Observed& it, double slowness, bool failed, TimePoint now)
+{
+    double weight = decay(it, now);
+    double before = 1 + (it.slowness - 1) * weight;
+    it.slowness = before + learnRate * (std::min(slowness, greatestSlowness) - before);
+    it.failureRate = it.failureRate * weight + learnRate * ((failed ? 1.0 : 0.0) - it.failureRate * weight);
+    it.updatedAt = now;
+}
+
+void LeafSelector::onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
+{
+    auto found = m_leaves.find(leaf);
+    if (found == m_leaves.end())
+        return;
+    auto& it = found->second;
+    auto running = std::find_if(
+        it.running.begin(), it.running.end(), [&](const Running& other) { return other.attempt == attempt; });
+    if (running == it.running.end())
+        return;
+    double elapsed = inUnits(now - running->since);
+    double relative = elapsed / std::max(1.0, inUnits(running->typical));
+    it.running.erase(running);
+    if (end == AttemptEnd::Unreached) {
+        auto shift = std::min(it.failedConnects++, greatestShift);
+        it.retryAt = now + std::min(m_settings.greatestBackoff, m_settings.firstBackoff * (1 << shift));
+        return;
+    }
+    if (end != AttemptEnd::Abandoned)
+        it.failedConnects = 0;
+    bool failed = end == AttemptEnd::Failed || end == AttemptEnd::Lost || end == AttemptEnd::Refused;
+    // An abandoned attempt is known to last at least this long; a short one says nothing.
+    if (end == AttemptEnd::Answered || relative > 1)
+        learn(it, relative, failed, now);
+    else if (failed)
+        learn(it, it.slowness, true, now);
+}
+
+std::uint32_t LeafSelector::inFlight(const std::string& leaf) const
+{
+    auto found = m_leaves.find(leaf);
+    return found == m_leaves.end() ? 0 : static_cast<std::uint32_t>(found->second.running.size());
+}
+
+bool LeafSelector::isBackingOff(const std::string& leaf, TimePoint now) const
+{
+    auto found = m_leaves.find(leaf);
+    return found != m_leaves.end() && found->second.failedConnects > 0 && now < found->second.retryAt;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/policy/LeafSelector.h
@@ -0,0 +1,77 @@
+// Which leaf of a service gets the next request, by what this instance itself observes of the leaves.
+//
+// It answers leaves that pause for a moment, turn slow, fail part of their requests or are down while their
+// announcements say that they are ready: own observations are milliseconds old, announcements a second or more.
+#pragma once
+
+#include "policy/LatencyDigest.h"
+
+#include <unordered_map>
+
+namespace citronplank {
+
+/// How an attempt at a leaf ended, for the statistics.
+enum class AttemptEnd : std::uint8_t {
+    Answered,  // a usable answer
+    Refused,   // the leaf was full or leaving; it did not run the request
+    Failed,    // an error of the leaf, or bytes that are no answer
+    Lost,      // the connection ended before the answer
+    Unreached, // no connection
+    Abandoned, // this instance stopped waiting
+};
+
+struct LeafSelectorSettings {
+    milliseconds slownessHalfLife { 1500 };          // a slow leaf is tried again after a few of these
+    milliseconds firstBackoff { 100 };               // after a failed connect; doubles up to the next
+    milliseconds greatestBackoff { 2000 };           // about the time a leaf takes to restart
+    std::chrono::microseconds otherZoneCost { 700 }; // round trip between zones, in favour of the own zone
+    double pauseFactor = 2.5;                        // a leaf that owes an answer for this many usual latencies
+};
+
+/// Not thread safe; callers serialize calls.
+class LeafSelector {
+public:
+    explicit LeafSelector(std::string ownZone, LeafSelectorSettings settings = {})
+        : m_ownZone(std::move(ownZone))
+        , m_settings(settings)
+    {
+    }
+
+    /// Index of the best of `candidates`; nothing if there is none. `typical` is the usual latency of such a request.
+    std::optional<std::size_t> choose(
+        std::span<const Announcement* const> candidates, Duration typical, TimePoint now) const;
+    /// Expected latency of a request at the leaf.
+    Duration expected(const Announcement&, Duration typical, TimePoint now) const;
+
+    /// An attempt starts; `attempt` is unique among those that have not ended.
+    void onStart(const std::string& leaf, std::uint64_t attempt, Duration typical, TimePoint now);
+    /// It ended. Unknown attempts are ignored.
+    void onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd, TimePoint now);
+    std::uint32_t inFlight(const std::string& leaf) const;
+    /// Whether connects to the leaf fail and it is not yet time to try again.
+    bool isBackingOff(const std::string& leaf, TimePoint now) const;
+    void forget(const std::string& leaf) { m_leaves.erase(leaf); }
+
+private:
+    struct Running {
+        std::uint64_t attempt = 0;
+        TimePoint since;
+        Duration typical;
+    };
+    struct Observed {
+        double slowness = 1;    // latency relative to the usual one, smoothed
+        double failureRate = 0; // smoothed
+        TimePoint updatedAt;
+        std::uint32_t failedConnects = 0; // in a row
+        TimePoint retryAt;
+        std::vector<Running> running;
+    };
+    double decay(const Observed&, TimePoint now) const;
+    void learn(Observed&, double slowness, bool failed, TimePoint now);
+
+    std::string m_ownZone;
+    LeafSelectorSettings m_settings;
+    std::unordered_map<std::string, Observed> m_leaves;
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/query/RouteExecution.cpp
@@ -0,0 +1,357 @@
+#include "query/RouteExecution.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronplank {
+
+namespace {
+
+/// Time of the objective that passes outside this instance: connect and request of the caller, and the answer's way
+/// back, each about 3 ms one way, and the time to write it.
+constexpr milliseconds callerPathTime { 14 };
+constexpr double greatestPathShare = 0.4;       // of a very short objective
+constexpr milliseconds resendDelay { 25 };      // first wait for a leaf that can take a part; doubles
+constexpr std::uint32_t greatestResends = 4;    // then the part is given up
+constexpr std::uint32_t greatestArrivals = 4;   // of one part at leaves, refusals included
+constexpr milliseconds smallestRemaining { 1 }; // a leaf is not asked with less
+constexpr milliseconds answerTime { 5 };        // before the deadline, so that the answer arrives in time
+constexpr milliseconds shortRetryAfter { 200 }; // a burst or a full leaf passes in about this time
+constexpr milliseconds longRetryAfter { 1000 }; // leaves that are gone come back after seconds
+constexpr double greatestConnectionShare = 0.9; // of a leaf's connections; the rest covers changes of membership
+
+} // namespace
+
+std::string_view attemptStatusName(AttemptResult::Status status)
+{
+    switch (status) {
+    case AttemptResult::Status::Answered:
+        return "answered";
+    case AttemptResult::Status::Refused:
+        return "refused";
+    case AttemptResult::Status::WrongLeaf:
+        return "wrong_leaf";
+    case AttemptResult::Status::Failed:
+        return "failed";
+    case AttemptResult::Status::Lost:
+        return "lost";
+    case AttemptResult::Status::NotSent:
+        break;
+    }
+    return "not_sent";
+}
+
+RouteExecution::RouteExecution(std::shared_ptr<const Route> route, std::shared_ptr<const RouteTable> table,
+    TimePoint arrival, TimePoint deadline, std::uint64_t firstAttempt, RoutePolicies& policies)
+    : m_route(std::move(route))
+    , m_table(std::move(table))
+    , m_policies(policies)
+    , m_deadline(deadline - answerTime)
+    , m_answerBy(m_deadline)
+    , m_firstAttempt(firstAttempt)
+    , m_merge(m_route->topRecords)
+{
+    if (m_route->objective > milliseconds::zero()) {
+        auto path = std::min<Duration>(
+            callerPathTime, std::chrono::duration_cast<Duration>(m_route->objective * greatestPathShare));
+        m_answerBy = std::min<TimePoint>(m_deadline, arrival + m_route->objective - path);
+    }
+    if (isGather()) {
+        for (const auto& it : m_route->shards)
+            m_parts.push_back({ .service = it });
+    } else {
+        m_parts.push_back({ .service = m_policies.target(*m_route) });
+    }
+}
+
+std::size_t RouteExecution::leastAnswered() const
+{
+    if (!isGather())
+        return 1;
+    constexpr double roundingMargin = 1e-9; // 0.75 * 20 must not become 16
+    auto least = std::ceil(m_route->minimumCoverage * static_cast<double>(m_parts.size()) - roundingMargin);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(least));
+}
+
+RouteActions RouteExecution::start(TimePoint now)
+{
+    RouteActions actions;
+    auto reachable = static_cast<std::size_t>(std::count_if(
+        m_parts.begin(), m_parts.end(), [&](const Part& it) { return m_policies.hasLeaf(it.service, now); }));
+    if (reachable < leastAnswered()) {
+        finish(
+            { .error = ErrorKind::NoReplica, .reason = "too few services have a leaf", .retryAfter = longRetryAfter },
+            actions, now);
+        return actions;
+    }
+    for (std::uint32_t i = 0; i < m_parts.size(); ++i) {
+        m_policies.onFirst(m_parts[i].service);
+        if (!trySend(i, false, actions, now))
+            scheduleResend(m_parts[i], now);
+    }
+    return settle(std::move(actions), now);
+}
+
+/// Sends a part to the best leaf that it has not been sent to yet. False: none can take it now.
+bool RouteExecution::trySend(std::uint32_t index, bool isExtra, RouteActions& actions, TimePoint now)
+{
+    auto& part = m_parts[index];
+    auto remaining = std::chrono::floor<milliseconds>(m_deadline - now);
+    if (remaining < smallestRemaining || m_attempts.size() >= attemptsPerRequest)
+        return false;
+    auto typical = m_policies.typical(*m_route);
+    const auto* leaf = m_policies.pick(part.service, part.tried, typical, now);
+    if (!leaf)
+        return false;
+    if (isExtra && !m_policies.takeExtra(part.service))
+        return false;
+    auto number = m_firstAttempt + m_attempts.size();
+    auto connections = m_table->limitsOf(part.service).connections;
+    m_attempts.push_back({ index, leaf->leaf, *leaf, now });
+    m_policies.onStart(*leaf, number, typical, now);
+    part.tried.push_back(leaf->leaf);
+    ++part.running;
+    part.resendAt.reset();
+    part.hedgeAt = now + m_policies.hedgeDelay(*m_route);
+    ++m_counters.sends;
+    auto limit = static_cast<std::uint32_t>(
+        greatestConnectionShare * connections / static_cast<double>(std::max<std::size_t>(1, m_policies.senders())));
+    actions.sends.push_back({ number, *leaf, std::max(1U, limit), remaining, isExtra });
+    return true;
+}
+
+void RouteExecution::scheduleResend(Part& part, TimePoint now)
+{
+    if (part.resends >= greatestResends) {
+        part.hopeless = true;
+        return;
+    }
+    part.resendAt = now + resendDelay * (1U << part.resends++);
+    part.tried.clear();
+}
+
+void RouteExecution::endAttempt(Attempt& attempt, AttemptEnd end, TimePoint now)
+{
+    attempt.ended = true;
+    --m_parts[attempt.part].running;
+    auto number = m_firstAttempt + static_cast<std::uint64_t>(&attempt - m_attempts.data());
+    m_policies.onEnd(attempt.leaf, number, end, now);
+}
+
+RouteActions RouteExecution::onResult(AttemptResult result, TimePoint now)
+{
+    RouteActions actions;
+    auto index = result.attempt - m_firstAttempt;
+    if (m_finished || index >= m_attempts.size() || m_attempts[index].ended)
+        return actions;
+    auto& attempt = m_attempts[index];
+    auto partIndex = attempt.part;
+    auto& part = m_parts[partIndex];
+    using Status = AttemptResult::Status;
+    if (result.status != Status::NotSent)
+        ++part.arrived;
+    switch (result.status) {
+    case Status::Answered:
+        ++part.ran;
+        endAttempt(attempt, AttemptEnd::Answered, now);
+        accept(part, attempt, result, actions, now);
+        break;
+    case Status::Refused:
+        ++m_counters.refusals;
+        endAttempt(attempt, AttemptEnd::Refused, now);
+        onFailed(partIndex, result, actions, now);
+        break;
+    case Status::WrongLeaf:
+        m_policies.exclude(attempt.announcement);
+        endAttempt(attempt, AttemptEnd::Abandoned, now);
+        onFailed(partIndex, result, actions, now);
+        break;
+    case Status::Failed:
+    case Status::Lost:
+        ++part.ran;
+        m_mayHaveRun = true;
+        ++m_counters.failures;
+        endAttempt(attempt, result.status == Status::Failed ? AttemptEnd::Failed : AttemptEnd::Lost, now);
+        if (result.status == Status::Failed)
+            m_lastError = std::move(result.answer);
+        onFailed(partIndex, result, actions, now);
+        break;
+    case Status::NotSent:
+        endAttempt(attempt, AttemptEnd::Unreached, now);
+        onFailed(partIndex, result, actions, now);
+        break;
+    }
+    return settle(std::move(actions), now);
+}
+
+void RouteExecution::accept(Part& part, Attempt& attempt, AttemptResult& result, RouteActions& actions, TimePoint now)
+{
+    m_mayHaveRun = true;
+    m_policies.onLatency(*m_route, now - attempt.sentAt);
+    if (part.answered)
+        return;
+    part.answered = true;
+    part.hedgeAt.reset();
+    part.resendAt.reset();
+    ++m_answered;
+    for (std::size_t i = 0; i < m_attempts.size() && part.running > 0; ++i) {
+        auto& other = m_attempts[i];
+        if (other.ended || &m_parts[other.part] != &part)
+            continue;
+        actions.cancels.push_back(m_firstAttempt + i);
+        endAttempt(other, AttemptEnd::Abandoned, now);
+    }
+    if (isGather()) {
+        m_merge.add(result.answer.body);
+        m_proofs.push_back(std::move(result.answer.proof));
+    } else {
+        m_forwarded = std::move(result.answer);
+    }
+}
+
+/// Goes on with a part whose attempt brought no answer.
+void RouteExecution::onFailed(std::uint32_t index, const AttemptResult& result, RouteActions& actions, TimePoint now)
+{
+    auto& part = m_parts[index];
+    if (part.answered || part.running > 0)
+        return;
+    bool reached = result.status != AttemptResult::Status::NotSent;
+    if (!mayRunAgain(part) || part.arrived >= greatestArrivals) {
+        part.hopeless = true;
+        return;
+    }
+    if (trySend(index, reached || part.arrived > 0, actions, now)) {
+        ++m_counters.retries;
+        return;
+    }
+    scheduleResend(part, now);
+}
+
+RouteActions RouteExecution::onTimer(TimePoint now)
+{
+    RouteActions actions;
+    if (m_finished)
+        return actions;
+    for (std::uint32_t i = 0; i < m_parts.size(); ++i) {
+        auto& part = m_parts[i];
+        if (part.answered || part.hopeless)
+            continue;
+        if (part.resendAt && now >= *part.resendAt) {
+            part.resendAt.reset();
+            if (!trySend(i, part.arrived > 0, actions, now))
+                scheduleResend(part, now);
+        } else if (part.hedgeAt && now >= *part.hedgeAt) {
+            part.hedgeAt.reset();
+            // The running attempts count as run.
+            bool allowed = m_route->idempotent && part.running > 0 && part.ran + part.running < m_route->attempts;
+            if (allowed && trySend(i, true, actions, now)) {
+                ++m_counters.hedges;
+                part.hedgeAt.reset();
+            }
+        }
+    }
+    return settle(std::move(actions), now);
+}
+
+RouteActions RouteExecution::cancel(TimePoint now)
+{
+    RouteActions actions;
+    if (m_finished)
+        return actions;
+    m_finished = true;
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        if (m_attempts[i].ended)
+            continue;
+        actions.cancels.push_back(m_firstAttempt + i);
+        endAttempt(m_attempts[i], AttemptEnd::Abandoned, now);
+    }
+    return actions;
+}
+
+std::vector<std::string> RouteExecution::missingShards() const
+{
+    std::vector<std::string> missing;
+    for (const auto& it : m_parts) {
+        if (!it.answered)
+            missing.push_back(it.service);
+    }
+    return missing;
+}
+
+/// Finishes if nothing more is to come or to wait for.
+RouteActions RouteExecution::settle(RouteActions actions, TimePoint now)
+{
+    if (m_finished)
+        return actions;
+    auto open = static_cast<std::size_t>(
+        std::count_if(m_parts.begin(), m_parts.end(), [](const Part& it) { return !it.answered && !it.hopeless; }));
+    bool isEnough = m_answered >= leastAnswered();
+    bool canSucceed = m_answered + open >= leastAnswered();
+    if (isEnough && (open == 0 || now >= m_answerBy))
+        finish(isGather() ? merged() : RouteOutcome { RouteOutcome::Kind::Forwarded, std::move(*m_forwarded) }, actions,
+            now);
+    else if (!canSucceed || now >= m_deadline)
+        finish(failure(now), actions, now);
+    else
+        actions.nextTimer = nextTimer(now);
+    return actions;
+}
+
+void RouteExecution::finish(RouteOutcome outcome, RouteActions& actions, TimePoint now)
+{
+    auto ended = cancel(now);
+    actions.cancels.insert(actions.cancels.end(), ended.cancels.begin(), ended.cancels.end());
+    std::erase_if(actions.sends, [&](const RouteSend& it) {
+        return std::find(actions.cancels.begin(), actions.cancels.end(), it.attempt) != actions.cancels.end();
+    });
+    m_finished = true;
+    actions.finish = std::move(outcome);
+    actions.nextTimer.reset();
+}
+
+RouteOutcome RouteExecution::merged()
+{
+    RouteOutcome outcome;
+    outcome.kind = RouteOutcome::Kind::Merged;
+    outcome.answer.status = 200;
+    outcome.answer.body = m_merge.take();
+    outcome.proofs = std::move(m_proofs);
+    outcome.missing = static_cast<std::uint32_t>(m_parts.size() - m_answered);
+    return outcome;
+}
+
+RouteOutcome RouteExecution::failure(TimePoint now) const
+{
+    bool mayHaveRun = m_mayHaveRun
+        || std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& it) { return !it.ended; });
+    if (!mayHaveRun) {
+        return {
+            .error = ErrorKind::Overloaded, .reason = "no leaf could take the request", .retryAfter = shortRetryAfter
+        };
+    }
+    if (!isGather() && m_lastError)
+        return { RouteOutcome::Kind::Forwarded, *m_lastError };
+    bool isLate = now >= m_deadline;
+    if (isGather())
+        return { .error = ErrorKind::CoverageTooLow, .reason = "too few parts were answered" };
+    return { .error = ErrorKind::OutcomeUnknown,
+        .reason = isLate ? "no leaf answered in time" : "the leaf ended without an answer" };
+}
+
+std::optional<TimePoint> RouteExecution::nextTimer(TimePoint now) const
+{
+    auto next = m_deadline;
+    if (m_answerBy > now)
+        next = std::min(next, m_answerBy);
+    for (const auto& it : m_parts) {
+        if (it.answered || it.hopeless)
+            continue;
+        if (it.hedgeAt)
+            next = std::min(next, *it.hedgeAt);
+        if (it.resendAt)
+            next = std::min(next, *it.resendAt);
+    }
+    return next;
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/query/RouteExecution.h
@@ -0,0 +1,155 @@
+// One running request on a configured route: a forwarded request has one part, a gathered one a part for each shard.
+// Every part goes to one leaf and, if that one is slow or fails, to another.
+#pragma once
+
+#include "query/RecordMerge.h"
+#include "query/RoutePolicies.h"
+
+namespace citronplank {
+
+/// What a leaf sent back, headers that concern only one connection left out.
+struct LeafAnswer {
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    std::string proof; // by which the leaf vouches for its answer; empty if it gave none
+};
+
+/// The end of one attempt at one leaf.
+struct AttemptResult {
+    enum class Status : std::uint8_t {
+        Answered,  // a success
+        Refused,   // not run: the leaf was full or the deadline had passed in its queue
+        WrongLeaf, // not run: another leaf has the address
+        Failed,    // the leaf answered with an error; `answer` holds it
+        Lost,      // may have run: no whole answer came
+        NotSent,   // not run: no connection, or none is free
+    };
+    std::uint64_t attempt = 0;
+    Status status = Status::Lost;
+    LeafAnswer answer;
+};
+std::string_view attemptStatusName(AttemptResult::Status);
+
+struct RouteSend {
+    std::uint64_t attempt = 0;
+    Announcement leaf;
+    std::uint32_t connectionLimit = 1; // of this instance to the leaf
+    milliseconds remaining { 0 };      // time that the leaf is given
+    bool isExtra = false;              // beyond the first of its part
+};
+
+/// The answer to the caller. Exactly one of the three kinds.
+struct RouteOutcome {
+    enum class Kind : std::uint8_t { Forwarded, Merged, Error } kind = Kind::Error;
+    LeafAnswer answer;               // Forwarded: as the leaf gave it. Merged: `body` only
+    std::vector<std::string> proofs; // Merged: of the parts that are in
+    std::uint32_t missing = 0;       // Merged: shards that are left out
+    ErrorKind error = ErrorKind::Internal;
+    std::string reason;                     // Error
+    std::optional<milliseconds> retryAfter; // Error: when another try may be served
+};
+
+/// What the caller of RouteExecution has to do after a call.
+struct RouteActions {
+    std::vector<std::uint64_t> cancels; // attempts whose results are no longer wanted
+    std::vector<RouteSend> sends;
+    std::optional<RouteOutcome> finish; // set exactly once, unless the caller goes
+    std::optional<TimePoint> nextTimer; // when to call onTimer; replaces the earlier one
+};
+
+struct RouteCounters {
+    std::uint32_t sends = 0;
+    std::uint32_t hedges = 0;
+    std::uint32_t retries = 0;
+    std::uint32_t refusals = 0; // by leaves
+    std::uint32_t failures = 0;
+};
+
+/// Not thread safe: callers serialize the calls with those of the policies, which must outlive this object.
+class RouteExecution {
+public:
+    /// `firstAttempt` starts a range of attempt numbers that no other request uses; see attemptsPerRequest.
+    /// Precondition: `deadline` is at most the route's timeout away.
+    RouteExecution(std::shared_ptr<const Route> route, std::shared_ptr<const RouteTable> table, TimePoint arrival,
+        TimePoint deadline, std::uint64_t firstAttempt, RoutePolicies& policies);
+    RouteExecution(const RouteExecution&) = delete;
+    RouteExecution& operator=(const RouteExecution&) = delete;
+
+    static constexpr std::uint64_t attemptsPerRequest = 1ULL << 16U;
+
+    /// Sends the first parts, or finishes with a refusal that is "not run". Precondition: called once, first.
+    RouteActions start(TimePoint now);
+    /// An attempt ended. Results of ended attempts are ignored.
+    RouteActions onResult(AttemptResult, TimePoint now);
+    /// Hedges, retries, stops waiting or meets the deadline. May be called early or late.
+    RouteActions onTimer(TimePoint now);
+    /// The caller has gone: cancels all attempts; there is no finish action after it.
+    RouteActions cancel(TimePoint now);
+
+    bool isFinished() const { return m_finished; }
+    const Route& route() const { return *m_route; }
+    const RouteCounters& counters() const { return m_counters; }
+    /// Shards without an answer, for the log.
+    std::vector<std::string> missingShards() const;
+    /// Parts whose answer came.
+    std::size_t answered() const { return m_answered; }
+    std::size_t parts() const { return m_parts.size(); }
+
+private:
+    struct Attempt {
+        std::uint32_t part = 0;
+        std::string leaf;
+        Announcement announcement;
+        TimePoint sentAt;
+        bool ended = false;
+    };
+    struct Part {
+        std::string service;
+        std::vector<std::string> tried; // leaves, in order
+        std::uint32_t running = 0;
+        std::uint32_t ran = 0;     // attempts that ran or may have run
+        std::uint32_t arrived = 0; // attempts that reached a leaf
+        bool answered = false;
+        bool hopeless = false;             // no other attempt is allowed
+        std::optional<TimePoint> hedgeAt;  // if no answer has come
+        std::optional<TimePoint> resendAt; // no leaf could take it
+        std::uint32_t resends = 0;
+    };
+
+    bool isGather() const { return !m_route->shards.empty(); }
+    std::size_t leastAnswered() const;
+    bool trySend(std::uint32_t part, bool isExtra, RouteActions&, TimePoint now);
+    void scheduleResend(Part&, TimePoint now);
+    bool mayRunAgain(const Part& it) const
+    {
+        return it.ran < m_route->attempts && (m_route->idempotent || it.ran == 0);
+    }
+    void endAttempt(Attempt&, AttemptEnd, TimePoint now);
+    void accept(Part&, Attempt&, AttemptResult&, RouteActions&, TimePoint now);
+    void onFailed(std::uint32_t part, const AttemptResult&, RouteActions&, TimePoint now);
+    RouteActions settle(RouteActions, TimePoint now);
+    void finish(RouteOutcome, RouteActions&, TimePoint now);
+    RouteOutcome merged();
+    RouteOutcome failure(TimePoint now) const;
+    std::optional<TimePoint> nextTimer(TimePoint now) const;
+
+    std::shared_ptr<const Route> m_route;
+    std::shared_ptr<const RouteTable> m_table;
+    RoutePolicies& m_policies;
+    TimePoint m_deadline;
+    TimePoint m_answerBy; // a partial answer goes out then
+    std::uint64_t m_firstAttempt;
+    std::vector<Part> m_parts;
+    std::vector<Attempt> m_attempts; // by number since m_firstAttempt
+    std::size_t m_answered = 0;
+    TopRecords m_merge;
+    std::vector<std::string> m_proofs;
+    std::optional<LeafAnswer> m_forwarded; // success of a forwarded request
+    std::optional<LeafAnswer> m_lastError; // of a leaf, to be passed on if nothing better comes
+    bool m_mayHaveRun = false;
+    bool m_finished = false;
+    RouteCounters m_counters;
+};
+
+} // namespace citronplank
--- /dev/null
+++ b/query/RoutePolicies.cpp
@@ -0,0 +1,184 @@
+#include "query/RoutePolicies.h"
+
+#include "coordination/ZoneLease.h"
+
+#include <algorithm>
+
+namespace citronplank {
+
+namespace {
+
+/// Part of the shared budget that instances use. The rest covers requests that one instance counted in an earlier
+/// window than the leaves did.
+constexpr double budgetShare = 0.8;
+constexpr double slowPercentile = 0.95;                // of the learned latencies, after which a part is hedged
+constexpr double usualPercentile = 0.5;                //
+constexpr std::uint32_t minimumSamples = 40;           // below it the objective says more than the percentile
+constexpr double typicalShareOfObjective = 0.12;       // before latencies are known
+constexpr double greatestHedgeShareOfObjective = 0.35; // a later second part comes back after the objective
+constexpr milliseconds typicalWithoutObjective { 50 }; // before latencies are known
+constexpr milliseconds smallestHedgeDelay { 3 };       // two round trips between zones
+constexpr std::size_t greatestTracked = 4096;          // routes whose latencies are kept
+
+} // namespace
+
+void RoutePolicies::setBounds(const SharedBounds& bounds)
+{
+    if (bounds.instances != m_bounds.instances || bounds.extraBurst != m_bounds.extraBurst
+        || bounds.extraRatio != m_bounds.extraRatio)
+        m_budgets.clear();
+    m_bounds = bounds;
+}
+
+double RoutePolicies::extraBurst() const
+{
+    return budgetShare * m_bounds.extraBurst / static_cast<double>(std::max<std::size_t>(1, m_bounds.instances));
+}
+
+PercentBudget& RoutePolicies::budgetOf(const std::string& service)
+{
+    auto found = m_budgets.find(service);
+    if (found == m_budgets.end()) {
+        constexpr double percent = 100;
+        found = m_budgets
+                    .emplace(
+                        service, PercentBudget(percent * budgetShare * m_bounds.extraRatio, extraBurst(), extraBurst()))
+                    .first;
+    }
+    return found->second;
+}
+
+void RoutePolicies::setLeaves(std::vector<Announcement> leaves, TimePoint now)
+{
+    std::unordered_map<std::string, std::vector<Known>> known;
+    for (auto& it : leaves) {
+        Known entry { std::move(it), {}, false };
+        for (const auto& old : m_leaves[entry.announcement.service]) {
+            if (old.announcement.leaf != entry.announcement.leaf || old.announcement.boot != entry.announcement.boot)
+                continue;
+            entry.excluded = old.excluded;
+            entry.coldUntil = old.coldUntil;
+        }
+        if (entry.announcement.warmupLeft > milliseconds::zero())
+            entry.coldUntil = std::max(entry.coldUntil, now + entry.announcement.warmupLeft);
+        known[entry.announcement.service].push_back(std::move(entry));
+    }
+    m_leaves = std::move(known);
+}
+
+void RoutePolicies::setSenders(std::vector<std::string> names)
+{
+    m_senders = std::move(names);
+    auto bounds = m_bounds;
+    bounds.instances = std::max<std::size_t>(1, m_senders.size());
+    setBounds(bounds);
+}
+
+void RoutePolicies::exclude(const Announcement& leaf)
+{
+    for (auto& it : m_leaves[leaf.service]) {
+        if (it.announcement.leaf == leaf.leaf && it.announcement.boot == leaf.boot)
+            it.excluded = true;
+    }
+}
+
+bool RoutePolicies::isUsable(const Known& it) const
+{
+    return !it.excluded && !it.announcement.draining && !m_zonesOut.contains(it.announcement.zone);
+}
+
+/// A cold leaf gets requests from one instance only, within its bound.
+bool RoutePolicies::mayWarmUp(const Known& it, TimePoint now)
+{
+    if (!m_senders.empty() && rendezvousOwner(it.announcement.leaf, m_senders) != m_instance)
+        return false;
+    double perSecond = m_table->limitsOf(it.announcement.service).coldRequestsPerSecond * m_bounds.coldFactor
+        + m_bounds.coldAllowance;
+    return m_coldGate.allows(it.announcement.leaf, perSecond, now);
+}
+
+const Announcement* RoutePolicies::pick(
+    const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now)
+{
+    auto found = m_leaves.find(service);
+    if (found == m_leaves.end())
+        return nullptr;
+    std::vector<const Announcement*> warm;
+    std::vector<const Announcement*> cold;
+    for (const auto& it : found->second) {
+        if (!isUsable(it) || std::find(tried.begin(), tried.end(), it.announcement.leaf) != tried.end())
+            continue;
+        if (now >= it.coldUntil)
+            warm.push_back(&it.announcement);
+        else if (mayWarmUp(it, now))
+            cold.push_back(&it.announcement);
+    }
+    const auto& candidates = warm.empty() ? cold : warm;
+    auto best = m_selector.choose(candidates, typical, now);
+    return best ? candidates[*best] : nullptr;
+}
+
+bool RoutePolicies::hasLeaf(const std::string& service, TimePoint now)
+{
+    auto found = m_leaves.find(service);
+    return found != m_leaves.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Known& it) {
+        return isUsable(it) && !m_selector.isBackingOff(it.announcement.leaf, now);
+    });
+}
+
+const std::string& RoutePolicies::target(const Route& route)
+{
+    if (route.targets.size() == 1)
+        return route.targets.front().service;
+    // Smooth weighted round robin: each target earns its weight, the richest is sent to and pays the sum.
+    if (m_shares.size() > greatestTracked)
+        m_shares.clear();
+    auto& shares = m_shares[route.name];
+    shares.resize(route.targets.size());
+    double sum = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        shares[i] += route.targets[i].weight;
+        sum += route.targets[i].weight;
+        if (shares[i] > shares[best])
+            best = i;
+    }
+    shares[best] -= sum;
+    return route.targets[best].service;
+}
+
+Duration RoutePolicies::typical(const Route& route) const
+{
+    auto found = m_latencies.find(route.name);
+    if (found != m_latencies.end() && found->second.count() >= minimumSamples)
+        return *found->second.percentile(usualPercentile);
+    if (route.objective == milliseconds::zero())
+        return typicalWithoutObjective;
+    return std::chrono::duration_cast<Duration>(route.objective * typicalShareOfObjective);
+}
+
+Duration RoutePolicies::hedgeDelay(const Route& route) const
+{
+    Duration greatest = route.objective > milliseconds::zero()
+        ? std::chrono::duration_cast<Duration>(route.objective * greatestHedgeShareOfObjective)
+        : Duration(route.timeout / 4);
+    auto found = m_latencies.find(route.name);
+    if (found == m_latencies.end() || found->second.count() < minimumSamples)
+        return greatest;
+    return std::clamp<Duration>(*found->second.percentile(slowPercentile), smallestHedgeDelay, greatest);
+}
+
+void RoutePolicies::onLatency(const Route& route, Duration latency)
+{
+    if (m_latencies.size() > greatestTracked)
+        m_latencies.clear();
+    m_latencies[route.name].record(latency);
+}
+
+void RoutePolicies::onStart(const Announcement& leaf, std::uint64_t attempt, Duration typical, TimePoint now)
+{
+    m_selector.onStart(leaf.leaf, attempt, typical, now);
+    m_coldGate.onSend(leaf.leaf, now);
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/query/RoutePolicies.h
@@ -0,0 +1,93 @@
+// What all requests on configured routes of one instance share: the leaves they may go to and the budgets they draw on.
+#pragma once
+
+#include "policy/ColdStartGate.h"
+#include "policy/LeafSelector.h"
+#include "policy/RetryBudget.h"
+#include "query/RouteTable.h"
+
+namespace citronplank {
+
+/// Bounds that hold for the sum over all instances.
+struct SharedBounds {
+    double extraRatio = 0.2;   // requests beyond the first of each, relative to the requests for a service
+    double extraBurst = 50;    // and this many more
+    double coldFactor = 1.5;   // a cold leaf gets at most its rate times this
+    double coldAllowance = 5;  // and this many a second more
+    std::size_t instances = 1; // that send to leaves
+};
+
+/// Not thread safe; callers serialize calls.
+class RoutePolicies {
+public:
+    RoutePolicies(std::string instance, std::string zone)
+        : m_instance(std::move(instance))
+        , m_selector(std::move(zone))
+    {
+    }
+
+    void setBounds(const SharedBounds&);
+    /// Replaces the leaves of all services.
+    void setLeaves(std::vector<Announcement> leaves, TimePoint now);
+    void setTable(std::shared_ptr<const RouteTable> table) { m_table = std::move(table); }
+    void setZonesOut(std::set<std::string, std::less<>> zones) { m_zonesOut = std::move(zones); }
+    /// Names of the instances that send to leaves, this one included.
+    void setSenders(std::vector<std::string> names);
+    /// The leaf is not the one that was announced at its address, or said that it leaves: nothing more is sent to it.
+    void exclude(const Announcement&);
+
+    const std::shared_ptr<const RouteTable>& table() const { return m_table; }
+    /// Best leaf of the service that is not in `tried`; null if there is none now.
+    const Announcement* pick(
+        const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now);
+    /// Whether the service has a leaf that may be sent to at all.
+    bool hasLeaf(const std::string& service, TimePoint now);
+    /// The target of a forwarded request, in proportion to the weights.
+    const std::string& target(const Route&);
+
+    /// Counts the first request for a service.
+    void onFirst(const std::string& service) { budgetOf(service).onPart(); }
+    /// Takes one request beyond the first from the budget of a service; false: it must not be sent.
+    bool takeExtra(const std::string& service) { return budgetOf(service).take(); }
+
+    /// Usual and slow latency of one part of a route's requests.
+    Duration typical(const Route&) const;
+    Duration hedgeDelay(const Route&) const;
+    void onLatency(const Route&, Duration);
+
+    /// See LeafSelector; also counts requests to cold leaves.
+    void onStart(const Announcement&, std::uint64_t attempt, Duration typical, TimePoint now);
+    void onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
+    {
+        m_selector.onEnd(leaf, attempt, end, now);
+    }
+    const LeafSelector& selector() const { return m_selector; }
+    /// Number of instances that send to leaves.
+    std::size_t senders() const { return m_bounds.instances; }
+
+private:
+    struct Known {
+        Announcement announcement;
+        TimePoint coldUntil;
+        bool excluded = false;
+    };
+    bool isUsable(const Known&) const;
+    bool mayWarmUp(const Known&, TimePoint now);
+    PercentBudget& budgetOf(const std::string& service);
+    double extraBurst() const;
+
+    std::string m_instance;
+    LeafSelector m_selector;
+    SharedBounds m_bounds;
+    std::shared_ptr<const RouteTable> m_table = std::make_shared<const RouteTable>(ServingConfiguration {});
+    std::set<std::string, std::less<>> m_zonesOut;
+    std::vector<std::string> m_senders;
+    std::unordered_map<std::string, std::vector<Known>> m_leaves; // by service
+    std::unordered_map<std::string, PercentBudget> m_budgets;     // by service
+    std::unordered_map<std::string, LatencyDigest> m_latencies;   // by name of the route
+    std::unordered_map<std::string, std::vector<double>>
+        m_shares; // by name of the route: sent beyond the weights' part
+    ColdStartGate m_coldGate;
+};
+
+} // namespace citronplank
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -25,9 +25,15 @@
 std::string renderAnswer(const HttpAnswer& answer, bool close, bool withBody)
 {
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " "
-        + http_status_str(static_cast<http_status>(answer.status)) + "\r\nContent-Type: " + answer.contentType
-        + "\r\nContent-Length: " + std::to_string(answer.body.size()) + (close ? "\r\nConnection: close" : "")
-        + "\r\n\r\n";
+        + http_status_str(static_cast<http_status>(answer.status)) + "\r\n";
+    if (!answer.contentType.empty())
+        text += "Content-Type: " + answer.contentType + "\r\n";
+    for (const auto& [name, value] : answer.headers)
+        text += name + ": " + value + "\r\n";
+    bool hasLength = answer.status / 100 != 1 && answer.status != 204;
+    if (hasLength)
+        text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    text += close ? "Connection: close\r\n\r\n" : "\r\n";
     if (withBody)
         text += answer.body;
     return text;
@@ -42,6 +48,7 @@
     Shared(asio::io_context& io, HttpServerSettings settings, Handler handler)
         : m_io(io)
         , m_settings(std::move(settings))
+        , m_current(std::make_shared<const HttpServerSettings>(m_settings))
         , m_handler(std::move(handler))
         , m_acceptor(asio::make_strand(io))
         , m_retryTimer(m_acceptor.get_executor())
@@ -68,7 +75,16 @@
         return counters;
     }
 
-    const HttpServerSettings& settings() const { return m_settings; }
+    HttpServerSettings settings() const { return *m_current.load(); }
+    void setLimits(const CallerLimits& limits)
+    {
+        auto next = m_settings;
+        next.maximumHeaderBytes = limits.headerBytes;
+        next.maximumBodyBytes = limits.bodyBytes;
+        next.headerTimeout = limits.headerTimeout;
+        next.idleTimeout = limits.idleTimeout;
+        m_current = std::make_shared<const HttpServerSettings>(next);
+    }
     const Handler& handler() const { return m_handler; }
     const std::string& address() const { return m_address; }
     bool isDraining() const { return m_draining; }
@@ -82,6 +98,7 @@
 
     asio::io_context& m_io;
     HttpServerSettings m_settings;
+    std::atomic<std::shared_ptr<const HttpServerSettings>> m_current; // m_settings with the limits of today
     Handler m_handler;
     std::string m_address;
     asio::basic_socket_acceptor<asio::ip::tcp, Strand> m_acceptor;
@@ -325,7 +342,7 @@
               asio::post(strand, [weak, answer = std::move(answer)] {
                   const auto self = weak.lock();
                   if (self && self->m_phase == Phase::Handling)
-                      self->write(answer, self->m_closeAfterAnswer || self->m_shared->isDraining());
+                      self->write(answer, answer.closes || self->m_closeAfterAnswer || self->m_shared->isDraining());
               });
           });
     m_responder = state;
@@ -562,6 +579,8 @@
 
 std::string HttpServer::address() const { return m_shared->address(); }
 
+void HttpServer::setLimits(const CallerLimits& limits) { m_shared->setLimits(limits); }
+
 HttpServerCounters HttpServer::counters() const { return m_shared->counters(); }
 
 } // namespace citronplank
--- a/transport/HttpServer.h
+++ b/transport/HttpServer.h
@@ -30,8 +30,10 @@
 
 struct HttpAnswer {
     int status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; // empty: none
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers {}; // besides type, length and connection
+    bool closes = false;                                         // the connection ends after this answer
 };
 
 /// JSON body {error, message, retry, outcome} and status of an error. Thread safe.
@@ -106,6 +108,8 @@
     /// answer. `done` runs once on the io_context when no connection is left.
     void finish(std::function<void()> done);
 
+    /// Changes what callers may send and how long they may take, for requests that begin from now on.
+    void setLimits(const CallerLimits&);
     /// Bound "IP:PORT".
     std::string address() const;
     HttpServerCounters counters() const;
