Take readiness from the routes that can be served, and end inside the grace time

Cause: after the final fault an entry waited 3 s for a complete directory although the leaves of all routes were known after 1.2 s. At a planned stop the threads of the links ended after the grace time; five processes were killed there. Ruled out: requests that still run (none was left at four of five stops). Requests on routes that are not idempotent show as such in the log.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -9,6 +9,7 @@
 /// An attempt whose result is no longer wanted keeps its connection if the leaf answers within this time: a new
 /// connection costs the leaf more than the rest of a short request. Leaves should not work for nobody much longer.
 constexpr milliseconds cancelGrace { 250 };
+constexpr milliseconds checkInterval { 100 }; // of the routes; balancers ask once a second
 
 double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
@@ -49,12 +50,24 @@
     , m_counters(counters)
     , m_policies(instance, zone)
     , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
+    , m_checkTimer(m_strand)
 {
     m_policies.setBounds(bounds);
+    checkRoutes();
 }
 
 RouteService::~RouteService() = default;
 
+void RouteService::checkRoutes()
+{
+    m_canServe = m_policies.canServe(Clock::now());
+    m_checkTimer.expires_after(checkInterval);
+    m_checkTimer.async_wait([this](const std::error_code& ec) {
+        if (!ec)
+            checkRoutes();
+    });
+}
+
 void RouteService::setTable(std::shared_ptr<const RouteTable> table)
 {
     asio::post(m_strand, [this, table = std::move(table)]() mutable { m_policies.setTable(std::move(table)); });
@@ -235,6 +248,7 @@
         + " sends=" + std::to_string(counters.sends) + " hedges=" + std::to_string(counters.hedges) + " retries="
         + std::to_string(counters.retries) + " refusals=" + std::to_string(counters.refusals) + " failures="
         + std::to_string(counters.failures) + " config=" + std::to_string(m_policies.table()->configuration().version);
+    text += " attempts=" + std::to_string(route.attempts) + (route.idempotent ? "" : " non_idempotent");
     if (running.call.remaining)
         text += " caller_waits_ms=" + std::to_string(running.call.remaining->count());
     if (outcome.kind == RouteOutcome::Kind::Error)
@@ -274,6 +288,7 @@
 void RouteService::stop()
 {
     asio::post(m_strand, [this] {
+        m_checkTimer.cancel();
         m_running.clear();
         m_upstream->closeAll();
     });
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -27,6 +27,8 @@
     void setLeaves(std::vector<Announcement> leaves);
     void setSenders(std::vector<std::string> names);
 
+    /// Whether most of the configured routes have the leaves that an answer needs, as of the last few milliseconds.
+    bool canServe() const { return m_canServe; }
     /// Requests that are not answered yet.
     std::size_t runningCount() const { return m_runningCount; }
     /// Answers what still runs with an error; for the end of a planned stop.
@@ -46,6 +48,7 @@
     };
     using Id = std::uint64_t;
 
+    void checkRoutes();
     void begin(HttpRequest, Responder, TimePoint arrivedAt);
     void refuse(const RoutedCall&, const HttpRequest&, const Responder&, RouteOutcome);
     void perform(Id, RouteActions);
@@ -65,6 +68,8 @@
     std::unordered_map<Id, std::unique_ptr<Running>> m_running;
     std::atomic<std::size_t> m_runningCount { 0 };
     Id m_lastId = 0;
+    std::atomic<bool> m_canServe { false };
+    LeafConnection::Timer m_checkTimer;
 };
 
 } // namespace citronplank
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -17,8 +17,9 @@
 constexpr milliseconds readLimit { 900 };      // operators wait a second for an answer
 constexpr milliseconds readTick { 20 };        //
 constexpr milliseconds idleStopTick { 20 };    //
-constexpr milliseconds stopReserve { 700 };    // of the grace time, for the last answers and the end of the process
-constexpr milliseconds closeReserve { 1400 }; // of the grace time, kept for requests that still run when closing begins
+constexpr milliseconds stopReserve { 900 };    // of the grace time: answers that were given up, and the process's end
+constexpr milliseconds closeReserve { 1500 };  // before that, for requests that still run when closing begins
+constexpr milliseconds leaveTime { 300 };      // for gossip to hear that this instance leaves, or the leader to change
 constexpr std::size_t readyConnections = 64;  // balancers ask once a second
 constexpr const char* zoneAuthor = "operator";
 
@@ -90,25 +91,28 @@
 
 void RoutedDaemon::stopGracefully()
 {
-    auto end = Clock::now() + m_routed.graceTime - stopReserve;
+    auto start = Clock::now();
+    auto end = start + m_routed.graceTime - stopReserve;
     m_stopping = true;
     m_ready = false;
     log(LogLevel::Info, "stop", "Readiness is off; requests are still served.");
     if (m_control)
         m_control->transferLeadership();
     if (m_callerServer) {
-        std::this_thread::sleep_for(m_routed.notReadyTime);
+        std::this_thread::sleep_until(start + m_routed.notReadyTime);
         m_callerServer->beginDrain();
         std::this_thread::sleep_until(end - closeReserve);
         m_callerServer->finish([] {});
+        m_membership->leave();
         while (Clock::now() < end && (m_routes->runningCount() > 0 || m_callerServer->counters().connections > 0))
             std::this_thread::sleep_for(idleStopTick);
         auto left = m_routes->runningCount();
         m_routes->giveUp();
         log(LogLevel::Info, "stop", "requests_left=" + std::to_string(left));
+    } else {
+        m_membership->leave();
     }
-    m_membership->leave();
-    std::this_thread::sleep_for(m_callerServer ? stopReserve / 2 : 2 * stopReserve);
+    std::this_thread::sleep_for(leaveTime);
     log(LogLevel::Info, "stop", "Stopped.");
 }
 
@@ -174,7 +178,9 @@
         m_hasDirectory = true;
         log(LogLevel::Info, "leaves", "No peer has a complete directory; this one counts as complete.");
     }
-    bool isReady = !m_stopping && m_hasDirectory && m_decodedVersion > 0;
+    // An entry may be ready before it has a complete directory: what counts is that it can serve its routes.
+    bool canServe = m_routes ? m_routes->canServe() : m_hasDirectory.load();
+    bool isReady = !m_stopping && m_decodedVersion > 0 && canServe;
     if (isReady != m_ready.exchange(isReady))
         log(LogLevel::Info, "ready", isReady ? "Ready." : "Not ready.");
 }
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -129,6 +129,28 @@
     });
 }
 
+bool RoutePolicies::canServe(TimePoint now)
+{
+    const auto& routes = m_table->configuration().routes;
+    std::unordered_map<std::string_view, bool> known; // services
+    auto has = [&](const std::string& service) {
+        auto [it, isNew] = known.try_emplace(service, false);
+        if (isNew)
+            it->second = hasLeaf(service, now);
+        return it->second;
+    };
+    std::size_t served = 0;
+    for (const auto& route : routes) {
+        auto n = std::count_if(route.shards.begin(), route.shards.end(), has);
+        bool isCovered = n > 0
+            && static_cast<double>(n) >= route.minimumCoverage * static_cast<double>(route.shards.size());
+        bool hasTarget = std::any_of(
+            route.targets.begin(), route.targets.end(), [&](const WeightedService& it) { return has(it.service); });
+        served += isCovered || hasTarget ? 1 : 0;
+    }
+    return !routes.empty() && 2 * served > routes.size();
+}
+
 const std::string& RoutePolicies::target(const Route& route)
 {
     if (route.targets.size() == 1)
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -42,6 +42,8 @@
         const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now);
     /// Whether the service has a leaf that may be sent to at all.
     bool hasLeaf(const std::string& service, TimePoint now);
+    /// Whether more than half of the routes have leaves enough for an answer.
+    bool canServe(TimePoint now);
     /// The target of a forwarded request, in proportion to the weights.
     const std::string& target(const Route&);
 
