Tell silent, unreachable, busy and cold leaves apart

The cold time of a leaf was counted anew at each change of the directory, so leaves stayed cold for seconds; a leaf without a free connection counted as unreachable; a dark leaf was tried again at each request, which used up the shared budget. Now the cold time counts from the announcement, a leaf that owes answers for long is down until a connect succeeds, and an attempt whose answer is no longer wanted ends with what the leaf did. Ruled out: the bound on cold leaves itself, which is kept. Test: RoutePoliciesTests, cold start while the directory changes.

--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -15,6 +15,7 @@
 struct LeafReply {
     enum class End : std::uint8_t {
         Complete,   // a whole answer
+        NotTaken,   // no connection was free, and the leaf takes no more
         NotWritten, // failed before the first byte was written
         Lost,       // the connection ended after that
         Malformed,  // the answer is not valid HTTP, has no length or is too large
--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -77,7 +77,7 @@
     }
     asio::post(m_strand, [self = shared_from_this(), attempt] {
         LeafReply reply;
-        reply.end = LeafReply::End::NotWritten;
+        reply.end = LeafReply::End::NotTaken;
         self->onReply(attempt, std::move(reply));
     });
 }
@@ -129,19 +129,25 @@
 
 /// Puts a connection back if it can serve another exchange.
 void UpstreamClient::keep(const std::string& leaf, const Connection& connection, const LeafReply& reply)
+{
+    Duration timeout = m_settings.idleTimeout;
+    if (auto named = idleTimeoutIn(reply.header("Keep-Alive")))
+        timeout = std::chrono::duration_cast<Duration>(*named * m_settings.idleShare);
+    bool isKept = reply.end == LeafReply::End::Complete && connection->isReusable();
+    keepOpen(leaf, connection, isKept, timeout);
+}
+
+void UpstreamClient::keepOpen(const std::string& leaf, const Connection& connection, bool isKept, Duration idleTimeout)
 {
     auto pool = m_pools.find(leaf);
-    if (pool == m_pools.end() || reply.end != LeafReply::End::Complete || !connection->isReusable()) {
+    if (pool == m_pools.end() || !isKept) {
         connection->close();
         if (pool != m_pools.end())
             --pool->second.open;
         return;
     }
-    Duration timeout = m_settings.idleTimeout;
-    if (auto named = idleTimeoutIn(reply.header("Keep-Alive")))
-        timeout = std::chrono::duration_cast<Duration>(*named * m_settings.idleShare);
     pool->second.idle.push_back({ connection, Clock::now() });
-    connection->watchIdle(std::chrono::duration_cast<milliseconds>(timeout),
+    connection->watchIdle(std::chrono::duration_cast<milliseconds>(idleTimeout),
         [weak = weak_from_this(), leaf, raw = std::weak_ptr<LeafConnection>(connection)] {
             auto self = weak.lock();
             auto ended = raw.lock();
@@ -160,29 +166,58 @@
     m_counters.closedByLeaf += n;
 }
 
-void UpstreamClient::cancel(std::uint64_t attempt, milliseconds grace)
+void UpstreamClient::cancel(std::uint64_t attempt, milliseconds grace, std::function<void(Late)> done)
 {
     auto found = m_exchanges.find(attempt);
     if (found == m_exchanges.end())
         return;
     ++m_counters.cancelled;
     auto& exchange = found->second;
-    exchange.callback = nullptr;
+    exchange.callback = [done](const LeafReply& reply) {
+        done(reply.end == LeafReply::End::Complete ? Late::Answered : Late::Ended);
+    };
     exchange.graceTimer = std::make_shared<LeafConnection::Timer>(m_strand);
     exchange.graceTimer->expires_after(grace);
     exchange.graceTimer->async_wait(
-        [self = shared_from_this(), attempt, timer = exchange.graceTimer](const std::error_code& ec) {
-            auto node = ec ? decltype(self->m_exchanges)::node_type {} : self->m_exchanges.extract(attempt);
-            if (!node || !node.mapped().connection)
-                return;
-            auto& ended = node.mapped();
-            ended.connection->close();
-            if (auto pool = self->m_pools.find(ended.leaf); pool != self->m_pools.end())
-                --pool->second.open;
-            self->closeSilent(ended.leaf, ended.startedAt);
+        [self = shared_from_this(), attempt, timer = exchange.graceTimer, done](const std::error_code& ec) {
+            if (!ec)
+                self->endSilent(attempt, done);
         });
 }
 
+void UpstreamClient::endSilent(std::uint64_t attempt, const std::function<void(Late)>& done)
+{
+    auto node = m_exchanges.extract(attempt);
+    if (!node)
+        return;
+    auto& ended = node.mapped();
+    if (ended.connection) {
+        ended.connection->close();
+        if (auto pool = m_pools.find(ended.leaf); pool != m_pools.end())
+            --pool->second.open;
+        closeSilent(ended.leaf, ended.startedAt);
+    }
+    done(Late::Silent);
+}
+
+void UpstreamClient::probe(const Announcement& leaf, std::function<void(bool)> done)
+{
+    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maximumAnswerBytes, true);
+    try {
+        auto& pool = poolOf(leaf);
+        ++pool.open;
+        ++m_counters.connects;
+        connection->connect(pool.endpoint, m_settings.connectTimeout,
+            [self = shared_from_this(), key = poolKey(leaf), connection, done = std::move(done)](bool ok) {
+                self->m_counters.connectFailures += ok ? 0 : 1;
+                self->keepOpen(key, connection, ok, self->m_settings.idleTimeout);
+                done(ok);
+            });
+    } catch (const Error&) {
+        done(false);
+    }
+}
+
 /// A connection that brought nothing may have gone silent, and so may those that were last heard of before it.
 void UpstreamClient::closeSilent(const std::string& leaf, TimePoint since)
 {
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -46,8 +46,12 @@
     void send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request, bool isHead,
         Callback callback);
     /// Drops the result of an attempt. Its connection is kept if the answer comes within `grace`, and closed otherwise,
-    /// which tells the leaf to stop.
-    void cancel(std::uint64_t attempt, milliseconds grace);
+    /// which tells the leaf to stop. `done` runs once with what the attempt came to; not for an unknown attempt.
+    enum class Late : std::uint8_t { Answered, Ended, Silent };
+    void cancel(std::uint64_t attempt, milliseconds grace, std::function<void(Late)> done);
+    /// Opens a connection, which is kept, to find out whether the leaf can be reached. Errors of the address count as
+    /// no.
+    void probe(const Announcement& leaf, std::function<void(bool reached)> done);
     /// Closes the idle connections of leaves that are not in `leaves`.
     void keepOnly(const std::set<std::string, std::less<>>& leaves);
     void closeAll();
@@ -78,6 +82,8 @@
     void start(std::uint64_t attempt, std::string request);
     void onReply(std::uint64_t attempt, LeafReply);
     void keep(const std::string& leaf, const Connection&, const LeafReply&);
+    void keepOpen(const std::string& leaf, const Connection&, bool isKept, Duration idleTimeout);
+    void endSilent(std::uint64_t attempt, const std::function<void(Late)>& done);
     void forget(const std::string& leaf, const Connection&);
     void closeSilent(const std::string& leaf, TimePoint since);
 
--- a/coordination/ControlLogTypes.h
+++ b/coordination/ControlLogTypes.h
@@ -22,7 +22,7 @@
 struct ControlLogSettings {
     std::string name;                           // of this member
     std::vector<std::string> configuredMembers; // all control members' names, this one included
-    std::uint64_t seed = 0; // of election timeouts and the cluster identity; random in production
+    std::uint64_t seed = 0;                     // of election timeouts and the cluster identity; random in production
     std::function<std::uint64_t(TimePoint)> wallTimeMs; // wall clock at a point of the steady clock, ms since 1970
     std::uint64_t entriesPerSnapshot = 256;
     // A snapshot above this size also waits until the log has grown by half of it, so that its cost stays proportional
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -60,7 +60,13 @@
 
 void RouteService::checkRoutes()
 {
-    m_canServe = m_policies.canServe(Clock::now());
+    m_canServe = m_policies.canServe();
+    for (const auto& leaf : m_policies.dueProbes(Clock::now())) {
+        m_upstream->probe(leaf, [this, name = leaf.leaf](bool reached) {
+            m_policies.onProbe(name, reached, Clock::now());
+            log(LogLevel::Info, "leaf", "leaf=" + name + (reached ? " is reached again" : " is not reached"));
+        });
+    }
     m_checkTimer.expires_after(checkInterval);
     m_checkTimer.async_wait([this](const std::error_code& ec) {
         if (!ec)
@@ -145,7 +151,7 @@
 void RouteService::perform(Id id, RouteActions actions)
 {
     for (auto attempt : actions.cancels)
-        m_upstream->cancel(attempt, cancelGrace);
+        cancelAttempt(id, attempt);
     for (const auto& it : actions.sends)
         sendPart(id, it);
     if (actions.finish) {
@@ -167,6 +173,21 @@
     });
 }
 
+/// The leaf still owes an answer that nobody waits for; what it does with it tells whether it can be used.
+void RouteService::cancelAttempt(Id id, std::uint64_t attempt)
+{
+    const auto& leaf = m_running.at(id)->execution->leafOf(attempt);
+    m_upstream->cancel(attempt, cancelGrace, [this, leaf, attempt](UpstreamClient::Late late) {
+        auto end = late == UpstreamClient::Late::Answered ? AttemptEnd::Answered
+            : late == UpstreamClient::Late::Silent        ? AttemptEnd::Silent
+                                                          : AttemptEnd::Lost;
+        bool wasDown = m_policies.selector().isDown(leaf);
+        m_policies.onEnd(leaf, attempt, end, Clock::now());
+        if (!wasDown && m_policies.selector().isDown(leaf))
+            log(LogLevel::Info, "leaf", "leaf=" + leaf + " is silent and gets no requests until a connect succeeds");
+    });
+}
+
 void RouteService::sendPart(Id id, const RouteSend& send)
 {
     auto& running = *m_running.at(id);
@@ -211,7 +232,7 @@
     if (found == m_running.end())
         return;
     m_counters.counter("route_callers_gone_total").add();
-    perform(id, found->second->execution->cancel(Clock::now()));
+    perform(id, found->second->execution->cancel());
     log(LogLevel::Info, "query",
         "request id=" + found->second->call.id + " route=" + found->second->execution->route().name
             + " outcome=caller_gone");
@@ -279,7 +300,7 @@
         for (const auto& [id, it] : m_running)
             ids.push_back(id);
         for (auto id : ids) {
-            perform(id, m_running.at(id)->execution->cancel(Clock::now()));
+            perform(id, m_running.at(id)->execution->cancel());
             finish(id, { .error = ErrorKind::OutcomeUnknown, .reason = "this instance stops" });
         }
     });
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -53,6 +53,7 @@
     void refuse(const RoutedCall&, const HttpRequest&, const Responder&, RouteOutcome);
     void perform(Id, RouteActions);
     void sendPart(Id, const RouteSend&);
+    void cancelAttempt(Id, std::uint64_t attempt);
     void finish(Id, RouteOutcome);
     void onReply(Id, std::uint64_t attempt, const Announcement& leaf, LeafReply);
     void onTimer(Id);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds stopReserve { 900 };    // of the grace time: answers that were given up, and the process's end
 constexpr milliseconds closeReserve { 1500 };  // before that, for requests that still run when closing begins
 constexpr milliseconds leaveTime { 300 };      // for gossip to hear that this instance leaves, or the leader to change
-constexpr std::size_t readyConnections = 64;  // balancers ask once a second
+constexpr std::size_t readyConnections = 64;   // balancers ask once a second
 constexpr const char* zoneAuthor = "operator";
 
 std::string randomId()
--- a/policy/LeafSelector.cpp
+++ b/policy/LeafSelector.cpp
@@ -49,16 +49,14 @@
 {
     std::optional<std::size_t> best;
     Duration bestCost {};
-    bool bestBacksOff = false;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (isDown(candidates[i]->leaf))
+            continue;
         auto cost = expected(*candidates[i], typical, now);
-        bool backsOff = isBackingOff(candidates[i]->leaf, now);
-        bool better = !best || (bestBacksOff && !backsOff) || (bestBacksOff == backsOff && cost < bestCost);
-        if (!better)
+        if (best && cost >= bestCost)
             continue;
         best = i;
         bestCost = cost;
-        bestBacksOff = backsOff;
     }
     return best;
 }
@@ -93,19 +91,62 @@
     double elapsed = inUnits(now - running->since);
     double relative = elapsed / std::max(1.0, inUnits(running->typical));
     it.running.erase(running);
-    if (end == AttemptEnd::Unreached) {
-        auto shift = std::min(it.failedConnects++, greatestShift);
-        it.retryAt = now + std::min(m_settings.greatestBackoff, m_settings.firstBackoff * (1 << shift));
+    switch (end) {
+    case AttemptEnd::Unreached:
+        ++it.failedProbes;
+        scheduleProbe(it, now);
+        return;
+    case AttemptEnd::Silent:
+        if (++it.silentInRow == m_settings.silentAttempts)
+            scheduleProbe(it, now);
+        learn(it, relative, false, now);
+        return;
+    case AttemptEnd::Abandoned:
+        return;
+    case AttemptEnd::Answered:
+        learn(it, relative, false, now);
+        break;
+    case AttemptEnd::Refused:
+    case AttemptEnd::Failed:
+    case AttemptEnd::Lost:
+        learn(it, std::max(relative, it.slowness), true, now);
+        break;
+    }
+    it.silentInRow = 0;
+    it.failedProbes = 0;
+}
+
+void LeafSelector::scheduleProbe(Observed& it, TimePoint now) const
+{
+    auto shift = std::min(it.failedProbes, greatestShift);
+    it.probeAt = now + std::min(m_settings.greatestBackoff, m_settings.firstBackoff * (1U << shift));
+}
+
+std::vector<std::string> LeafSelector::dueProbes(TimePoint now)
+{
+    std::vector<std::string> due;
+    for (auto& [leaf, it] : m_leaves) {
+        if (!isDown(it) || now < it.probeAt)
+            continue;
+        due.push_back(leaf);
+        it.probeAt = now + m_settings.greatestBackoff;
+    }
+    return due;
+}
+
+void LeafSelector::onProbe(const std::string& leaf, bool reached, TimePoint now)
+{
+    auto found = m_leaves.find(leaf);
+    if (found == m_leaves.end())
+        return;
+    auto& it = found->second;
+    if (reached) {
+        it.silentInRow = 0;
+        it.failedProbes = 0;
         return;
     }
-    if (end != AttemptEnd::Abandoned)
-        it.failedConnects = 0;
-    bool failed = end == AttemptEnd::Failed || end == AttemptEnd::Lost || end == AttemptEnd::Refused;
-    // An abandoned attempt is known to last at least this long; a short one says nothing.
-    if (end == AttemptEnd::Answered || relative > 1)
-        learn(it, relative, failed, now);
-    else if (failed)
-        learn(it, it.slowness, true, now);
+    ++it.failedProbes;
+    scheduleProbe(it, now);
 }
 
 std::uint32_t LeafSelector::inFlight(const std::string& leaf) const
@@ -114,10 +155,10 @@
     return found == m_leaves.end() ? 0 : static_cast<std::uint32_t>(found->second.running.size());
 }
 
-bool LeafSelector::isBackingOff(const std::string& leaf, TimePoint now) const
+bool LeafSelector::isDown(const std::string& leaf) const
 {
     auto found = m_leaves.find(leaf);
-    return found != m_leaves.end() && found->second.failedConnects > 0 && now < found->second.retryAt;
+    return found != m_leaves.end() && isDown(found->second);
 }
 
 } // namespace citronplank
--- a/policy/LeafSelector.h
+++ b/policy/LeafSelector.h
@@ -17,12 +17,14 @@
     Failed,    // an error of the leaf, or bytes that are no answer
     Lost,      // the connection ended before the answer
     Unreached, // no connection
-    Abandoned, // this instance stopped waiting
+    Silent,    // this instance stopped waiting, and no answer came for a while after that
+    Abandoned, // nothing is known
 };
 
 struct LeafSelectorSettings {
     milliseconds slownessHalfLife { 1500 };          // a slow leaf is tried again after a few of these
-    milliseconds firstBackoff { 100 };               // after a failed connect; doubles up to the next
+    std::uint32_t silentAttempts = 2;                // in a row, after which a leaf counts as down
+    milliseconds firstBackoff { 100 };               // between probes of a leaf that is down; doubles up to the next
     milliseconds greatestBackoff { 2000 };           // about the time a leaf takes to restart
     std::chrono::microseconds otherZoneCost { 700 }; // round trip between zones, in favour of the own zone
     double pauseFactor = 2.5;                        // a leaf that owes an answer for this many usual latencies
@@ -45,11 +47,15 @@
 
     /// An attempt starts; `attempt` is unique among those that have not ended.
     void onStart(const std::string& leaf, std::uint64_t attempt, Duration typical, TimePoint now);
-    /// It ended. Unknown attempts are ignored.
+    /// It ended. Unknown attempts are ignored. An attempt whose answer is no longer wanted has not ended yet: that the
+    /// leaf still owes it tells a pause.
     void onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd, TimePoint now);
     std::uint32_t inFlight(const std::string& leaf) const;
-    /// Whether connects to the leaf fail and it is not yet time to try again.
-    bool isBackingOff(const std::string& leaf, TimePoint now) const;
+    /// Whether the leaf could not be reached or was silent, and no probe has succeeded since.
+    bool isDown(const std::string& leaf) const;
+    /// Leaves that are down and due for a probe, which is a connect; each is named once per backoff.
+    std::vector<std::string> dueProbes(TimePoint now);
+    void onProbe(const std::string& leaf, bool reached, TimePoint now);
     void forget(const std::string& leaf) { m_leaves.erase(leaf); }
 
 private:
@@ -62,12 +68,15 @@
         double slowness = 1;    // latency relative to the usual one, smoothed
         double failureRate = 0; // smoothed
         TimePoint updatedAt;
-        std::uint32_t failedConnects = 0; // in a row
-        TimePoint retryAt;
+        std::uint32_t silentInRow = 0;
+        std::uint32_t failedProbes = 0; // connects in a row, those of requests included
+        TimePoint probeAt;
         std::vector<Running> running;
     };
     double decay(const Observed&, TimePoint now) const;
     void learn(Observed&, double slowness, bool failed, TimePoint now);
+    bool isDown(const Observed& it) const { return it.failedProbes > 0 || it.silentInRow >= m_settings.silentAttempts; }
+    void scheduleProbe(Observed&, TimePoint now) const;
 
     std::string m_ownZone;
     LeafSelectorSettings m_settings;
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -35,6 +35,8 @@
         return "failed";
     case AttemptResult::Status::Lost:
         return "lost";
+    case AttemptResult::Status::Busy:
+        return "busy";
     case AttemptResult::Status::NotSent:
         break;
     }
@@ -76,12 +78,12 @@
 RouteActions RouteExecution::start(TimePoint now)
 {
     RouteActions actions;
-    auto reachable = static_cast<std::size_t>(std::count_if(
-        m_parts.begin(), m_parts.end(), [&](const Part& it) { return m_policies.hasLeaf(it.service, now); }));
+    auto reachable = static_cast<std::size_t>(
+        std::count_if(m_parts.begin(), m_parts.end(), [&](const Part& it) { return m_policies.hasLeaf(it.service); }));
     if (reachable < leastAnswered()) {
         finish(
             { .error = ErrorKind::NoReplica, .reason = "too few services have a leaf", .retryAfter = longRetryAfter },
-            actions, now);
+            actions);
         return actions;
     }
     for (std::uint32_t i = 0; i < m_parts.size(); ++i) {
@@ -148,7 +150,7 @@
     auto partIndex = attempt.part;
     auto& part = m_parts[partIndex];
     using Status = AttemptResult::Status;
-    if (result.status != Status::NotSent)
+    if (result.status != Status::NotSent && result.status != Status::Busy)
         ++part.arrived;
     switch (result.status) {
     case Status::Answered:
@@ -176,6 +178,10 @@
             m_lastError = std::move(result.answer);
         onFailed(partIndex, result, actions, now);
         break;
+    case Status::Busy:
+        endAttempt(attempt, AttemptEnd::Abandoned, now);
+        onFailed(partIndex, result, actions, now);
+        break;
     case Status::NotSent:
         endAttempt(attempt, AttemptEnd::Unreached, now);
         onFailed(partIndex, result, actions, now);
@@ -199,7 +205,8 @@
         if (other.ended || &m_parts[other.part] != &part)
             continue;
         actions.cancels.push_back(m_firstAttempt + i);
-        endAttempt(other, AttemptEnd::Abandoned, now);
+        other.ended = true;
+        --part.running;
     }
     if (isGather()) {
         m_merge.add(result.answer.body);
@@ -215,7 +222,7 @@
     auto& part = m_parts[index];
     if (part.answered || part.running > 0)
         return;
-    bool reached = result.status != AttemptResult::Status::NotSent;
+    bool reached = result.status != AttemptResult::Status::NotSent && result.status != AttemptResult::Status::Busy;
     if (!mayRunAgain(part) || part.arrived >= greatestArrivals) {
         part.hopeless = true;
         return;
@@ -253,7 +260,7 @@
     return settle(std::move(actions), now);
 }
 
-RouteActions RouteExecution::cancel(TimePoint now)
+RouteActions RouteExecution::cancel()
 {
     RouteActions actions;
     if (m_finished)
@@ -263,7 +270,7 @@
         if (m_attempts[i].ended)
             continue;
         actions.cancels.push_back(m_firstAttempt + i);
-        endAttempt(m_attempts[i], AttemptEnd::Abandoned, now);
+        m_attempts[i].ended = true;
     }
     return actions;
 }
@@ -288,22 +295,25 @@
     bool isEnough = m_answered >= leastAnswered();
     bool canSucceed = m_answered + open >= leastAnswered();
     if (isEnough && (open == 0 || now >= m_answerBy))
-        finish(isGather() ? merged() : RouteOutcome { RouteOutcome::Kind::Forwarded, std::move(*m_forwarded) }, actions,
-            now);
+        finish(
+            isGather() ? merged() : RouteOutcome { RouteOutcome::Kind::Forwarded, std::move(*m_forwarded) }, actions);
     else if (!canSucceed || now >= m_deadline)
-        finish(failure(now), actions, now);
+        finish(failure(now), actions);
     else
         actions.nextTimer = nextTimer(now);
     return actions;
 }
 
-void RouteExecution::finish(RouteOutcome outcome, RouteActions& actions, TimePoint now)
+void RouteExecution::finish(RouteOutcome outcome, RouteActions& actions)
 {
-    auto ended = cancel(now);
+    auto ended = cancel();
     actions.cancels.insert(actions.cancels.end(), ended.cancels.begin(), ended.cancels.end());
-    std::erase_if(actions.sends, [&](const RouteSend& it) {
-        return std::find(actions.cancels.begin(), actions.cancels.end(), it.attempt) != actions.cancels.end();
-    });
+    // A send of this very call has not left yet: nothing has to be cancelled.
+    for (const auto& it : actions.sends) {
+        std::erase(actions.cancels, it.attempt);
+        m_policies.onEnd(it.leaf.leaf, it.attempt, AttemptEnd::Abandoned, m_deadline);
+    }
+    actions.sends.clear();
     m_finished = true;
     actions.finish = std::move(outcome);
     actions.nextTimer.reset();
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -23,7 +23,8 @@
         WrongLeaf, // not run: another leaf has the address
         Failed,    // the leaf answered with an error; `answer` holds it
         Lost,      // may have run: no whole answer came
-        NotSent,   // not run: no connection, or none is free
+        Busy,      // not run: all connections to the leaf are in use
+        NotSent,   // not run: the leaf cannot be reached
     };
     std::uint64_t attempt = 0;
     Status status = Status::Lost;
@@ -52,7 +53,9 @@
 
 /// What the caller of RouteExecution has to do after a call.
 struct RouteActions {
-    std::vector<std::uint64_t> cancels; // attempts whose results are no longer wanted
+    /// Attempts whose results are no longer wanted. The policies still count them as running: tell them with onEnd when
+    /// an answer comes all the same, or when none has come for a while.
+    std::vector<std::uint64_t> cancels;
     std::vector<RouteSend> sends;
     std::optional<RouteOutcome> finish; // set exactly once, unless the caller goes
     std::optional<TimePoint> nextTimer; // when to call onTimer; replaces the earlier one
@@ -85,10 +88,12 @@
     /// Hedges, retries, stops waiting or meets the deadline. May be called early or late.
     RouteActions onTimer(TimePoint now);
     /// The caller has gone: cancels all attempts; there is no finish action after it.
-    RouteActions cancel(TimePoint now);
+    RouteActions cancel();
 
     bool isFinished() const { return m_finished; }
     const Route& route() const { return *m_route; }
+    /// The leaf of an attempt. Precondition: it was sent by this request.
+    const std::string& leafOf(std::uint64_t attempt) const { return m_attempts.at(attempt - m_firstAttempt).leaf; }
     const RouteCounters& counters() const { return m_counters; }
     /// Shards without an answer, for the log.
     std::vector<std::string> missingShards() const;
@@ -129,7 +134,7 @@
     void accept(Part&, Attempt&, AttemptResult&, RouteActions&, TimePoint now);
     void onFailed(std::uint32_t part, const AttemptResult&, RouteActions&, TimePoint now);
     RouteActions settle(RouteActions, TimePoint now);
-    void finish(RouteOutcome, RouteActions&, TimePoint now);
+    void finish(RouteOutcome, RouteActions&);
     RouteOutcome merged();
     RouteOutcome failure(TimePoint now) const;
     std::optional<TimePoint> nextTimer(TimePoint now) const;
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -56,14 +56,15 @@
     std::unordered_map<std::string, std::vector<Known>> known;
     for (auto& it : leaves) {
         Known entry { std::move(it), {}, false };
+        entry.coldUntil = now + entry.announcement.warmupLeft;
         for (const auto& old : m_leaves[entry.announcement.service]) {
             if (old.announcement.leaf != entry.announcement.leaf || old.announcement.boot != entry.announcement.boot)
                 continue;
             entry.excluded = old.excluded;
-            entry.coldUntil = old.coldUntil;
+            // The time left counts from when the announcement was made, and this one is known already.
+            if (old.announcement.sequence == entry.announcement.sequence)
+                entry.coldUntil = old.coldUntil;
         }
-        if (entry.announcement.warmupLeft > milliseconds::zero())
-            entry.coldUntil = std::max(entry.coldUntil, now + entry.announcement.warmupLeft);
         known[entry.announcement.service].push_back(std::move(entry));
     }
     m_leaves = std::move(known);
@@ -121,29 +122,51 @@
     return best ? candidates[*best] : nullptr;
 }
 
-bool RoutePolicies::hasLeaf(const std::string& service, TimePoint now)
+bool RoutePolicies::hasLeaf(const std::string& service) const
 {
     auto found = m_leaves.find(service);
     return found != m_leaves.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Known& it) {
-        return isUsable(it) && !m_selector.isBackingOff(it.announcement.leaf, now);
+        return isUsable(it) && !m_selector.isDown(it.announcement.leaf);
     });
 }
 
-bool RoutePolicies::canServe(TimePoint now)
+std::vector<Announcement> RoutePolicies::dueProbes(TimePoint now)
+{
+    std::vector<Announcement> due;
+    auto names = m_selector.dueProbes(now);
+    if (names.empty())
+        return due;
+    for (const auto& [service, leaves] : m_leaves) {
+        for (const auto& it : leaves) {
+            auto found = std::find(names.begin(), names.end(), it.announcement.leaf);
+            if (found == names.end())
+                continue;
+            names.erase(found);
+            if (isUsable(it))
+                due.push_back(it.announcement);
+        }
+    }
+    // Leaves that are no longer announced.
+    for (const auto& it : names)
+        m_selector.forget(it);
+    return due;
+}
+
+bool RoutePolicies::canServe() const
 {
     const auto& routes = m_table->configuration().routes;
     std::unordered_map<std::string_view, bool> known; // services
     auto has = [&](const std::string& service) {
         auto [it, isNew] = known.try_emplace(service, false);
         if (isNew)
-            it->second = hasLeaf(service, now);
+            it->second = hasLeaf(service);
         return it->second;
     };
     std::size_t served = 0;
     for (const auto& route : routes) {
         auto n = std::count_if(route.shards.begin(), route.shards.end(), has);
-        bool isCovered = n > 0
-            && static_cast<double>(n) >= route.minimumCoverage * static_cast<double>(route.shards.size());
+        bool isCovered
+            = n > 0 && static_cast<double>(n) >= route.minimumCoverage * static_cast<double>(route.shards.size());
         bool hasTarget = std::any_of(
             route.targets.begin(), route.targets.end(), [&](const WeightedService& it) { return has(it.service); });
         served += isCovered || hasTarget ? 1 : 0;
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -41,9 +41,9 @@
     const Announcement* pick(
         const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now);
     /// Whether the service has a leaf that may be sent to at all.
-    bool hasLeaf(const std::string& service, TimePoint now);
+    bool hasLeaf(const std::string& service) const;
     /// Whether more than half of the routes have leaves enough for an answer.
-    bool canServe(TimePoint now);
+    bool canServe() const;
     /// The target of a forwarded request, in proportion to the weights.
     const std::string& target(const Route&);
 
@@ -63,6 +63,9 @@
     {
         m_selector.onEnd(leaf, attempt, end, now);
     }
+    /// Leaves in use that are down and due for a probe.
+    std::vector<Announcement> dueProbes(TimePoint now);
+    void onProbe(const std::string& leaf, bool reached, TimePoint now) { m_selector.onProbe(leaf, reached, now); }
     const LeafSelector& selector() const { return m_selector; }
     /// Number of instances that send to leaves.
     std::size_t senders() const { return m_bounds.instances; }
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -137,3 +137,16 @@
     CHECK(counts["new"] == 25);
     CHECK(counts["none"] == 0);
 }
+
+TEST_CASE("the cold start of a leaf ends although the directory changes meanwhile")
+{
+    RoutePolicies policies("front-1", "atl");
+    policies.setSenders({ "another" });
+    auto cold = leafOf("a", "list");
+    cold.warmupLeft = milliseconds(3000);
+    policies.setLeaves({ cold }, start);
+    CHECK_FALSE(policies.pick("list", {}, typical, start));
+    for (int i = 1; i <= 10; ++i)
+        policies.setLeaves({ cold, leafOf("other" + std::to_string(i), "other") }, start + milliseconds(300 * i));
+    CHECK(policies.pick("list", {}, typical, start + milliseconds(3000)));
+}
