Take readiness from the routes that callers use

Cause: in a zone that is cut off an entry reaches too few shards, refused its callers for over 2 s and stayed ready, because most of the configured routes are idle ones that it could serve; a restarted entry there became ready at once. Ruled out: the time until leaves count as down, about 1 s after the cut. Test: RoutePoliciesTests, an entry whose callers cannot be served; seen failing.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -134,6 +134,7 @@
         refuse(call, request, responder, { .error = ErrorKind::UnknownService, .reason = "no route matches" });
         return;
     }
+    m_policies.onRequest(*route);
     auto deadline = arrivedAt + std::min(route->timeout, call.remaining.value_or(route->timeout));
     auto id = ++m_lastId;
     auto execution = std::make_unique<RouteExecution>(
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -20,6 +20,8 @@
 constexpr double greatestHedgeShareOfObjective = 0.35; // a later second part comes back after the objective
 constexpr milliseconds typicalWithoutObjective { 50 }; // before latencies are known
 constexpr milliseconds smallestHedgeDelay { 3 };       // two round trips between zones
+constexpr double fewRequests = 5;                      // say nothing about what callers want
+constexpr double useDecay = 0.96;                      // at each check; halves the counts in 17 checks
 constexpr std::size_t greatestTracked = 4096;          // routes whose latencies are kept
 
 } // namespace
@@ -152,26 +154,47 @@
     return due;
 }
 
-bool RoutePolicies::canServe() const
+bool RoutePolicies::isServable(const Route& route) const
 {
+    auto has = [&](const std::string& service) { return hasLeaf(service); };
+    if (!route.shards.empty()) {
+        auto n = std::count_if(route.shards.begin(), route.shards.end(), has);
+        return n > 0 && static_cast<double>(n) >= route.minimumCoverage * static_cast<double>(route.shards.size());
+    }
+    return std::any_of(
+        route.targets.begin(), route.targets.end(), [&](const WeightedService& it) { return has(it.service); });
+}
+
+bool RoutePolicies::canServe()
+{
+    double asked = 0;
+    double servable = 0;
     const auto& routes = m_table->configuration().routes;
-    std::unordered_map<std::string_view, bool> known; // services
-    auto has = [&](const std::string& service) {
-        auto [it, isNew] = known.try_emplace(service, false);
-        if (isNew)
-            it->second = hasLeaf(service);
-        return it->second;
-    };
-    std::size_t served = 0;
     for (const auto& route : routes) {
-        auto n = std::count_if(route.shards.begin(), route.shards.end(), has);
-        bool isCovered
-            = n > 0 && static_cast<double>(n) >= route.minimumCoverage * static_cast<double>(route.shards.size());
-        bool hasTarget = std::any_of(
-            route.targets.begin(), route.targets.end(), [&](const WeightedService& it) { return has(it.service); });
-        served += isCovered || hasTarget ? 1 : 0;
+        auto use = m_use.find(route.name);
+        if (use == m_use.end())
+            continue;
+        asked += use->second;
+        servable += isServable(route) ? use->second : 0;
+    }
+    if (asked >= fewRequests) {
+        // While an instance is not ready hardly any requests come, and the counts must not age away.
+        if (asked * useDecay >= fewRequests) {
+            for (auto& [name, use] : m_use)
+                use *= useDecay;
+        }
+        return 2 * servable >= asked;
+    }
+    // Nothing is known of what callers want. Many routes share their services, so each set of services counts once.
+    std::map<std::vector<std::string>, bool> sets;
+    for (const auto& route : routes) {
+        auto services = route.shards;
+        for (const auto& it : route.targets)
+            services.push_back(it.service);
+        sets.emplace(std::move(services), isServable(route));
     }
-    return !routes.empty() && 2 * served > routes.size();
+    auto n = std::count_if(sets.begin(), sets.end(), [](const auto& it) { return it.second; });
+    return n > 0 && 2 * static_cast<std::size_t>(n) > sets.size();
 }
 
 const std::string& RoutePolicies::target(const Route& route)
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -42,8 +42,11 @@
         const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now);
     /// Whether the service has a leaf that may be sent to at all.
     bool hasLeaf(const std::string& service) const;
-    /// Whether more than half of the routes have leaves enough for an answer.
-    bool canServe() const;
+    /// Counts a request of the route, for canServe.
+    void onRequest(const Route& route) { m_use[route.name] += 1; }
+    /// Whether at least half of the requests of the last seconds could be answered with the leaves that are up now; of
+    /// the sets of services that routes name, while there were hardly any requests. Call it at a fixed interval: each call ages the counts.
+    bool canServe();
     /// The target of a forwarded request, in proportion to the weights.
     const std::string& target(const Route&);
 
@@ -76,6 +79,7 @@
         TimePoint coldUntil;
         bool excluded = false;
     };
+    bool isServable(const Route&) const;
     bool isUsable(const Known&) const;
     bool mayWarmUp(const Known&, TimePoint now);
     PercentBudget& budgetOf(const std::string& service);
@@ -92,6 +96,7 @@
     std::unordered_map<std::string, LatencyDigest> m_latencies;   // by name of the route
     std::unordered_map<std::string, std::vector<double>>
         m_shares; // by name of the route: sent beyond the weights' part
+    std::unordered_map<std::string, double> m_use; // recent requests by name of the route
     ColdStartGate m_coldGate;
 };
 
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -150,3 +150,36 @@
         policies.setLeaves({ cold, leafOf("other" + std::to_string(i), "other") }, start + milliseconds(300 * i));
     CHECK(policies.pick("list", {}, typical, start + milliseconds(3000)));
 }
+
+TEST_CASE("an entry whose callers cannot be served is not ready, however many idle routes it could serve")
+{
+    RoutePolicies policies("front-1", "atl");
+    ServingConfiguration configuration;
+    configuration.version = 1;
+    for (int i = 0; i < 10; ++i) {
+        Route idle;
+        idle.name = "idle" + std::to_string(i);
+        idle.targets = { { "ledger", 1 } };
+        configuration.routes.push_back(idle);
+    }
+    Route gather;
+    gather.name = "list";
+    gather.shards = { "s1", "s2", "s3", "s4" };
+    gather.minimumCoverage = 0.75;
+    configuration.routes.push_back(gather);
+    policies.setTable(std::make_shared<const RouteTable>(configuration));
+    policies.setLeaves(
+        { leafOf("l", "ledger"), leafOf("a", "s1"), leafOf("b", "s2"), leafOf("c", "s3"), leafOf("d", "s4", "sav") }, start);
+    CHECK(policies.canServe());
+    for (int i = 0; i < 50; ++i)
+        policies.onRequest(gather);
+    CHECK(policies.canServe());
+    // Two of four shards are cut off.
+    policies.setLeaves({ leafOf("l", "ledger"), leafOf("a", "s1"), leafOf("b", "s2") }, start);
+    CHECK_FALSE(policies.canServe());
+    for (int i = 0; i < 1000; ++i)
+        policies.canServe();
+    CHECK_FALSE(policies.canServe());
+    policies.setLeaves({ leafOf("l", "ledger"), leafOf("a", "s1"), leafOf("b", "s2"), leafOf("c", "s3") }, start);
+    CHECK(policies.canServe());
+}
