Gather the parts of another zone through an entry there

Now an entry asks a peer in the other zone for all of these parts; the peer sends each once to a leaf of its zone and answers with the greatest records of all. Hedges and retries stay with the entry: a part that is late in the batch is asked for directly, and a batch that does not come in time is not used, because its records could count twice. Ruled out: cutting each part to the greatest records on the way, which saves a fifth only.

--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -201,7 +201,7 @@
     return address;
 }
 
-bool Node::sendTo(const std::string& name, MessageKind kind, std::string body, std::uint64_t correlation)
+bool Node::sendTo(const std::string& name, MessageKind kind, std::string body, std::uint64_t correlation, Lane lane)
 {
     Envelope envelope;
     envelope.kind = static_cast<std::uint16_t>(kind);
@@ -215,7 +215,7 @@
         return true;
     }
     auto address = addressOf(name);
-    return !address.empty() && m_links->send(address, Lane::Control, std::move(envelope));
+    return !address.empty() && m_links->send(address, lane, std::move(envelope));
 }
 
 bool Node::offerProposal(const std::string& member, const Propose& proposal)
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -44,7 +44,8 @@
 
     // Messages. Thread safe.
     std::string addressOf(const std::string& name) const;
-    bool sendTo(const std::string& name, MessageKind, std::string body, std::uint64_t correlation = 0);
+    bool sendTo(const std::string& name, MessageKind, std::string body, std::uint64_t correlation = 0,
+        Lane lane = Lane::Control);
     /// Sends a notice to the peers without waiting for gossip, which carries it as well.
     void tellPeers(MessageKind kind, const std::string& body);
     /// Runs `task` on the workers every `interval`, never twice at once.
--- a/daemon/PartMessages.h
+++ b/daemon/PartMessages.h
@@ -25,6 +25,9 @@
     Suspicion = 11,
     DirectoryItems = 12,
     DirectoryAck = 13,
+    RelayRequest = 14,
+    RelayAnswer = 15,
+    RelayCancel = 16,
 };
 
 /// Asks a peer for rules and views newer than `sinceVersion`.
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -33,6 +33,19 @@
     return "error";
 }
 
+/// Differs between runs of the process, so that an answer to a request of an earlier run finds none of this one.
+std::uint64_t firstId()
+{
+    constexpr std::uint64_t mask = (1ULL << 24U) - 1;
+    constexpr unsigned room = 16; // for the requests of a millisecond
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    auto ms = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+    return (ms & mask) << room;
+}
+
+constexpr unsigned relayBits = 8; // of the correlation of a relay message: number of the relay within its request
+constexpr std::uint64_t relayMask = (1ULL << relayBits) - 1;
+
 std::string joined(const std::vector<std::string>& names)
 {
     std::string text;
@@ -44,12 +57,14 @@
 } // namespace
 
 RouteService::RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-    const RouteProtocol& protocol, const SharedBounds& bounds, Counters& counters)
+    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters)
     : m_strand(asio::make_strand(io))
     , m_protocol(protocol)
     , m_counters(counters)
     , m_policies(instance, zone)
     , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
+    , m_sender(std::move(sender))
+    , m_lastId(firstId())
     , m_checkTimer(m_strand)
 {
     m_policies.setBounds(bounds);
@@ -100,6 +115,11 @@
     asio::post(m_strand, [this, names = std::move(names)]() mutable { m_policies.setSenders(std::move(names)); });
 }
 
+void RouteService::setPeers(std::map<std::string, std::vector<std::string>> peers)
+{
+    asio::post(m_strand, [this, peers = std::move(peers)]() mutable { m_policies.setPeers(std::move(peers)); });
+}
+
 void RouteService::onRequest(HttpRequest request, Responder responder)
 {
     ++m_runningCount;
@@ -152,9 +172,13 @@
 void RouteService::perform(Id id, RouteActions actions)
 {
     for (auto attempt : actions.cancels)
-        cancelAttempt(id, attempt);
+        cancelAttempt(m_running.at(id)->execution->leafOf(attempt), attempt);
+    for (const auto& [peer, relay] : actions.relayCancels)
+        m_sender(peer, MessageKind::RelayCancel, {}, (id << relayBits) | relay);
     for (const auto& it : actions.sends)
         sendPart(id, it);
+    for (const auto& it : actions.relays)
+        sendRelay(id, it);
     if (actions.finish) {
         finish(id, std::move(*actions.finish));
         return;
@@ -175,9 +199,8 @@
 }
 
 /// The leaf still owes an answer that nobody waits for; what it does with it tells whether it can be used.
-void RouteService::cancelAttempt(Id id, std::uint64_t attempt)
+void RouteService::cancelAttempt(const std::string& leaf, std::uint64_t attempt)
 {
-    const auto& leaf = m_running.at(id)->execution->leafOf(attempt);
     m_upstream->cancel(attempt, cancelGrace, [this, leaf, attempt](UpstreamClient::Late late) {
         auto end = late == UpstreamClient::Late::Answered ? AttemptEnd::Answered
             : late == UpstreamClient::Late::Silent        ? AttemptEnd::Silent
@@ -189,16 +212,11 @@
     });
 }
 
-void RouteService::sendPart(Id id, const RouteSend& send)
+void RouteService::sendToLeaf(const RouteSend& send, const HttpRequest& request, UpstreamClient::Callback callback)
 {
-    auto& running = *m_running.at(id);
-    m_counters.counter(send.isExtra ? "leaf_requests_extra_total" : "leaf_requests_first_total").add();
-    auto callback = [this, id, attempt = send.attempt, leaf = send.leaf](
-                        LeafReply reply) { onReply(id, attempt, leaf, std::move(reply)); };
     try {
         m_upstream->send(send.attempt, send.leaf, send.connectionLimit,
-            m_protocol.renderRequest(running.request, send.leaf, send.remaining), running.request.method == "HEAD",
-            callback);
+            m_protocol.renderRequest(request, send.leaf, send.remaining), request.method == "HEAD", callback);
     } catch (const Error& error) {
         log(LogLevel::Warning, "leaf", "leaf=" + send.leaf.leaf + " cannot be sent to: " + error.what());
         asio::post(m_strand, [callback] {
@@ -209,6 +227,107 @@
     }
 }
 
+void RouteService::sendPart(Id id, const RouteSend& send)
+{
+    m_counters.counter(send.isExtra ? "leaf_requests_extra_total" : "leaf_requests_first_total").add();
+    sendToLeaf(send, m_running.at(id)->request, [this, id, attempt = send.attempt, leaf = send.leaf](LeafReply reply) {
+        onReply(id, attempt, leaf, std::move(reply));
+    });
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Relays
+
+void RouteService::sendRelay(Id id, const RelaySend& send)
+{
+    const auto& request = m_running.at(id)->request;
+    m_counters.counter("relays_sent_total").add();
+    RelayedCall call { send.request, request.method, request.target, request.headers, request.body };
+    if (m_sender(send.peer, MessageKind::RelayRequest, encode(call), (id << relayBits) | send.relay))
+        return;
+    asio::post(m_strand, [this, id, relay = send.relay] {
+        if (auto found = m_running.find(id); found != m_running.end())
+            perform(id, found->second->execution->onRelayFailed(relay, Clock::now()));
+    });
+}
+
+void RouteService::onRelayMessage(
+    const std::string& sender, MessageKind kind, std::string_view body, std::uint64_t correlation)
+{
+    if (kind == MessageKind::RelayRequest) {
+        asio::post(m_strand, [this, sender, correlation, call = decodeRelayedCall(body)]() mutable {
+            beginRelayed(sender, correlation, std::move(call));
+        });
+    } else if (kind == MessageKind::RelayCancel) {
+        asio::post(m_strand, [this, sender, correlation] { cancelRelayed(sender, correlation); });
+    } else {
+        asio::post(m_strand, [this, correlation, answer = decodeRelayAnswer(body)] {
+            auto id = correlation >> relayBits;
+            auto relay = static_cast<std::uint32_t>(correlation & relayMask);
+            if (auto found = m_running.find(id); found != m_running.end())
+                perform(id, found->second->execution->onRelayAnswer(relay, answer, Clock::now()));
+        });
+    }
+}
+
+void RouteService::beginRelayed(const std::string& entry, std::uint64_t correlation, RelayedCall call)
+{
+    auto id = ++m_lastId;
+    m_counters.counter("relays_served_total").add();
+    HttpRequest request { std::move(call.method), std::move(call.target), std::move(call.headers),
+        std::move(call.body) };
+    auto routed = m_protocol.readCall(request);
+    auto gather
+        = std::make_unique<RelayedGather>(std::move(call.relay), id * RouteExecution::attemptsPerRequest, m_policies);
+    auto actions = gather->start(Clock::now());
+    m_relayedIds[{ entry, correlation }] = id;
+    m_relayed.emplace(id,
+        std::make_unique<Relayed>(Relayed { entry, correlation, std::move(routed), std::move(request),
+            std::move(gather), LeafConnection::Timer(m_strand) }));
+    performRelayed(id, std::move(actions));
+}
+
+void RouteService::cancelRelayed(const std::string& entry, std::uint64_t correlation)
+{
+    auto found = m_relayedIds.find({ entry, correlation });
+    if (found != m_relayedIds.end())
+        performRelayed(found->second, m_relayed.at(found->second)->gather->cancel());
+}
+
+void RouteService::performRelayed(Id id, RelayActions actions)
+{
+    auto& relayed = *m_relayed.at(id);
+    for (auto attempt : actions.cancels)
+        cancelAttempt(relayed.gather->leafOf(attempt), attempt);
+    for (const auto& it : actions.answers)
+        m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation);
+    for (const auto& it : actions.sends) {
+        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt](LeafReply reply) {
+            auto found = m_relayed.find(id);
+            if (found == m_relayed.end())
+                return;
+            auto result = m_protocol.readReply(std::move(reply), found->second->call);
+            result.attempt = attempt;
+            performRelayed(id, found->second->gather->onResult(std::move(result), Clock::now()));
+        });
+    }
+    if (actions.finished) {
+        m_relayedIds.erase({ relayed.entry, relayed.correlation });
+        m_relayed.erase(id);
+        return;
+    }
+    if (!actions.nextTimer)
+        return;
+    relayed.timer.expires_at(*actions.nextTimer);
+    relayed.timer.async_wait([this, id](const std::error_code& ec) {
+        auto found = m_relayed.find(id);
+        if (!ec && found != m_relayed.end())
+            performRelayed(id, found->second->gather->onTimer(Clock::now()));
+    });
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+
 void RouteService::onReply(Id id, std::uint64_t attempt, const Announcement& leaf, LeafReply reply)
 {
     auto found = m_running.find(id);
@@ -312,6 +431,7 @@
     asio::post(m_strand, [this] {
         m_checkTimer.cancel();
         m_running.clear();
+        m_relayed.clear();
         m_upstream->closeAll();
     });
 }
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -3,18 +3,24 @@
 
 #include "backend/UpstreamClient.h"
 #include "daemon/Counters.h"
+#include "daemon/PartMessages.h"
 #include "daemon/RouteProtocol.h"
+#include "query/RelayedGather.h"
 
 #include <atomic>
 
 namespace citronplank {
 
+/// Sends a message to another instance; false: it was not sent and never will be. Thread safe.
+using RelaySender
+    = std::function<bool(const std::string& peer, MessageKind, std::string body, std::uint64_t correlation)>;
+
 /// Every public method is thread safe; all state is changed on one strand.
 class RouteService {
 public:
     /// Precondition: `io`, `protocol` and `counters` outlive this object.
     RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-        const RouteProtocol& protocol, const SharedBounds& bounds, Counters& counters);
+        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters);
     ~RouteService();
     RouteService(const RouteService&) = delete;
     RouteService& operator=(const RouteService&) = delete;
@@ -26,6 +32,10 @@
     void setZonesOut(std::set<std::string, std::less<>> zones);
     void setLeaves(std::vector<Announcement> leaves);
     void setSenders(std::vector<std::string> names);
+    /// Entries in other zones, by zone.
+    void setPeers(std::map<std::string, std::vector<std::string>> peers);
+    /// A relay message of another instance arrived. Throws Error(BadRequest) if it is malformed.
+    void onRelayMessage(const std::string& sender, MessageKind, std::string_view body, std::uint64_t correlation);
 
     /// Whether most of the configured routes have the leaves that an answer needs, as of the last few milliseconds.
     bool canServe() const { return m_canServe; }
@@ -46,14 +56,28 @@
         std::unique_ptr<RouteExecution> execution;
         LeafConnection::Timer timer;
     };
+    /// A relay that this instance runs for another one.
+    struct Relayed {
+        std::string entry;
+        std::uint64_t correlation = 0;
+        RoutedCall call;
+        HttpRequest request;
+        std::unique_ptr<RelayedGather> gather;
+        LeafConnection::Timer timer;
+    };
     using Id = std::uint64_t;
 
     void checkRoutes();
     void begin(HttpRequest, Responder, TimePoint arrivedAt);
     void refuse(const RoutedCall&, const HttpRequest&, const Responder&, RouteOutcome);
     void perform(Id, RouteActions);
+    void sendRelay(Id, const RelaySend&);
+    void beginRelayed(const std::string& entry, std::uint64_t correlation, RelayedCall);
+    void cancelRelayed(const std::string& entry, std::uint64_t correlation);
+    void performRelayed(Id, RelayActions);
+    void sendToLeaf(const RouteSend&, const HttpRequest&, UpstreamClient::Callback);
     void sendPart(Id, const RouteSend&);
-    void cancelAttempt(Id, std::uint64_t attempt);
+    void cancelAttempt(const std::string& leaf, std::uint64_t attempt);
     void finish(Id, RouteOutcome);
     void onReply(Id, std::uint64_t attempt, const Announcement& leaf, LeafReply);
     void onTimer(Id);
@@ -66,9 +90,12 @@
     Counters& m_counters;
     RoutePolicies m_policies;
     std::shared_ptr<UpstreamClient> m_upstream;
+    RelaySender m_sender;
     std::unordered_map<Id, std::unique_ptr<Running>> m_running;
+    std::unordered_map<Id, std::unique_ptr<Relayed>> m_relayed;
+    std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry and correlation
     std::atomic<std::size_t> m_runningCount { 0 };
-    Id m_lastId = 0;
+    Id m_lastId;
     std::atomic<bool> m_canServe { false };
     LeafConnection::Timer m_checkTimer;
 };
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -48,7 +48,11 @@
     });
     if (!m_routed.callerAddress.empty()) {
         m_routes = std::make_unique<RouteService>(
-            m_io, m_settings.name, m_settings.zone, m_protocol, m_routed.bounds, m_counters);
+            m_io, m_settings.name, m_settings.zone, m_protocol, m_routed.bounds,
+            [this](const std::string& peer, MessageKind kind, std::string body, std::uint64_t correlation) {
+                return sendTo(peer, kind, std::move(body), correlation, Lane::Part);
+            },
+            m_counters);
         HttpServerSettings callers;
         callers.address = m_routed.callerAddress;
         m_callerServer = std::make_unique<HttpServer>(m_io, callers, [this](HttpRequest request, Responder responder) {
@@ -149,12 +153,17 @@
     if (!m_routes)
         return;
     std::vector<std::string> senders { m_settings.name };
+    std::map<std::string, std::vector<std::string>> peers;
     for (const auto& it : m_membership->livePeers()) {
-        if (!it.controlMember)
-            senders.push_back(it.name);
+        if (it.controlMember)
+            continue;
+        senders.push_back(it.name);
+        if (it.zone != m_settings.zone)
+            peers[it.zone].push_back(it.name);
     }
     log(LogLevel::Info, "members", "senders=" + std::to_string(senders.size()));
     m_routes->setSenders(std::move(senders));
+    m_routes->setPeers(std::move(peers));
 }
 
 void RoutedDaemon::onDirectory() { m_leavesChanged = true; }
@@ -238,6 +247,13 @@
         asio::post(m_broadcastStrand,
             [this, sender = envelope.sender, number = envelope.correlation] { m_broadcast.onAck(sender, number); });
         return;
+    case MessageKind::RelayRequest:
+    case MessageKind::RelayAnswer:
+    case MessageKind::RelayCancel:
+        if (m_routes)
+            m_routes->onRelayMessage(
+                envelope.sender, static_cast<MessageKind>(envelope.kind), envelope.body, envelope.correlation);
+        return;
     default:
         Node::onMessage(envelope);
     }
--- /dev/null
+++ b/query/RelayedGather.cpp
@@ -0,0 +1,109 @@
+#include "query/RelayedGather.h"
+
+#include <utility>
+
+namespace citronplank {
+
+RelayedGather::RelayedGather(RelayRequest request, std::uint64_t firstAttempt, RoutePolicies& policies)
+    : m_request(std::move(request))
+    , m_firstAttempt(firstAttempt)
+    , m_policies(policies)
+    , m_merge(m_request.topRecords)
+{
+    m_route.name = m_request.routeName;
+    m_route.objective = m_request.objective;
+    m_batch.isBatch = true;
+}
+
+RelayActions RelayedGather::start(TimePoint now)
+{
+    RelayActions actions;
+    m_batchAt = now + m_request.batchAfter;
+    m_deadline = now + m_request.remaining;
+    auto typical = m_policies.typical(m_route);
+    for (std::uint32_t i = 0; i < m_request.services.size(); ++i) {
+        const auto& service = m_request.services[i];
+        const auto* leaf = m_policies.pickInOwnZone(service, typical, now);
+        if (!leaf) {
+            m_batch.failed.push_back({ i, false });
+            continue;
+        }
+        auto number = m_firstAttempt + m_attempts.size();
+        m_attempts.push_back({ i, leaf->leaf, now });
+        m_policies.onStart(*leaf, number, typical, now);
+        actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(service), m_request.remaining, false });
+        ++m_running;
+    }
+    return settle(std::move(actions), now);
+}
+
+RelayActions RelayedGather::onResult(AttemptResult result, TimePoint now)
+{
+    RelayActions actions;
+    auto index = result.attempt - m_firstAttempt;
+    if (index >= m_attempts.size() || m_attempts[index].ended)
+        return actions;
+    auto& attempt = m_attempts[index];
+    attempt.ended = true;
+    --m_running;
+    bool isAnswered = result.status == AttemptResult::Status::Answered;
+    m_policies.onEnd(attempt.leaf, result.attempt, attemptEndOf(result.status), now);
+    if (isAnswered)
+        m_policies.onLatency(m_route, now - attempt.sentAt);
+    RelayAnswer::Failed failed { attempt.service, mayHaveRun(result.status) };
+    if (!m_batchSent) {
+        if (isAnswered) {
+            m_merge.add(result.answer.body);
+            m_batch.answered.push_back({ attempt.service, std::move(result.answer.proof) });
+        } else {
+            m_batch.failed.push_back(failed);
+        }
+    } else if (isAnswered) {
+        TopRecords merge(m_request.topRecords);
+        merge.add(result.answer.body);
+        actions.answers.push_back({ false, { { attempt.service, std::move(result.answer.proof) } }, merge.take(), {} });
+    } else {
+        actions.answers.push_back({ false, {}, {}, { failed } });
+    }
+    return settle(std::move(actions), now);
+}
+
+RelayActions RelayedGather::onTimer(TimePoint now)
+{
+    RelayActions actions;
+    if (now >= m_deadline)
+        return cancel();
+    return settle(std::move(actions), now);
+}
+
+RelayActions RelayedGather::cancel()
+{
+    RelayActions actions;
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        if (std::exchange(m_attempts[i].ended, true))
+            continue;
+        actions.cancels.push_back(m_firstAttempt + i);
+    }
+    m_running = 0;
+    actions.finished = true;
+    return actions;
+}
+
+RelayActions RelayedGather::settle(RelayActions actions, TimePoint now)
+{
+    if (!m_batchSent && (m_running == 0 || now >= m_batchAt))
+        emitBatch(actions);
+    actions.finished = m_running == 0;
+    if (!actions.finished)
+        actions.nextTimer = m_batchSent ? m_deadline : std::min(m_batchAt, m_deadline);
+    return actions;
+}
+
+void RelayedGather::emitBatch(RelayActions& actions)
+{
+    m_batchSent = true;
+    m_batch.records = m_merge.take();
+    actions.answers.insert(actions.answers.begin(), std::move(m_batch));
+}
+
+} // namespace citronplank
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace citronplank {
 
@@ -16,9 +17,9 @@
 constexpr std::uint32_t greatestArrivals = 4;   // of one part at leaves, refusals included
 constexpr milliseconds smallestRemaining { 1 }; // a leaf is not asked with less
 constexpr milliseconds answerTime { 5 };        // before the deadline, so that the answer arrives in time
+constexpr milliseconds relayTime { 12 };        // of two messages between busy instances, beyond a leaf's time
 constexpr milliseconds shortRetryAfter { 200 }; // a burst or a full leaf passes in about this time
 constexpr milliseconds longRetryAfter { 1000 }; // leaves that are gone come back after seconds
-constexpr double greatestConnectionShare = 0.9; // of a leaf's connections; the rest covers changes of membership
 
 } // namespace
 
@@ -43,6 +44,37 @@
     return "not_sent";
 }
 
+AttemptEnd attemptEndOf(AttemptResult::Status status)
+{
+    switch (status) {
+    case AttemptResult::Status::Answered:
+        return AttemptEnd::Answered;
+    case AttemptResult::Status::Refused:
+        return AttemptEnd::Refused;
+    case AttemptResult::Status::Failed:
+        return AttemptEnd::Failed;
+    case AttemptResult::Status::Lost:
+        return AttemptEnd::Lost;
+    case AttemptResult::Status::NotSent:
+        return AttemptEnd::Unreached;
+    case AttemptResult::Status::WrongLeaf:
+    case AttemptResult::Status::Busy:
+        break;
+    }
+    return AttemptEnd::Abandoned;
+}
+
+bool mayHaveRun(AttemptResult::Status status)
+{
+    using Status = AttemptResult::Status;
+    return status == Status::Answered || status == Status::Failed || status == Status::Lost;
+}
+
+bool hasArrived(AttemptResult::Status status)
+{
+    return status != AttemptResult::Status::NotSent && status != AttemptResult::Status::Busy;
+}
+
 RouteExecution::RouteExecution(std::shared_ptr<const Route> route, std::shared_ptr<const RouteTable> table,
     TimePoint arrival, TimePoint deadline, std::uint64_t firstAttempt, RoutePolicies& policies)
     : m_route(std::move(route))
@@ -86,9 +118,12 @@
             actions);
         return actions;
     }
+    for (const auto& it : m_parts)
+        m_policies.onFirst(it.service);
+    if (isGather())
+        sendRelays(actions, now);
     for (std::uint32_t i = 0; i < m_parts.size(); ++i) {
-        m_policies.onFirst(m_parts[i].service);
-        if (!trySend(i, false, actions, now))
+        if (!m_parts[i].relay && !trySend(i, false, actions, now))
             scheduleResend(m_parts[i], now);
     }
     return settle(std::move(actions), now);
@@ -108,7 +143,6 @@
     if (isExtra && !m_policies.takeExtra(part.service))
         return false;
     auto number = m_firstAttempt + m_attempts.size();
-    auto connections = m_table->limitsOf(part.service).connections;
     m_attempts.push_back({ index, leaf->leaf, *leaf, now });
     m_policies.onStart(*leaf, number, typical, now);
     part.tried.push_back(leaf->leaf);
@@ -116,9 +150,7 @@
     part.resendAt.reset();
     part.hedgeAt = now + m_policies.hedgeDelay(*m_route);
     ++m_counters.sends;
-    auto limit = static_cast<std::uint32_t>(
-        greatestConnectionShare * connections / static_cast<double>(std::max<std::size_t>(1, m_policies.senders())));
-    actions.sends.push_back({ number, *leaf, std::max(1U, limit), remaining, isExtra });
+    actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(part.service), remaining, isExtra });
     return true;
 }
 
@@ -150,55 +182,45 @@
     auto partIndex = attempt.part;
     auto& part = m_parts[partIndex];
     using Status = AttemptResult::Status;
-    if (result.status != Status::NotSent && result.status != Status::Busy)
-        ++part.arrived;
-    switch (result.status) {
-    case Status::Answered:
-        ++part.ran;
-        endAttempt(attempt, AttemptEnd::Answered, now);
-        accept(part, attempt, result, actions, now);
-        break;
-    case Status::Refused:
-        ++m_counters.refusals;
-        endAttempt(attempt, AttemptEnd::Refused, now);
-        onFailed(partIndex, result, actions, now);
-        break;
-    case Status::WrongLeaf:
+    part.arrived += hasArrived(result.status) ? 1 : 0;
+    part.ran += mayHaveRun(result.status) ? 1 : 0;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun(result.status);
+    m_counters.refusals += result.status == Status::Refused ? 1 : 0;
+    if (result.status == Status::WrongLeaf)
         m_policies.exclude(attempt.announcement);
-        endAttempt(attempt, AttemptEnd::Abandoned, now);
-        onFailed(partIndex, result, actions, now);
-        break;
-    case Status::Failed:
-    case Status::Lost:
-        ++part.ran;
-        m_mayHaveRun = true;
-        ++m_counters.failures;
-        endAttempt(attempt, result.status == Status::Failed ? AttemptEnd::Failed : AttemptEnd::Lost, now);
-        if (result.status == Status::Failed)
-            m_lastError = std::move(result.answer);
-        onFailed(partIndex, result, actions, now);
-        break;
-    case Status::Busy:
-        endAttempt(attempt, AttemptEnd::Abandoned, now);
-        onFailed(partIndex, result, actions, now);
-        break;
-    case Status::NotSent:
-        endAttempt(attempt, AttemptEnd::Unreached, now);
-        onFailed(partIndex, result, actions, now);
-        break;
+    endAttempt(attempt, attemptEndOf(result.status), now);
+    if (result.status == Status::Answered) {
+        accept(part, attempt, result, actions, now);
+        return settle(std::move(actions), now);
     }
+    m_counters.failures += mayHaveRun(result.status) ? 1 : 0;
+    if (result.status == Status::Failed)
+        m_lastError = std::move(result.answer);
+    onFailed(partIndex, actions, now);
     return settle(std::move(actions), now);
 }
 
 void RouteExecution::accept(Part& part, Attempt& attempt, AttemptResult& result, RouteActions& actions, TimePoint now)
 {
-    m_mayHaveRun = true;
     m_policies.onLatency(*m_route, now - attempt.sentAt);
     if (part.answered)
         return;
+    answerPart(part, actions);
+    if (isGather()) {
+        m_merge.add(result.answer.body);
+        m_proofs.push_back(std::move(result.answer.proof));
+    } else {
+        m_forwarded = std::move(result.answer);
+    }
+}
+
+/// Marks a part as answered and cancels its other attempts.
+void RouteExecution::answerPart(Part& part, RouteActions& actions)
+{
     part.answered = true;
     part.hedgeAt.reset();
     part.resendAt.reset();
+    part.relay.reset();
     ++m_answered;
     for (std::size_t i = 0; i < m_attempts.size() && part.running > 0; ++i) {
         auto& other = m_attempts[i];
@@ -206,34 +228,144 @@
             continue;
         actions.cancels.push_back(m_firstAttempt + i);
         other.ended = true;
-        --part.running;
-    }
-    if (isGather()) {
-        m_merge.add(result.answer.body);
-        m_proofs.push_back(std::move(result.answer.proof));
-    } else {
-        m_forwarded = std::move(result.answer);
     }
+    part.running = 0;
 }
 
 /// Goes on with a part whose attempt brought no answer.
-void RouteExecution::onFailed(std::uint32_t index, const AttemptResult& result, RouteActions& actions, TimePoint now)
+void RouteExecution::onFailed(std::uint32_t index, RouteActions& actions, TimePoint now)
 {
     auto& part = m_parts[index];
     if (part.answered || part.running > 0)
         return;
-    bool reached = result.status != AttemptResult::Status::NotSent && result.status != AttemptResult::Status::Busy;
     if (!mayRunAgain(part) || part.arrived >= greatestArrivals) {
         part.hopeless = true;
         return;
     }
-    if (trySend(index, reached || part.arrived > 0, actions, now)) {
+    if (trySend(index, part.arrived > 0, actions, now)) {
         ++m_counters.retries;
         return;
     }
     scheduleResend(part, now);
 }
 
+// ---------------------------------------------------------------------------------------------------------------
+// Relays
+
+/// Asks peers for the parts that no leaf of the own zone can give.
+void RouteExecution::sendRelays(RouteActions& actions, TimePoint now)
+{
+    std::vector<std::string> services;
+    for (const auto& it : m_parts)
+        services.push_back(it.service);
+    auto hedgeDelay = m_policies.hedgeDelay(*m_route);
+    for (auto& plan : m_policies.planRelays(services, now)) {
+        auto number = static_cast<std::uint32_t>(m_relays.size());
+        RelaySend send { number, plan.peer, {} };
+        for (auto index : plan.services) {
+            auto& part = m_parts[index];
+            part.relay = number;
+            part.running = 1;
+            part.hedgeAt = now + hedgeDelay + relayTime;
+            part.tried = m_policies.leavesIn(part.service, plan.zone);
+            send.request.services.push_back(part.service);
+            ++m_counters.relayed;
+        }
+        send.request.routeName = m_route->name;
+        send.request.objective = m_route->objective;
+        send.request.topRecords = m_route->topRecords;
+        send.request.remaining = std::chrono::floor<milliseconds>(m_deadline - now);
+        send.request.batchAfter = std::chrono::ceil<milliseconds>(hedgeDelay);
+        m_relays.push_back({ plan.peer, std::move(plan.services) });
+        actions.relays.push_back(std::move(send));
+    }
+}
+
+void RouteExecution::acceptRelayed(Part& part, std::string proof, RouteActions& actions)
+{
+    m_mayHaveRun = true;
+    ++part.ran;
+    ++part.arrived;
+    answerPart(part, actions);
+    m_proofs.push_back(std::move(proof));
+}
+
+void RouteExecution::failRelayed(std::uint32_t index, bool hasRun, RouteActions& actions, TimePoint now)
+{
+    auto& part = m_parts[index];
+    part.relay.reset();
+    --part.running;
+    if (hasRun) {
+        m_mayHaveRun = true;
+        ++part.ran;
+        ++part.arrived;
+        ++m_counters.failures;
+    }
+    onFailed(index, actions, now);
+}
+
+RouteActions RouteExecution::onRelayAnswer(std::uint32_t number, const RelayAnswer& answer, TimePoint now)
+{
+    RouteActions actions;
+    if (m_finished || number >= m_relays.size() || m_relays[number].ended)
+        return actions;
+    auto& relay = m_relays[number];
+    if (answer.isBatch) {
+        relay.hasBatch = true;
+        m_policies.onPeer(relay.peer, true, now);
+    }
+    // Before the batch no part of the relay can be answered by another way, so the merged records count each part once.
+    bool merges = false;
+    for (const auto& it : answer.answered) {
+        if (it.service >= relay.parts.size() || m_parts[relay.parts[it.service]].relay != number)
+            continue;
+        acceptRelayed(m_parts[relay.parts[it.service]], it.proof, actions);
+        merges = true;
+    }
+    if (merges)
+        m_merge.add(answer.records);
+    for (const auto& it : answer.failed) {
+        if (it.service < relay.parts.size() && m_parts[relay.parts[it.service]].relay == number)
+            failRelayed(relay.parts[it.service], it.mayHaveRun, actions, now);
+    }
+    bool isOpen = false;
+    for (auto index : relay.parts) {
+        auto& part = m_parts[index];
+        if (part.relay != number)
+            continue;
+        isOpen = true;
+        if (answer.isBatch)
+            part.hedgeAt = now;
+    }
+    relay.ended = !isOpen;
+    return settle(std::move(actions), now);
+}
+
+RouteActions RouteExecution::onRelayFailed(std::uint32_t number, TimePoint now)
+{
+    RouteActions actions;
+    if (m_finished || m_relays[number].ended)
+        return actions;
+    breakRelay(number, false, actions, now);
+    return settle(std::move(actions), now);
+}
+
+/// The peer did not answer in time. Its batch would count parts twice that are asked for again, so it is not used.
+void RouteExecution::breakRelay(std::uint32_t number, bool mayHaveArrived, RouteActions& actions, TimePoint now)
+{
+    auto& relay = m_relays[number];
+    relay.ended = true;
+    ++m_counters.brokenRelays;
+    m_policies.onPeer(relay.peer, false, now);
+    actions.relayCancels.emplace_back(relay.peer, number);
+    for (auto index : relay.parts) {
+        if (m_parts[index].relay == number)
+            failRelayed(index, mayHaveArrived, actions, now);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+
 RouteActions RouteExecution::onTimer(TimePoint now)
 {
     RouteActions actions;
@@ -249,6 +381,10 @@
                 scheduleResend(part, now);
         } else if (part.hedgeAt && now >= *part.hedgeAt) {
             part.hedgeAt.reset();
+            if (part.relay && !m_relays[*part.relay].hasBatch) {
+                breakRelay(*part.relay, true, actions, now);
+                continue;
+            }
             // The running attempts count as run.
             bool allowed = m_route->idempotent && part.running > 0 && part.ran + part.running < m_route->attempts;
             if (allowed && trySend(i, true, actions, now)) {
@@ -272,6 +408,10 @@
         actions.cancels.push_back(m_firstAttempt + i);
         m_attempts[i].ended = true;
     }
+    for (std::uint32_t i = 0; i < m_relays.size(); ++i) {
+        if (!std::exchange(m_relays[i].ended, true))
+            actions.relayCancels.emplace_back(m_relays[i].peer, i);
+    }
     return actions;
 }
 
@@ -314,6 +454,8 @@
         m_policies.onEnd(it.leaf.leaf, it.attempt, AttemptEnd::Abandoned, m_deadline);
     }
     actions.sends.clear();
+    actions.relayCancels.insert(actions.relayCancels.end(), ended.relayCancels.begin(), ended.relayCancels.end());
+    actions.relays.clear();
     m_finished = true;
     actions.finish = std::move(outcome);
     actions.nextTimer.reset();
@@ -333,7 +475,8 @@
 RouteOutcome RouteExecution::failure(TimePoint now) const
 {
     bool mayHaveRun = m_mayHaveRun
-        || std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& it) { return !it.ended; });
+        || std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& it) { return !it.ended; })
+        || std::any_of(m_relays.begin(), m_relays.end(), [](const Relay& it) { return !it.ended; });
     if (!mayHaveRun) {
         return {
             .error = ErrorKind::Overloaded, .reason = "no leaf could take the request", .retryAfter = shortRetryAfter
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "query/RecordMerge.h"
+#include "query/RelayMessages.h"
 #include "query/RoutePolicies.h"
 
 namespace citronplank {
@@ -31,6 +32,11 @@
     LeafAnswer answer;
 };
 std::string_view attemptStatusName(AttemptResult::Status);
+AttemptEnd attemptEndOf(AttemptResult::Status);
+/// Whether the leaf ran the request or may have.
+bool mayHaveRun(AttemptResult::Status);
+/// Whether the request came to a leaf, which counts towards the budget of extra requests.
+bool hasArrived(AttemptResult::Status);
 
 struct RouteSend {
     std::uint64_t attempt = 0;
@@ -40,6 +46,13 @@
     bool isExtra = false;              // beyond the first of its part
 };
 
+/// Parts that a peer in another zone is asked for.
+struct RelaySend {
+    std::uint32_t relay = 0; // number within the request
+    std::string peer;
+    RelayRequest request;
+};
+
 /// The answer to the caller. Exactly one of the three kinds.
 struct RouteOutcome {
     enum class Kind : std::uint8_t { Forwarded, Merged, Error } kind = Kind::Error;
@@ -57,8 +70,10 @@
     /// an answer comes all the same, or when none has come for a while.
     std::vector<std::uint64_t> cancels;
     std::vector<RouteSend> sends;
-    std::optional<RouteOutcome> finish; // set exactly once, unless the caller goes
-    std::optional<TimePoint> nextTimer; // when to call onTimer; replaces the earlier one
+    std::vector<RelaySend> relays;
+    std::vector<std::pair<std::string, std::uint32_t>> relayCancels; // peer and number of relays without use
+    std::optional<RouteOutcome> finish;                              // set exactly once, unless the caller goes
+    std::optional<TimePoint> nextTimer;                              // when to call onTimer; replaces the earlier one
 };
 
 struct RouteCounters {
@@ -67,6 +82,8 @@
     std::uint32_t retries = 0;
     std::uint32_t refusals = 0; // by leaves
     std::uint32_t failures = 0;
+    std::uint32_t relayed = 0; // parts asked of peers
+    std::uint32_t brokenRelays = 0;
 };
 
 /// Not thread safe: callers serialize the calls with those of the policies, which must outlive this object.
@@ -85,6 +102,10 @@
     RouteActions start(TimePoint now);
     /// An attempt ended. Results of ended attempts are ignored.
     RouteActions onResult(AttemptResult, TimePoint now);
+    /// A peer answered a relay. Answers to ended relays are ignored.
+    RouteActions onRelayAnswer(std::uint32_t relay, const RelayAnswer&, TimePoint now);
+    /// A relay could not be sent.
+    RouteActions onRelayFailed(std::uint32_t relay, TimePoint now);
     /// Hedges, retries, stops waiting or meets the deadline. May be called early or late.
     RouteActions onTimer(TimePoint now);
     /// The caller has gone: cancels all attempts; there is no finish action after it.
@@ -120,11 +141,23 @@
         std::optional<TimePoint> hedgeAt;  // if no answer has come
         std::optional<TimePoint> resendAt; // no leaf could take it
         std::uint32_t resends = 0;
+        std::optional<std::uint32_t> relay; // that it is expected from; counts as one running attempt
+    };
+    struct Relay {
+        std::string peer;
+        std::vector<std::uint32_t> parts;
+        bool hasBatch = false;
+        bool ended = false;
     };
 
     bool isGather() const { return !m_route->shards.empty(); }
     std::size_t leastAnswered() const;
     bool trySend(std::uint32_t part, bool isExtra, RouteActions&, TimePoint now);
+    void sendRelays(RouteActions&, TimePoint now);
+    void breakRelay(std::uint32_t relay, bool mayHaveArrived, RouteActions&, TimePoint now);
+    void acceptRelayed(Part&, std::string proof, RouteActions&);
+    void failRelayed(std::uint32_t part, bool hasRun, RouteActions&, TimePoint now);
+    void answerPart(Part&, RouteActions&);
     void scheduleResend(Part&, TimePoint now);
     bool mayRunAgain(const Part& it) const
     {
@@ -132,7 +165,7 @@
     }
     void endAttempt(Attempt&, AttemptEnd, TimePoint now);
     void accept(Part&, Attempt&, AttemptResult&, RouteActions&, TimePoint now);
-    void onFailed(std::uint32_t part, const AttemptResult&, RouteActions&, TimePoint now);
+    void onFailed(std::uint32_t part, RouteActions&, TimePoint now);
     RouteActions settle(RouteActions, TimePoint now);
     void finish(RouteOutcome, RouteActions&);
     RouteOutcome merged();
@@ -147,6 +180,7 @@
     std::uint64_t m_firstAttempt;
     std::vector<Part> m_parts;
     std::vector<Attempt> m_attempts; // by number since m_firstAttempt
+    std::vector<Relay> m_relays;
     std::size_t m_answered = 0;
     TopRecords m_merge;
     std::vector<std::string> m_proofs;
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -20,9 +20,12 @@
 constexpr double greatestHedgeShareOfObjective = 0.35; // a later second part comes back after the objective
 constexpr milliseconds typicalWithoutObjective { 50 }; // before latencies are known
 constexpr milliseconds smallestHedgeDelay { 3 };       // two round trips between zones
-constexpr double fewRequests = 5;                      // say nothing about what callers want
-constexpr double useDecay = 0.96;                      // at each check; halves the counts in 17 checks
-constexpr std::size_t greatestTracked = 4096;          // routes whose latencies are kept
+constexpr double greatestConnectionShare = 0.9;        // of a leaf's connections; the rest covers changes of membership
+constexpr milliseconds peerBackoff { 1000 };  // of a peer that answers no relay; leaves are asked directly meanwhile
+constexpr std::size_t fewestRelayedParts = 2; // one part costs less when it is sent directly
+constexpr double fewRequests = 5;             // say nothing about what callers want
+constexpr double useDecay = 0.96;             // at each check; halves the counts in 17 checks
+constexpr std::size_t greatestTracked = 4096; // routes whose latencies are kept
 
 } // namespace
 
@@ -105,6 +108,17 @@
 
 const Announcement* RoutePolicies::pick(
     const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now)
+{
+    return choose(service, tried, false, typical, now);
+}
+
+const Announcement* RoutePolicies::pickInOwnZone(const std::string& service, Duration typical, TimePoint now)
+{
+    return choose(service, {}, true, typical, now);
+}
+
+const Announcement* RoutePolicies::choose(
+    const std::string& service, std::span<const std::string> tried, bool ownZoneOnly, Duration typical, TimePoint now)
 {
     auto found = m_leaves.find(service);
     if (found == m_leaves.end())
@@ -112,6 +126,8 @@
     std::vector<const Announcement*> warm;
     std::vector<const Announcement*> cold;
     for (const auto& it : found->second) {
+        if (ownZoneOnly && it.announcement.zone != m_zone)
+            continue;
         if (!isUsable(it) || std::find(tried.begin(), tried.end(), it.announcement.leaf) != tried.end())
             continue;
         if (now >= it.coldUntil)
@@ -124,6 +140,94 @@
     return best ? candidates[*best] : nullptr;
 }
 
+std::vector<std::string> RoutePolicies::leavesIn(const std::string& service, std::string_view zone) const
+{
+    std::vector<std::string> names;
+    if (auto found = m_leaves.find(service); found != m_leaves.end()) {
+        for (const auto& it : found->second) {
+            if (it.announcement.zone == zone)
+                names.push_back(it.announcement.leaf);
+        }
+    }
+    return names;
+}
+
+std::uint32_t RoutePolicies::connectionLimit(const std::string& service) const
+{
+    auto share = greatestConnectionShare * m_table->limitsOf(service).connections / static_cast<double>(senders());
+    return std::max(1U, static_cast<std::uint32_t>(share));
+}
+
+void RoutePolicies::onPeer(const std::string& name, bool answered, TimePoint now)
+{
+    if (answered)
+        m_peersLeftAlone.erase(name);
+    else
+        m_peersLeftAlone[name] = now + peerBackoff;
+}
+
+/// Zones with a leaf that can take a request now.
+std::vector<std::string> RoutePolicies::zonesOf(const std::string& service, TimePoint now) const
+{
+    std::vector<std::string> zones;
+    auto found = m_leaves.find(service);
+    if (found == m_leaves.end())
+        return zones;
+    for (const auto& it : found->second) {
+        if (isUsable(it) && now >= it.coldUntil && !m_selector.isDown(it.announcement.leaf))
+            zones.push_back(it.announcement.zone);
+    }
+    return zones;
+}
+
+/// A peer of the zone in turn; empty if none is to be asked.
+std::string RoutePolicies::peerIn(const std::string& zone, TimePoint now)
+{
+    auto found = m_peers.find(zone);
+    if (found == m_peers.end())
+        return {};
+    const auto& names = found->second;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const auto& name = names[(m_rotation + i) % names.size()];
+        auto leftAlone = m_peersLeftAlone.find(name);
+        if (leftAlone == m_peersLeftAlone.end() || now >= leftAlone->second)
+            return name;
+    }
+    return {};
+}
+
+std::vector<RoutePolicies::RelayPlan> RoutePolicies::planRelays(std::span<const std::string> services, TimePoint now)
+{
+    std::vector<RelayPlan> plans;
+    if (m_peers.empty())
+        return plans;
+    std::map<std::string, std::vector<std::uint32_t>> byZone;
+    for (std::uint32_t i = 0; i < services.size(); ++i) {
+        auto zones = zonesOf(services[i], now);
+        if (std::find(zones.begin(), zones.end(), m_zone) != zones.end())
+            continue;
+        for (const auto& zone : std::set<std::string>(zones.begin(), zones.end()))
+            byZone[zone].push_back(i);
+    }
+    ++m_rotation;
+    std::vector<std::pair<std::string, std::vector<std::uint32_t>>> order(byZone.begin(), byZone.end());
+    if (!order.empty())
+        std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(m_rotation % order.size()), order.end());
+    // The zone with most of the parts first, so that few messages cross between zones.
+    std::stable_sort(
+        order.begin(), order.end(), [](const auto& a, const auto& b) { return a.second.size() > b.second.size(); });
+    std::set<std::uint32_t> planned;
+    for (auto& [zone, indices] : order) {
+        std::erase_if(indices, [&](std::uint32_t it) { return planned.contains(it); });
+        auto peer = indices.size() < fewestRelayedParts ? std::string() : peerIn(zone, now);
+        if (peer.empty())
+            continue;
+        planned.insert(indices.begin(), indices.end());
+        plans.push_back({ std::move(peer), zone, std::move(indices) });
+    }
+    return plans;
+}
+
 bool RoutePolicies::hasLeaf(const std::string& service) const
 {
     auto found = m_leaves.find(service);
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -22,6 +22,7 @@
 public:
     RoutePolicies(std::string instance, std::string zone)
         : m_instance(std::move(instance))
+        , m_zone(zone)
         , m_selector(std::move(zone))
     {
     }
@@ -40,12 +41,32 @@
     /// Best leaf of the service that is not in `tried`; null if there is none now.
     const Announcement* pick(
         const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now);
+    /// The same among the leaves of the own zone.
+    const Announcement* pickInOwnZone(const std::string& service, Duration typical, TimePoint now);
+    /// Names of the leaves of a service in a zone.
+    std::vector<std::string> leavesIn(const std::string& service, std::string_view zone) const;
+    /// Greatest number of connections of this instance to a leaf of the service.
+    std::uint32_t connectionLimit(const std::string& service) const;
+
+    /// Entries in other zones, by zone.
+    void setPeers(std::map<std::string, std::vector<std::string>> peers) { m_peers = std::move(peers); }
+    /// A peer answered a relay in time or not; one that did not is left alone for a while.
+    void onPeer(const std::string& name, bool answered, TimePoint now);
+    /// Which of the services, by position, to ask of which peer: those without a leaf in the own zone.
+    struct RelayPlan {
+        std::string peer;
+        std::string zone;
+        std::vector<std::uint32_t> services;
+    };
+    std::vector<RelayPlan> planRelays(std::span<const std::string> services, TimePoint now);
+
     /// Whether the service has a leaf that may be sent to at all.
     bool hasLeaf(const std::string& service) const;
     /// Counts a request of the route, for canServe.
     void onRequest(const Route& route) { m_use[route.name] += 1; }
     /// Whether at least half of the requests of the last seconds could be answered with the leaves that are up now; of
-    /// the sets of services that routes name, while there were hardly any requests. Call it at a fixed interval: each call ages the counts.
+    /// the sets of services that routes name, while there were hardly any requests. Call it at a fixed interval: each
+    /// call ages the counts.
     bool canServe();
     /// The target of a forwarded request, in proportion to the weights.
     const std::string& target(const Route&);
@@ -71,7 +92,7 @@
     void onProbe(const std::string& leaf, bool reached, TimePoint now) { m_selector.onProbe(leaf, reached, now); }
     const LeafSelector& selector() const { return m_selector; }
     /// Number of instances that send to leaves.
-    std::size_t senders() const { return m_bounds.instances; }
+    std::size_t senders() const { return std::max<std::size_t>(1, m_bounds.instances); }
 
 private:
     struct Known {
@@ -85,7 +106,13 @@
     PercentBudget& budgetOf(const std::string& service);
     double extraBurst() const;
 
+    const Announcement* choose(const std::string& service, std::span<const std::string> tried, bool ownZoneOnly,
+        Duration typical, TimePoint now);
+    std::vector<std::string> zonesOf(const std::string& service, TimePoint now) const;
+    std::string peerIn(const std::string& zone, TimePoint now);
+
     std::string m_instance;
+    std::string m_zone;
     LeafSelector m_selector;
     SharedBounds m_bounds;
     std::shared_ptr<const RouteTable> m_table = std::make_shared<const RouteTable>(ServingConfiguration {});
@@ -95,8 +122,11 @@
     std::unordered_map<std::string, PercentBudget> m_budgets;     // by service
     std::unordered_map<std::string, LatencyDigest> m_latencies;   // by name of the route
     std::unordered_map<std::string, std::vector<double>>
-        m_shares; // by name of the route: sent beyond the weights' part
+        m_shares;                                  // by name of the route: sent beyond the weights' part
     std::unordered_map<std::string, double> m_use; // recent requests by name of the route
+    std::map<std::string, std::vector<std::string>> m_peers;
+    std::unordered_map<std::string, TimePoint> m_peersLeftAlone; // until then
+    std::size_t m_rotation = 0;                                  // spreads relays over peers and zones
     ColdStartGate m_coldGate;
 };
 
