Count refusals that a peer reports towards the shared budget; relay large parts only

Relays also delayed short queries with small parts, where they save hardly any bytes. Ruled out: the budget's own share, which holds for direct requests.

--- a/query/RelayMessages.cpp
+++ b/query/RelayMessages.cpp
@@ -9,7 +9,7 @@
 using PackedCall = std::tuple<std::string, std::int64_t, std::vector<std::string>, std::uint32_t, std::int64_t,
     std::int64_t, std::string, std::string, std::vector<std::pair<std::string, std::string>>, std::string>;
 using PackedAnswer = std::tuple<bool, std::vector<std::pair<std::uint32_t, std::string>>, std::string,
-    std::vector<std::pair<std::uint32_t, bool>>>;
+    std::vector<std::tuple<std::uint32_t, bool, bool>>>;
 
 template <typename Packed>
 std::string pack(const Packed& packed)
@@ -52,7 +52,7 @@
     for (const auto& answered : it.answered)
         std::get<1>(packed).emplace_back(answered.service, answered.proof);
     for (const auto& failed : it.failed)
-        std::get<3>(packed).emplace_back(failed.service, failed.mayHaveRun);
+        std::get<3>(packed).emplace_back(failed.service, failed.hasArrived, failed.mayHaveRun);
     return pack(packed);
 }
 
@@ -62,8 +62,8 @@
     RelayAnswer answer { isBatch, {}, std::move(records), {} };
     for (auto& [service, proof] : answered)
         answer.answered.push_back({ service, std::move(proof) });
-    for (auto& [service, ran] : failed)
-        answer.failed.push_back({ service, ran });
+    for (const auto& [service, arrived, ran] : failed)
+        answer.failed.push_back({ service, arrived, ran });
     return answer;
 }
 
--- a/query/RelayMessages.h
+++ b/query/RelayMessages.h
@@ -23,6 +23,7 @@
     };
     struct Failed {
         std::uint32_t service = 0;
+        bool hasArrived = false; // at a leaf, which counts towards the budget of extra requests
         bool mayHaveRun = false;
     };
     bool isBatch = false; // the first answer; later ones hold one part each
--- a/query/RelayedGather.cpp
+++ b/query/RelayedGather.cpp
@@ -25,7 +25,7 @@
         const auto& service = m_request.services[i];
         const auto* leaf = m_policies.pickInOwnZone(service, typical, now);
         if (!leaf) {
-            m_batch.failed.push_back({ i, false });
+            m_batch.failed.push_back({ i });
             continue;
         }
         auto number = m_firstAttempt + m_attempts.size();
@@ -50,7 +50,7 @@
     m_policies.onEnd(attempt.leaf, result.attempt, attemptEndOf(result.status), now);
     if (isAnswered)
         m_policies.onLatency(m_route, now - attempt.sentAt);
-    RelayAnswer::Failed failed { attempt.service, mayHaveRun(result.status) };
+    RelayAnswer::Failed failed { attempt.service, hasArrived(result.status), mayHaveRun(result.status) };
     if (!m_batchSent) {
         if (isAnswered) {
             m_merge.add(result.answer.body);
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -207,6 +207,7 @@
         return;
     answerPart(part, actions);
     if (isGather()) {
+        m_policies.onPartBytes(*m_route, result.answer.body.size());
         m_merge.add(result.answer.body);
         m_proofs.push_back(std::move(result.answer.proof));
     } else {
@@ -255,11 +256,8 @@
 /// Asks peers for the parts that no leaf of the own zone can give.
 void RouteExecution::sendRelays(RouteActions& actions, TimePoint now)
 {
-    std::vector<std::string> services;
-    for (const auto& it : m_parts)
-        services.push_back(it.service);
     auto hedgeDelay = m_policies.hedgeDelay(*m_route);
-    for (auto& plan : m_policies.planRelays(services, now)) {
+    for (auto& plan : m_policies.planRelays(*m_route, now)) {
         auto number = static_cast<std::uint32_t>(m_relays.size());
         RelaySend send { number, plan.peer, {} };
         for (auto index : plan.services) {
@@ -290,15 +288,16 @@
     m_proofs.push_back(std::move(proof));
 }
 
-void RouteExecution::failRelayed(std::uint32_t index, bool hasRun, RouteActions& actions, TimePoint now)
+void RouteExecution::failRelayed(
+    std::uint32_t index, bool hasArrived, bool hasRun, RouteActions& actions, TimePoint now)
 {
     auto& part = m_parts[index];
     part.relay.reset();
     --part.running;
+    part.arrived += hasArrived ? 1 : 0;
     if (hasRun) {
         m_mayHaveRun = true;
         ++part.ran;
-        ++part.arrived;
         ++m_counters.failures;
     }
     onFailed(index, actions, now);
@@ -326,7 +325,7 @@
         m_merge.add(answer.records);
     for (const auto& it : answer.failed) {
         if (it.service < relay.parts.size() && m_parts[relay.parts[it.service]].relay == number)
-            failRelayed(relay.parts[it.service], it.mayHaveRun, actions, now);
+            failRelayed(relay.parts[it.service], it.hasArrived, it.mayHaveRun, actions, now);
     }
     bool isOpen = false;
     for (auto index : relay.parts) {
@@ -360,7 +359,7 @@
     actions.relayCancels.emplace_back(relay.peer, number);
     for (auto index : relay.parts) {
         if (m_parts[index].relay == number)
-            failRelayed(index, mayHaveArrived, actions, now);
+            failRelayed(index, mayHaveArrived, mayHaveArrived, actions, now);
     }
 }
 
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -156,7 +156,7 @@
     void sendRelays(RouteActions&, TimePoint now);
     void breakRelay(std::uint32_t relay, bool mayHaveArrived, RouteActions&, TimePoint now);
     void acceptRelayed(Part&, std::string proof, RouteActions&);
-    void failRelayed(std::uint32_t part, bool hasRun, RouteActions&, TimePoint now);
+    void failRelayed(std::uint32_t part, bool hasArrived, bool hasRun, RouteActions&, TimePoint now);
     void answerPart(Part&, RouteActions&);
     void scheduleResend(Part&, TimePoint now);
     bool mayRunAgain(const Part& it) const
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -23,6 +23,8 @@
 constexpr double greatestConnectionShare = 0.9;        // of a leaf's connections; the rest covers changes of membership
 constexpr milliseconds peerBackoff { 1000 };  // of a peer that answers no relay; leaves are asked directly meanwhile
 constexpr std::size_t fewestRelayedParts = 2; // one part costs less when it is sent directly
+constexpr double relayedPartBytes = 600;      // below it two more hops cost callers more than the bytes are worth
+constexpr double partBytesRate = 0.05;        // weight of one part in the learned size
 constexpr double fewRequests = 5;             // say nothing about what callers want
 constexpr double useDecay = 0.96;             // at each check; halves the counts in 17 checks
 constexpr std::size_t greatestTracked = 4096; // routes whose latencies are kept
@@ -196,10 +198,12 @@
     return {};
 }
 
-std::vector<RoutePolicies::RelayPlan> RoutePolicies::planRelays(std::span<const std::string> services, TimePoint now)
+std::vector<RoutePolicies::RelayPlan> RoutePolicies::planRelays(const Route& route, TimePoint now)
 {
     std::vector<RelayPlan> plans;
-    if (m_peers.empty())
+    const auto& services = route.shards;
+    auto bytes = m_partBytes.find(route.name);
+    if (m_peers.empty() || bytes == m_partBytes.end() || bytes->second < relayedPartBytes)
         return plans;
     std::map<std::string, std::vector<std::uint32_t>> byZone;
     for (std::uint32_t i = 0; i < services.size(); ++i) {
@@ -350,6 +354,15 @@
     m_latencies[route.name].record(latency);
 }
 
+void RoutePolicies::onPartBytes(const Route& route, std::size_t bytes)
+{
+    if (m_partBytes.size() > greatestTracked)
+        m_partBytes.clear();
+    auto [it, isNew] = m_partBytes.try_emplace(route.name, static_cast<double>(bytes));
+    if (!isNew)
+        it->second += partBytesRate * (static_cast<double>(bytes) - it->second);
+}
+
 void RoutePolicies::onStart(const Announcement& leaf, std::uint64_t attempt, Duration typical, TimePoint now)
 {
     m_selector.onStart(leaf.leaf, attempt, typical, now);
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -58,7 +58,7 @@
         std::string zone;
         std::vector<std::uint32_t> services;
     };
-    std::vector<RelayPlan> planRelays(std::span<const std::string> services, TimePoint now);
+    std::vector<RelayPlan> planRelays(const Route&, TimePoint now);
 
     /// Whether the service has a leaf that may be sent to at all.
     bool hasLeaf(const std::string& service) const;
@@ -80,6 +80,8 @@
     Duration typical(const Route&) const;
     Duration hedgeDelay(const Route&) const;
     void onLatency(const Route&, Duration);
+    /// Learns from the body of one part.
+    void onPartBytes(const Route&, std::size_t bytes);
 
     /// See LeafSelector; also counts requests to cold leaves.
     void onStart(const Announcement&, std::uint64_t attempt, Duration typical, TimePoint now);
@@ -122,8 +124,9 @@
     std::unordered_map<std::string, PercentBudget> m_budgets;     // by service
     std::unordered_map<std::string, LatencyDigest> m_latencies;   // by name of the route
     std::unordered_map<std::string, std::vector<double>>
-        m_shares;                                  // by name of the route: sent beyond the weights' part
-    std::unordered_map<std::string, double> m_use; // recent requests by name of the route
+        m_shares;                                        // by name of the route: sent beyond the weights' part
+    std::unordered_map<std::string, double> m_partBytes; // smoothed, by name of the route
+    std::unordered_map<std::string, double> m_use;       // recent requests by name of the route
     std::map<std::string, std::vector<std::string>> m_peers;
     std::unordered_map<std::string, TimePoint> m_peersLeftAlone; // until then
     std::size_t m_rotation = 0;                                  // spreads relays over peers and zones
