Use a disk again after it was full or failed for a while

The role restarts from what is on the disk, as after a crash, once term, vote and log have been written anew: what can be read back after a failed sync need not be durable. Test: ControlStorageTests, a storage is usable again.

--- a/coordination/ControlStorage.cpp
+++ b/coordination/ControlStorage.cpp
@@ -343,6 +343,11 @@
     m_snapshot = header;
     m_entries = keptEntries(std::move(m_entries), header);
     // A crash before this rename leaves entries that the snapshot contains; they are dropped at the next start.
+    rewriteLog();
+}
+
+void FileControlStorage::rewriteLog()
+{
     std::string content;
     for (const auto& it : m_entries)
         content += record(encode(it));
@@ -350,6 +355,29 @@
     openLog();
 }
 
+void FileControlStorage::reopen()
+{
+    m_failed = true; // until everything below has succeeded
+    m_disk = 0;
+    m_vote = {};
+    m_snapshot.reset();
+    m_entries.clear();
+    try {
+        openExisting();
+        if (m_disk == 0)
+            throw StorageError("the data folder has no disk identity any more");
+        replaceFile(voteFile, record(codec::encodeValue(m_vote)));
+        rewriteLog();
+    } catch (const std::filesystem::filesystem_error& e) {
+        throw StorageError(e.what());
+    } catch (const StorageError&) {
+        throw;
+    } catch (const Error& e) {
+        throw StorageError(e.what());
+    }
+    m_failed = false;
+}
+
 std::string FileControlStorage::readSnapshotData() const
 {
     requireUsable();
--- a/coordination/ControlStorage.h
+++ b/coordination/ControlStorage.h
@@ -113,6 +113,11 @@
     void saveSnapshot(const SnapshotHeader&, std::string_view data);
     std::string readSnapshotData() const;
 
+    /// Makes a storage usable again on which a write or sync failed: reads the folder as at a start, then writes term,
+    /// vote and log anew, because what was read back may be in the system's cache only. Throws StorageError if that
+    /// fails too; the storage stays unusable then. Callers serialize.
+    void reopen();
+
     /// Why the former content was set aside at start; empty if it was not. Callers serialize.
     const std::string& setAsideReason() const { return m_setAsideReason; }
 
@@ -124,6 +129,7 @@
     void create();
     void setAside(const std::string& reason);
     void openLog();
+    void rewriteLog();
     void cutTornRecord(std::uintmax_t validBytes);
     void replaceFile(const char* name, std::string_view content);
     void writeAll(int descriptor, std::string_view content, const char* file);
--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ControlService.h"
 
+#include "daemon/Logging.h"
 #include "rules/RulesFile.h"
 
 #include <asio.hpp>
@@ -50,9 +51,10 @@
 class ControlService::Impl {
 public:
     Impl(const ControlServiceSettings& settings, ControlServiceHandlers handlers)
-        : m_handlers(std::move(handlers))
+        : m_settings(settings)
+        , m_handlers(std::move(handlers))
         , m_storage(settings.dataFolder)
-        , m_replica(m_storage, logSettings(settings), Clock::now(), areValidRules)
+        , m_replica(makeReplica())
         , m_timer(m_io)
         , m_work(asio::make_work_guard(m_io))
     {
@@ -80,7 +82,7 @@
     void receive(const std::string& from, ControlMessage message)
     {
         post([this, from, message = std::move(message)] {
-            run([&] { return m_replica.receive(from, message, Clock::now()); });
+            run([&] { return m_replica->receive(from, message, Clock::now()); });
             scheduleFlush();
         });
     }
@@ -90,7 +92,7 @@
         post([this, command = std::move(command), handler = std::move(handler)]() mutable {
             auto id = ++m_lastId;
             m_answers.emplace(id, std::move(handler));
-            m_replica.propose(std::move(command), id);
+            m_replica->propose(std::move(command), id);
             scheduleFlush();
         });
     }
@@ -100,7 +102,7 @@
         post([this, handler = std::move(handler)]() mutable {
             auto id = ++m_lastId;
             m_reads.emplace(id, std::move(handler));
-            run([&] { return m_replica.confirmLeadership(id, Clock::now()); });
+            run([&] { return m_replica->confirmLeadership(id, Clock::now()); });
         });
     }
 
@@ -108,20 +110,20 @@
     {
         post([this] {
             if (isLeader())
-                run([&] { return m_replica.transferLeadership(Clock::now()); });
+                run([&] { return m_replica->transferLeadership(Clock::now()); });
         });
     }
 
     void setContacts(std::set<std::string> names)
     {
-        post([this, names = std::move(names)]() mutable { m_replica.setContacts(std::move(names)); });
+        post([this, names = std::move(names)]() mutable { m_replica->setContacts(std::move(names)); });
     }
 
     std::optional<std::vector<RuleLine>> linesAt(std::uint64_t version)
     {
         auto promise = std::make_shared<std::promise<std::optional<std::vector<RuleLine>>>>();
         auto future = promise->get_future();
-        post([this, promise, version] { promise->set_value(m_replica.state().ruleLinesAt(version)); });
+        post([this, promise, version] { promise->set_value(m_replica->state().ruleLinesAt(version)); });
         if (future.wait_for(seconds(2)) != std::future_status::ready)
             return std::nullopt;
         return future.get();
@@ -133,8 +135,8 @@
         return m_status;
     }
 
-    bool isLeader() const { return m_replica.log().isLeader(); }
-    const ControlState& state() const { return m_replica.state(); }
+    bool isLeader() const { return m_replica->log().isLeader(); }
+    const ControlState& state() const { return m_replica->state(); }
 
 private:
     void scheduleTick()
@@ -143,7 +145,8 @@
         m_timer.async_wait([this](const asio::error_code& ec) {
             if (ec)
                 return;
-            run([&] { return m_replica.tick(Clock::now()); });
+            run([&] { return m_replica->tick(Clock::now()); });
+            reopenIfDue();
             m_handlers.tick();
             scheduleTick();
         });
@@ -156,7 +159,7 @@
             return;
         post([this] {
             m_flushScheduled = false;
-            run([&] { return m_replica.flush(Clock::now()); });
+            run([&] { return m_replica->flush(Clock::now()); });
         });
     }
 
@@ -170,17 +173,53 @@
         try {
             perform(call());
         } catch (const Error& error) {
-            m_failure = error.what();
+            fail(error.what());
             updateStatus();
         }
     }
 
+    std::unique_ptr<ControlReplica<FileControlStorage>> makeReplica()
+    {
+        return std::make_unique<ControlReplica<FileControlStorage>>(
+            m_storage, logSettings(m_settings), Clock::now(), areValidRules);
+    }
+
+    /// A disk that was full or failed for a while is used again. The member restarts from what is on it, as after a
+    /// crash of the process.
+    void reopenIfDue()
+    {
+        if (m_failure.empty() || !m_settings.reopenAfter || Clock::now() < m_failedAt + *m_settings.reopenAfter)
+            return;
+        m_failedAt = Clock::now();
+        try {
+            m_storage.reopen();
+            m_replica = makeReplica();
+            m_failure.clear();
+        } catch (const Error& error) {
+            m_failure = error.what();
+        }
+        for (auto& [id, handler] : std::exchange(m_answers, {}))
+            handler({ id, ProposeStatus::Unknown, {}, 0, {} });
+        for (auto& [id, handler] : std::exchange(m_reads, {}))
+            handler(false);
+        log(LogLevel::Warning, "control",
+            m_failure.empty() ? "The data folder is used again." : "The data folder still fails: " + m_failure + ".");
+        updateStatus();
+    }
+
+    void fail(const std::string& reason)
+    {
+        m_failure = reason;
+        m_failedAt = Clock::now();
+        log(LogLevel::Error, "control", "The control role stops: " + reason + ".");
+    }
+
     void perform(const ReplicaOutput& output)
     {
         for (const auto& it : output.messages)
             m_handlers.send(it.to, encode(it.message));
         if (!output.failure.empty())
-            m_failure = output.failure;
+            fail(output.failure);
         if (output.publishedChanged || output.restored)
             publish();
         for (const auto& it : output.answers) {
@@ -189,7 +228,7 @@
         }
         for (const auto& it : output.reads) {
             if (auto node = m_reads.extract(it.id))
-                node.mapped()(it.confirmed && m_replica.state().appliedIndex() >= it.readIndex);
+                node.mapped()(it.confirmed && m_replica->state().appliedIndex() >= it.readIndex);
         }
         if (output.freshness)
             m_handlers.freshness(*output.freshness);
@@ -198,7 +237,7 @@
 
     void publish()
     {
-        const auto& state = m_replica.state();
+        const auto& state = m_replica->state();
         m_handlers.published(state.differenceSince(m_publishedVersion));
         m_publishedVersion = state.publishedVersion();
         std::vector<ZoneView> views;
@@ -209,15 +248,16 @@
 
     void updateStatus()
     {
-        ControlServiceStatus status { m_replica.log().status(), m_replica.state().publishedVersion(),
-            m_replica.state().rulesVersion(), m_replica.state().requestCount(), m_failure };
+        ControlServiceStatus status { m_replica->log().status(), m_replica->state().publishedVersion(),
+            m_replica->state().rulesVersion(), m_replica->state().requestCount(), m_failure };
         std::lock_guard lock(m_statusMutex);
         m_status = std::move(status);
     }
 
+    ControlServiceSettings m_settings;
     ControlServiceHandlers m_handlers;
-    FileControlStorage m_storage;
-    ControlReplica<FileControlStorage> m_replica;
+    FileControlStorage m_storage; // the replica refers to it
+    std::unique_ptr<ControlReplica<FileControlStorage>> m_replica;
     asio::io_context m_io { 1 };
     asio::steady_timer m_timer;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
@@ -228,6 +268,7 @@
     std::map<std::uint64_t, AnswerHandler> m_answers;
     std::map<std::uint64_t, std::function<void(bool)>> m_reads;
     std::string m_failure;
+    TimePoint m_failedAt;
     mutable std::mutex m_statusMutex; // a leaf lock: nothing else is acquired under it
     ControlServiceStatus m_status;
 };
--- a/daemon/ControlService.h
+++ b/daemon/ControlService.h
@@ -15,6 +15,7 @@
     bool openMembership = false; // this and the next two: see ControlLogSettings
     bool mayBootstrap = true;
     std::size_t voterTarget = 0;
+    std::optional<milliseconds> reopenAfter {}; // a failed disk is opened again after this time; absent: never
 };
 
 /// What a status page shows of the control role.
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -12,6 +12,7 @@
 
 constexpr milliseconds catchUpTick { 200 };      // fetches of configuration and directory
 constexpr milliseconds controlClientTick { 20 }; // offers and time-outs of proposals
+constexpr milliseconds reopenInterval { 1000 }; // of a disk that failed; each try writes the log once
 constexpr std::string_view freshnessKey = "control/freshness";
 /// This many peers are told directly of freshness and suspicions. Gossip alone took up to 5 s for freshness while an
 /// index roll used its budget, and a poison request that was resent every 100 ms crashed a third leaf before gossip had
@@ -88,6 +89,8 @@
     handlers.tick = [this] { onControlTick(); };
     ControlServiceSettings settings { m_settings.name, namesOf(m_settings.controlMembers), m_settings.dataDir.string(),
         m_settings.openControl, m_settings.bootstrap, m_settings.voterTarget };
+    if (m_settings.openControl)
+        settings.reopenAfter = reopenInterval;
     return std::make_unique<ControlService>(settings, std::move(handlers));
 }
 
--- a/tests/ControlStorageTests.cpp
+++ b/tests/ControlStorageTests.cpp
@@ -339,3 +339,50 @@
     CHECK(log.tick(now + seconds(5)).messages.empty());
     CHECK(log.isStopped());
 }
+
+// Guards against a member that stays out for good after its disk was full for a moment, and against entries that are
+// taken for durable because they can be read back.
+TEST_CASE("a storage is usable again once its disk is")
+{
+    struct FullDisk : FileOperations {
+        bool isFull = false;
+        int syncs = 0;
+        long write(int descriptor, const void* data, std::size_t size) override
+        {
+            if (!isFull)
+                return FileOperations::write(descriptor, data, size);
+            errno = ENOSPC;
+            return -1;
+        }
+        int sync(int descriptor) override
+        {
+            ++syncs;
+            return FileOperations::sync(descriptor);
+        }
+    } operations;
+    auto folder = std::filesystem::temp_directory_path() / ("citronplank-reopen-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    {
+        FileControlStorage storage(folder, operations);
+        auto disk = storage.disk();
+        storage.saveVote({ 3, { "a", 7 } });
+        LogEntry first { 1, 3, 1, NoOp {} };
+        storage.append(std::span(&first, 1));
+        operations.isFull = true;
+        LogEntry second { 2, 3, 2, NoOp {} };
+        CHECK_THROWS_AS(storage.append(std::span(&second, 1)), StorageError);
+        CHECK_THROWS_AS(storage.reopen(), StorageError);
+        CHECK_THROWS_AS(storage.load(), StorageError);
+        operations.isFull = false;
+        auto syncsBefore = operations.syncs;
+        storage.reopen();
+        CHECK(operations.syncs > syncsBefore);
+        CHECK(storage.disk() == disk);
+        CHECK(storage.load().vote.term == 3);
+        REQUIRE(storage.load().entries.size() == 1);
+        storage.append(std::span(&second, 1));
+        CHECK(storage.load().entries.size() == 2);
+    }
+    CHECK(FileControlStorage(folder).load().entries.size() == 2);
+    std::filesystem::remove_all(folder);
+}
