Test the execution of routed requests and relays

Guards against parts counted twice, attempts beyond the route's, untrue refusals, late partial answers and relayed batches that arrive after their parts were asked for again. No change of behaviour.

--- /dev/null
+++ b/tests/RouteExecutionTests.cpp
@@ -0,0 +1,429 @@
+// Guards against: answers that are whole only in name, parts counted twice, requests sent more often than allowed,
+// refusals that are not true, and waiting for leaves that are paused.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "query/RelayedGather.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace citronplank;
+
+namespace {
+
+using Status = AttemptResult::Status;
+const TimePoint start { seconds(1000) };
+TimePoint at(int ms) { return start + milliseconds(ms); }
+
+std::string record(char c) { return std::string(TopRecords::recordBytes, c); }
+
+/// A route over `shards` shards with two leaves each, in zones atl and sav.
+struct Fixture {
+    explicit Fixture(int shards = 4, double coverage = 0.75)
+        : policies("front-1", "atl")
+    {
+        route.name = "list";
+        route.objective = milliseconds(100);
+        route.timeout = milliseconds(1000);
+        route.attempts = 2;
+        route.topRecords = 3;
+        route.minimumCoverage = coverage;
+        ServingConfiguration configuration;
+        configuration.version = 1;
+        std::vector<Announcement> leaves;
+        for (int i = 0; i < shards; ++i) {
+            auto service = "s" + std::to_string(i);
+            route.shards.push_back(service);
+            configuration.services[service] = { 25, 0 };
+            for (const char* zone : { "atl", "sav" })
+                leaves.push_back(leafOf(service, zone));
+        }
+        configuration.routes.push_back(route);
+        table = std::make_shared<const RouteTable>(configuration);
+        policies.setTable(table);
+        SharedBounds bounds;
+        bounds.extraBurst = 1000;
+        policies.setBounds(bounds);
+        policies.setLeaves(leaves, start);
+    }
+
+    static Announcement leafOf(const std::string& service, const std::string& zone)
+    {
+        Announcement it;
+        it.leaf = service + "-" + zone;
+        it.service = service;
+        it.zone = zone;
+        it.address = "10.0.0.1:80";
+        it.slots = 2;
+        return it;
+    }
+
+    RouteExecution& execution()
+    {
+        if (!running)
+            running = std::make_unique<RouteExecution>(std::make_shared<const Route>(route), table, start,
+                start + route.timeout, RouteExecution::attemptsPerRequest, policies);
+        return *running;
+    }
+
+    static AttemptResult answered(const RouteSend& send, char c)
+    {
+        AttemptResult result { send.attempt, Status::Answered, {} };
+        result.answer.status = 200;
+        result.answer.body = record(c);
+        result.answer.proof = "proof-" + send.leaf.service;
+        return result;
+    }
+
+    Route route;
+    std::shared_ptr<const RouteTable> table;
+    RoutePolicies policies;
+    std::unique_ptr<RouteExecution> running;
+};
+
+} // namespace
+
+TEST_CASE("the greatest records of all parts, falling, each equal one counted")
+{
+    TopRecords merge(3);
+    merge.add(record('b') + record('z') + "short remainder");
+    merge.add(record('z') + record('a'));
+    merge.add(std::string(TopRecords::recordBytes, '\xff'));
+    CHECK(merge.take() == std::string(TopRecords::recordBytes, '\xff') + record('z') + record('z'));
+}
+
+TEST_CASE("a whole answer names each part once")
+{
+    Fixture it;
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.sends.size() == 4);
+    RouteActions last;
+    for (const auto& send : actions.sends) {
+        CHECK_FALSE(last.finish);
+        CHECK(send.leaf.zone == "atl");
+        last = it.execution().onResult(Fixture::answered(send, 'm'), at(10));
+    }
+    REQUIRE(last.finish);
+    CHECK(last.finish->kind == RouteOutcome::Kind::Merged);
+    CHECK(last.finish->proofs.size() == 4);
+    CHECK(last.finish->missing == 0);
+    CHECK(last.finish->answer.body.size() == 3 * TopRecords::recordBytes);
+}
+
+TEST_CASE("a late part is asked of the other leaf, and counts once when both answer")
+{
+    Fixture it;
+    auto actions = it.execution().start(at(0));
+    for (int i = 0; i < 3; ++i)
+        actions.nextTimer = it.execution()
+                                .onResult(Fixture::answered(actions.sends[static_cast<std::size_t>(i)], 'm'), at(10))
+                                .nextTimer;
+    REQUIRE(actions.nextTimer);
+    CHECK(*actions.nextTimer < at(60));
+    auto hedged = it.execution().onTimer(*actions.nextTimer);
+    REQUIRE(hedged.sends.size() == 1);
+    CHECK(hedged.sends[0].isExtra);
+    CHECK(hedged.sends[0].leaf.leaf != actions.sends[3].leaf.leaf);
+    auto last = it.execution().onResult(Fixture::answered(hedged.sends[0], 'n'), at(50));
+    REQUIRE(last.finish);
+    CHECK(last.finish->missing == 0);
+    CHECK(last.cancels == std::vector<std::uint64_t> { actions.sends[3].attempt });
+    CHECK_FALSE(it.execution().onResult(Fixture::answered(actions.sends[3], 'o'), at(51)).finish);
+}
+
+TEST_CASE("a partial answer goes out before the objective if it covers enough, and says what is missing")
+{
+    Fixture it;
+    auto actions = it.execution().start(at(0));
+    for (std::size_t i = 0; i < 3; ++i)
+        it.execution().onResult(Fixture::answered(actions.sends[i], 'm'), at(10));
+    RouteActions last;
+    for (int ms = 11; ms <= 100 && !last.finish; ++ms)
+        last = it.execution().onTimer(at(ms));
+    REQUIRE(last.finish);
+    CHECK(last.finish->kind == RouteOutcome::Kind::Merged);
+    CHECK(last.finish->missing == 1);
+    CHECK(last.finish->proofs.size() == 3);
+}
+
+TEST_CASE("an answer below the minimum coverage is an error that does not claim that nothing ran")
+{
+    Fixture it;
+    auto actions = it.execution().start(at(0));
+    for (std::size_t i = 0; i < 2; ++i)
+        it.execution().onResult(Fixture::answered(actions.sends[i], 'm'), at(10));
+    RouteActions last;
+    for (int ms = 11; ms <= 1000 && !last.finish; ++ms)
+        last = it.execution().onTimer(at(ms));
+    REQUIRE(last.finish);
+    CHECK(last.finish->error == ErrorKind::CoverageTooLow);
+    CHECK(errorAnswer(last.finish->error).outcome != Outcome::NotRun);
+}
+
+TEST_CASE("a request that cannot be covered is refused at once, with a time to come back")
+{
+    Fixture it;
+    it.policies.setLeaves({ Fixture::leafOf("s0", "atl"), Fixture::leafOf("s1", "atl") }, start);
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.finish);
+    CHECK(actions.sends.empty());
+    CHECK(errorAnswer(actions.finish->error).outcome == Outcome::NotRun);
+    CHECK(actions.finish->retryAfter);
+}
+
+TEST_CASE("no part runs on more leaves than the route allows")
+{
+    Fixture it(1, 1.0);
+    auto actions = it.execution().start(at(0));
+    int ran = 0;
+    RouteActions last = actions;
+    std::vector<RouteSend> open = actions.sends;
+    for (int ms = 1; ms <= 1000 && !last.finish; ++ms) {
+        for (const auto& send : std::exchange(open, {})) {
+            ++ran;
+            last = it.execution().onResult({ send.attempt, Status::Lost, {} }, at(ms));
+            open.insert(open.end(), last.sends.begin(), last.sends.end());
+        }
+        if (!last.finish) {
+            last = it.execution().onTimer(at(ms));
+            open.insert(open.end(), last.sends.begin(), last.sends.end());
+        }
+    }
+    CHECK(last.finish);
+    CHECK(ran == 2);
+}
+
+TEST_CASE("a request that is not idempotent is not sent again once it may have run, and is while it has not")
+{
+    Fixture it(1, 1.0);
+    it.route.idempotent = false;
+    it.route.targets = { { "s0", 1 } };
+    it.route.shards.clear();
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.sends.size() == 1);
+    auto again = it.execution().onResult({ actions.sends[0].attempt, Status::Refused, {} }, at(1));
+    REQUIRE(again.sends.size() == 1);
+    for (int ms = 2; ms < 600; ++ms)
+        CHECK(it.execution().onTimer(at(ms)).sends.empty());
+    auto last = it.execution().onResult({ again.sends[0].attempt, Status::Lost, {} }, at(600));
+    CHECK(last.sends.empty());
+    REQUIRE(last.finish);
+    CHECK(errorAnswer(last.finish->error).outcome == Outcome::MayHaveRun);
+}
+
+TEST_CASE("a request that no leaf took is refused as not run, an error of a leaf is passed on")
+{
+    Fixture it(1, 1.0);
+    it.route.targets = { { "s0", 1 } };
+    it.route.shards.clear();
+    auto actions = it.execution().start(at(0));
+    RouteActions last = actions;
+    SUBCASE("refused by all leaves")
+    {
+        std::vector<RouteSend> open = actions.sends;
+        for (int ms = 1; ms <= 1000 && !last.finish; ++ms) {
+            for (const auto& send : std::exchange(open, {})) {
+                last = it.execution().onResult({ send.attempt, Status::Refused, {} }, at(ms));
+                open.insert(open.end(), last.sends.begin(), last.sends.end());
+            }
+            if (!last.finish) {
+                last = it.execution().onTimer(at(ms));
+                open.insert(open.end(), last.sends.begin(), last.sends.end());
+            }
+        }
+        REQUIRE(last.finish);
+        CHECK(errorAnswer(last.finish->error).outcome == Outcome::NotRun);
+        CHECK(last.finish->retryAfter);
+    }
+    SUBCASE("failed by all leaves")
+    {
+        AttemptResult failed { actions.sends[0].attempt, Status::Failed, {} };
+        failed.answer.status = 500;
+        failed.answer.proof = "p";
+        last = it.execution().onResult(failed, at(5));
+        REQUIRE(last.sends.size() == 1);
+        failed.attempt = last.sends[0].attempt;
+        last = it.execution().onResult(failed, at(9));
+        REQUIRE(last.finish);
+        CHECK(last.finish->kind == RouteOutcome::Kind::Forwarded);
+        CHECK(last.finish->answer.status == 500);
+    }
+}
+
+TEST_CASE("a leaf that is busy or not reached costs no extra request and no attempt")
+{
+    Fixture it(1, 1.0);
+    SharedBounds none;
+    none.extraBurst = 0;
+    none.extraRatio = 0;
+    it.policies.setBounds(none);
+    auto actions = it.execution().start(at(0));
+    auto again = it.execution().onResult({ actions.sends[0].attempt, Status::NotSent, {} }, at(1));
+    REQUIRE(again.sends.size() == 1);
+    CHECK_FALSE(again.sends[0].isExtra);
+    auto last = it.execution().onResult(Fixture::answered(again.sends[0], 'm'), at(2));
+    REQUIRE(last.finish);
+    CHECK(last.finish->kind == RouteOutcome::Kind::Merged);
+}
+
+TEST_CASE("a caller that goes ends all attempts and gets no answer")
+{
+    Fixture it;
+    auto actions = it.execution().start(at(0));
+    CHECK(it.execution().cancel().cancels.size() == 4);
+    CHECK_FALSE(it.execution().onResult(Fixture::answered(actions.sends[0], 'm'), at(5)).finish);
+    CHECK_FALSE(it.execution().onTimer(at(2000)).finish);
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+// Relays
+
+namespace {
+
+/// All leaves are in zone sav, where a peer is; the parts are large.
+struct RelayFixture : Fixture {
+    RelayFixture()
+    {
+        std::vector<Announcement> leaves;
+        for (const auto& service : route.shards) {
+            leaves.push_back(leafOf(service, "sav"));
+            leaves.push_back(leafOf(service, "mac"));
+        }
+        policies.setLeaves(leaves, start);
+        policies.setPeers({ { "sav", { "front-sav" } } });
+        policies.onPartBytes(route, 1000);
+    }
+
+    static RelayAnswer batch(std::vector<std::uint32_t> services, const std::string& records)
+    {
+        RelayAnswer answer { true, {}, records, {} };
+        for (auto service : services)
+            answer.answered.push_back({ service, "proof-" + std::to_string(service) });
+        return answer;
+    }
+};
+
+} // namespace
+
+TEST_CASE("parts of another zone are asked of a peer there, and its batch counts each once")
+{
+    RelayFixture it;
+    auto actions = it.execution().start(at(0));
+    CHECK(actions.sends.empty());
+    REQUIRE(actions.relays.size() == 1);
+    CHECK(actions.relays[0].request.services.size() == 4);
+    auto last = it.execution().onRelayAnswer(0, RelayFixture::batch({ 0, 1, 2, 3 }, record('z') + record('y')), at(20));
+    REQUIRE(last.finish);
+    CHECK(last.finish->proofs.size() == 4);
+    CHECK(last.finish->answer.body == record('z') + record('y'));
+}
+
+TEST_CASE("a part that is late in the batch is asked for directly, and its late answer is not merged twice")
+{
+    RelayFixture it;
+    auto actions = it.execution().start(at(0));
+    auto after = it.execution().onRelayAnswer(0, RelayFixture::batch({ 0, 1, 2 }, record('z')), at(20));
+    CHECK_FALSE(after.finish);
+    REQUIRE(after.nextTimer);
+    auto hedged = it.execution().onTimer(*after.nextTimer);
+    REQUIRE(hedged.sends.size() == 1);
+    CHECK(hedged.sends[0].leaf.zone == "mac");
+    RouteActions last;
+    SUBCASE("the direct answer is first")
+    {
+        last = it.execution().onResult(Fixture::answered(hedged.sends[0], 'y'), at(30));
+        CHECK_FALSE(last.relayCancels.empty());
+    }
+    SUBCASE("the relayed answer is first")
+    {
+        RelayAnswer late { false, { { 3, "proof-3" } }, record('y'), {} };
+        last = it.execution().onRelayAnswer(0, late, at(30));
+        CHECK(last.cancels.size() == 1);
+    }
+    REQUIRE(last.finish);
+    CHECK(last.finish->proofs.size() == 4);
+    CHECK(last.finish->answer.body == record('z') + record('y'));
+}
+
+TEST_CASE("a batch that comes after its parts were asked for again is not used")
+{
+    RelayFixture it;
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.nextTimer);
+    RouteActions direct;
+    for (int ms = 0; ms < 90 && direct.sends.empty(); ++ms)
+        direct = it.execution().onTimer(at(ms));
+    REQUIRE(direct.sends.size() == 4);
+    CHECK(direct.relayCancels.size() == 1);
+    auto ignored = it.execution().onRelayAnswer(0, RelayFixture::batch({ 0, 1, 2, 3 }, record('z')), at(60));
+    CHECK_FALSE(ignored.finish);
+    RouteActions last;
+    for (const auto& send : direct.sends)
+        last = it.execution().onResult(Fixture::answered(send, 'm'), at(70));
+    REQUIRE(last.finish);
+    CHECK(last.finish->proofs.size() == 4);
+    CHECK(last.finish->answer.body == record('m') + record('m') + record('m'));
+}
+
+TEST_CASE("a refusal that a peer reports counts towards the shared budget")
+{
+    RelayFixture it;
+    SharedBounds none;
+    none.extraBurst = 0;
+    none.extraRatio = 0;
+    it.policies.setBounds(none);
+    it.execution().start(at(0));
+    RelayAnswer refused { true, {}, {}, { { 0, true, false }, { 1, false, false } } };
+    auto after = it.execution().onRelayAnswer(0, refused, at(5));
+    // Part 0 came to a leaf, so another send is extra and not allowed; part 1 did not.
+    REQUIRE(after.sends.size() == 1);
+    CHECK(after.sends[0].leaf.service == "s1");
+}
+
+TEST_CASE("a peer that does not answer is left alone for a while")
+{
+    RelayFixture it;
+    it.execution().start(at(0));
+    for (int ms = 0; ms < 90; ++ms)
+        it.execution().onTimer(at(ms));
+    CHECK(it.policies.planRelays(it.route, at(200)).empty());
+    CHECK(it.policies.planRelays(it.route, at(2000)).size() == 1);
+}
+
+TEST_CASE("a peer sends each part once and answers late ones one by one")
+{
+    Fixture it;
+    RelayRequest request { "list", milliseconds(100), { "s0", "s1", "none" }, 3, milliseconds(500), milliseconds(40) };
+    RelayedGather gather(request, RouteExecution::attemptsPerRequest, it.policies);
+    auto actions = gather.start(at(0));
+    REQUIRE(actions.sends.size() == 2);
+    CHECK(actions.answers.empty());
+    CHECK(gather.onResult(Fixture::answered(actions.sends[0], 'm'), at(10)).answers.empty());
+    auto batch = gather.onTimer(at(40));
+    REQUIRE(batch.answers.size() == 1);
+    CHECK(batch.answers[0].isBatch);
+    CHECK(batch.answers[0].answered.size() == 1);
+    CHECK(batch.answers[0].failed.size() == 1);
+    CHECK(batch.sends.empty());
+    auto late = gather.onResult(Fixture::answered(actions.sends[1], 'n'), at(60));
+    REQUIRE(late.answers.size() == 1);
+    CHECK_FALSE(late.answers[0].isBatch);
+    CHECK(late.answers[0].records == record('n'));
+    CHECK(late.finished);
+}
+
+TEST_CASE("relay messages are read as they were written, and malformed ones are refused")
+{
+    RelayedCall call { { "list", milliseconds(80), { "a", "b" }, 20, milliseconds(300), milliseconds(25) }, "GET",
+        "/x/", { { "Host", "h" } }, "body" };
+    auto read = decodeRelayedCall(encode(call));
+    CHECK(read.relay.services == call.relay.services);
+    CHECK(read.relay.remaining == call.relay.remaining);
+    CHECK(read.headers == call.headers);
+    RelayAnswer answer { true, { { 1, "p" } }, record('z'), { { 0, true, false } } };
+    auto decoded = decodeRelayAnswer(encode(answer));
+    CHECK(decoded.isBatch);
+    CHECK(decoded.answered[0].proof == "p");
+    CHECK(decoded.failed[0].hasArrived);
+    CHECK_THROWS_AS(decodeRelayAnswer("\x93garbage"), Error);
+    CHECK_THROWS_AS(decodeRelayedCall(""), Error);
+}
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -169,7 +169,8 @@
     configuration.routes.push_back(gather);
     policies.setTable(std::make_shared<const RouteTable>(configuration));
     policies.setLeaves(
-        { leafOf("l", "ledger"), leafOf("a", "s1"), leafOf("b", "s2"), leafOf("c", "s3"), leafOf("d", "s4", "sav") }, start);
+        { leafOf("l", "ledger"), leafOf("a", "s1"), leafOf("b", "s2"), leafOf("c", "s3"), leafOf("d", "s4", "sav") },
+        start);
     CHECK(policies.canServe());
     for (int i = 0; i < 50; ++i)
         policies.onRequest(gather);
