Test the platform's codecs, leaf connections, directory broadcast and log buffer

Guards against invalid configurations that are accepted, forged announcements, connections reused in a wrong state, changes confirmed before others know them, and unbounded logs. No change of behaviour.

--- a/tests/LeafDirectoryTests.cpp
+++ b/tests/LeafDirectoryTests.cpp
@@ -165,3 +165,36 @@
     CHECK(target.replicasOf("service-0").size() == 17);
     CHECK_THROWS_AS(LeafDirectory("c").importAll(bytes.substr(0, bytes.size() - 3), at(10)), Error);
 }
+
+// Guards against a late announcement of a leaf that has ended, after another one was started at its address.
+TEST_CASE("an address belongs to the leaf that started last")
+{
+    LeafDirectory directory("a");
+    directory.announce(announcementOf(1, 5), at(0));
+    auto next = announcementOf(2, 1);
+    next.leaf = "atl-2";
+    next.service = "repairs";
+    auto out = directory.announce(next, at(100));
+    CHECK(out.items.size() == 2);
+    CHECK_FALSE(directory.leaf("atl-1"));
+    CHECK(directory.announce(announcementOf(1, 6), at(200)).items.empty());
+    CHECK_FALSE(directory.leaf("atl-1"));
+    CHECK(directory.leaf("atl-2"));
+}
+
+// Guards against requests to a leaf that has said goodbye without draining first.
+TEST_CASE("a leaf that departs counts as draining, also when a late announcement follows, until it lapses")
+{
+    LeafDirectory directory("a", milliseconds(4000));
+    LeafDirectory other("b");
+    pass(directory.announce(announcementOf(1, 5), at(0)), other, at(0));
+    CHECK(pass(directory.depart("atl-1", at(1000)), other, at(1000)));
+    CHECK(directory.leaf("atl-1")->draining);
+    CHECK(other.leaf("atl-1")->draining);
+    CHECK(directory.depart("unknown", at(1000)).items.empty());
+    CHECK(directory.announce(announcementOf(1, 5), at(1100)).items.empty());
+    CHECK(directory.leaf("atl-1")->draining);
+    CHECK(directory.expire(at(4999)).items.empty());
+    CHECK(directory.expire(at(5000)).items.size() == 1);
+    CHECK_FALSE(directory.leaf("atl-1"));
+}
--- /dev/null
+++ b/tests/PlatformTests.cpp
@@ -0,0 +1,197 @@
+// Guards against: a configuration that is accepted though invalid or refused though valid, announcements by forgers,
+// headers that must not cross a connection, and answers that belong to another request.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/ConfigurationCodec.h"
+#include "platform/ControlApi.h"
+#include "platform/RequestProtocol.h"
+#include "platform/Settings.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace citronplank;
+using nlohmann::json;
+
+namespace {
+
+json validConfiguration()
+{
+    return json::parse(R"({"version":7,"routes":[
+        {"name":"g","host":"a.example","path_prefix":"/g/","route_type":"idempotent","timeout_ms":400,
+         "target_latency_ms":80,"priority":1,"gather":["s1","s2"],"max_attempts":2,"top_k":20,"min_coverage":0.89},
+        {"name":"w","host":"a.example","path_prefix":"/w/","route_type":"non_idempotent","timeout_ms":1000,
+         "weighted_backends":[{"service":"s1","weight":3},{"service":"s2","weight":1}]}],
+        "services":[{"name":"s1","max_connections":25,"warmup_per_s":2.5},{"name":"s2","max_connections":25}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "unknown":{"field":1}})");
+}
+
+const json announcementBody = json::parse(R"({"service":"s1","address":"10.0.0.9:8080","zone":"atl","version":"v1",
+    "slots":2,"state":"ready","warmup_left_ms":1500.5,"seq":4,"born":1700000000000})");
+
+HttpRequest requestOf(std::vector<std::pair<std::string, std::string>> headers)
+{
+    return { "GET", "/g/x?y=1", std::move(headers), "" };
+}
+
+} // namespace
+
+TEST_CASE("a configuration is read in full")
+{
+    auto configuration = platform::decodeConfiguration(validConfiguration().dump());
+    CHECK(configuration.version == 7);
+    REQUIRE(configuration.routes.size() == 2);
+    const auto& gather = configuration.routes[0];
+    CHECK(gather.shards == std::vector<std::string> { "s1", "s2" });
+    CHECK(gather.objective == milliseconds(80));
+    CHECK(gather.attempts == 2);
+    CHECK(gather.idempotent);
+    const auto& weighted = configuration.routes[1];
+    CHECK_FALSE(weighted.idempotent);
+    CHECK(weighted.attempts == 1);
+    CHECK(weighted.targets[0].weight == 3);
+    CHECK(configuration.services.at("s1").coldRequestsPerSecond == 2.5);
+    CHECK(configuration.callerLimits.idleTimeout == milliseconds(15000));
+}
+
+TEST_CASE("an invalid configuration is refused")
+{
+    auto text = validConfiguration().dump();
+    CHECK_THROWS_AS(platform::decodeConfiguration(text.substr(0, text.size() - 1)), Error);
+    CHECK_THROWS_AS(platform::decodeConfiguration(text + "x"), Error);
+    CHECK_THROWS_AS(platform::decodeConfiguration(""), Error);
+    std::vector<std::function<void(json&)>> damages {
+        [](json& it) { it["routes"][0]["gather"][1] = "s3"; },
+        [](json& it) { it["routes"][1]["weighted_backends"][0]["service"] = "s3"; },
+        [](json& it) { it["routes"][1]["path_prefix"] = "/g/"; },
+        [](json& it) { it["routes"][1]["path_prefix"] = "/g/", it["routes"][1]["host"] = "A.Example"; },
+        [](json& it) {
+            for (auto& target : it["routes"][1]["weighted_backends"])
+                target["weight"] = 0;
+        },
+        [](json& it) { it["routes"][0]["timeout_ms"] = 0; },
+        [](json& it) { it["routes"][0].erase("timeout_ms"); },
+        [](json& it) { it["routes"][0]["route_type"] = "other"; },
+        [](json& it) { it.erase("version"); },
+        [](json& it) { it["version"] = "8"; },
+        [](json& it) { it["version"] = -1; },
+        [](json& it) { it.erase("services"); },
+        [](json& it) { it["routes"][0]["path_prefix"] = "/g"; },
+    };
+    for (std::size_t i = 0; i < damages.size(); ++i) {
+        CAPTURE(i);
+        auto damaged = validConfiguration();
+        damages[i](damaged);
+        CHECK_THROWS_AS(platform::decodeConfiguration(damaged.dump()), Error);
+    }
+}
+
+TEST_CASE("an announcement is read, and one with a missing or wrong field names no leaf")
+{
+    auto leaf = platform::decodeAnnouncement("i-1", announcementBody.dump());
+    CHECK(leaf.leaf == "i-1");
+    CHECK(leaf.boot == 1700000000000);
+    CHECK(leaf.sequence == 4);
+    CHECK(leaf.warmupLeft == milliseconds(1500));
+    CHECK_FALSE(leaf.draining);
+    for (const auto& [field, wrong] :
+        std::vector<std::pair<std::string, json>> { { "service", 3 }, { "address", "x" }, { "zone", nullptr },
+            { "slots", "2" }, { "state", "asleep" }, { "seq", -1 }, { "born", 1.5 }, { "warmup_left_ms", "soon" } }) {
+        CAPTURE(field);
+        auto body = announcementBody;
+        body[field] = wrong;
+        CHECK_THROWS_AS(platform::decodeAnnouncement("i-1", body.dump()), Error);
+        if (field == "born" || field == "warmup_left_ms")
+            continue;
+        body.erase(field);
+        CHECK_THROWS_AS(platform::decodeAnnouncement("i-1", body.dump()), Error);
+    }
+    CHECK_THROWS_AS(platform::decodeAnnouncement("i-1", "{\"service\":"), Error);
+}
+
+TEST_CASE("a request goes to a leaf with its own headers only")
+{
+    platform::RequestProtocol protocol;
+    auto request = requestOf({ { "Host", "a.example" }, { "Request-Id", "r1" }, { "Deadline-Ms", "900" },
+        { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" }, { "Expect-Instance", "forged" },
+        { "Keep-Alive", "timeout=5" } });
+    Announcement leaf;
+    leaf.leaf = "i-1";
+    CHECK(protocol.renderRequest(request, leaf, milliseconds(250))
+        == "GET /g/x?y=1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nX-Kept: 2\r\nDeadline-Ms: 250\r\n"
+           "Expect-Instance: i-1\r\n\r\n");
+    request.body = "abc";
+    CHECK(protocol.renderRequest(request, leaf, milliseconds(250)).ends_with("Content-Length: 3\r\n\r\nabc"));
+    auto call = protocol.readCall(request);
+    CHECK(call.id == "r1");
+    CHECK(call.remaining == milliseconds(900));
+    CHECK_FALSE(protocol.readCall(requestOf({})).remaining);
+}
+
+TEST_CASE("what a leaf's answer means")
+{
+    using Status = AttemptResult::Status;
+    platform::RequestProtocol protocol;
+    RoutedCall call { "r1", {} };
+    auto statusOf = [&](int status, std::vector<std::pair<std::string, std::string>> headers,
+                        LeafReply::End end = LeafReply::End::Complete) {
+        LeafReply reply;
+        reply.end = end;
+        reply.status = status;
+        reply.headers = std::move(headers);
+        return protocol.readReply(reply, call).status;
+    };
+    CHECK(statusOf(200, { { "Server-Stamp", "s" }, { "Request-Id", "r1" } }) == Status::Answered);
+    CHECK(statusOf(200, { { "Server-Stamp", "s" } }) == Status::Answered);
+    CHECK(statusOf(200, { { "Server-Stamp", "s" }, { "Request-Id", "r0" } }) == Status::Lost);
+    CHECK(statusOf(200, { { "Request-Id", "r1" } }) == Status::Lost);
+    CHECK(statusOf(200, { { "Server-Stamp", "s" }, { "Content-Encoding", "gzip" } }) == Status::Lost);
+    CHECK(statusOf(500, { { "Server-Stamp", "s" } }) == Status::Failed);
+    CHECK(statusOf(503, { { "Not-Executed", "1" } }) == Status::Refused);
+    CHECK(statusOf(503, {}) == Status::Failed);
+    CHECK(statusOf(421, {}) == Status::WrongLeaf);
+    CHECK(statusOf(200, {}, LeafReply::End::Lost) == Status::Lost);
+    CHECK(statusOf(0, {}, LeafReply::End::Malformed) == Status::Lost);
+    CHECK(statusOf(0, {}, LeafReply::End::NotWritten) == Status::NotSent);
+    CHECK(statusOf(0, {}, LeafReply::End::NotTaken) == Status::Busy);
+}
+
+TEST_CASE("a merged answer carries its proofs and its gaps, a refusal the time to come back")
+{
+    platform::RequestProtocol protocol;
+    RouteOutcome merged;
+    merged.kind = RouteOutcome::Kind::Merged;
+    merged.answer.status = 200;
+    merged.proofs = { "p1", "p2" };
+    merged.missing = 1;
+    auto answer = protocol.renderOutcome(merged, { "r1", {} });
+    CHECK(answer.headers[0] == std::pair<std::string, std::string>("Part-Stamps", "p1, p2"));
+    CHECK(answer.headers[1] == std::pair<std::string, std::string>("Missing-Parts", "1"));
+    RouteOutcome refused;
+    refused.error = ErrorKind::Overloaded;
+    refused.retryAfter = milliseconds(250);
+    answer = protocol.renderOutcome(refused, { "r1", {} });
+    CHECK(answer.status == 503);
+    CHECK(answer.headers[0] == std::pair<std::string, std::string>("Retry-After", "0.250"));
+}
+
+TEST_CASE("settings are read, unknown ones ignored, wrong ones named")
+{
+    std::string text = "instance 10.0.0.1\nzone atl\nregion georgia\nseeds 10.0.0.1:80,10.0.0.2:80\nbootstrap true\n"
+                       "data-dir /data/x\ncaller-address \nready-address \ncontrol-address 10.0.0.1:80\n"
+                       "first-internal-port 7380\nannouncement-interval-ms 1200\ntolerated-members 2\ngrace-time-s 6\n"
+                       "extra-ratio 0.2\nsomething new\n";
+    auto settings = platform::parseSettings(text);
+    CHECK(settings.node.linkAddress == "10.0.0.1:7381");
+    CHECK(settings.node.seeds == std::vector<std::string> { "10.0.0.1:7380", "10.0.0.2:7380" });
+    CHECK(settings.node.voterTarget == 5);
+    CHECK(settings.node.bootstrap);
+    CHECK(settings.node.isControlMember());
+    CHECK(settings.callerAddress.empty());
+    CHECK(settings.node.announcementLapse == milliseconds(6000));
+    // A member that is no seed never creates a cluster.
+    CHECK_FALSE(platform::parseSettings("instance 10.0.0.9\n" + text.substr(text.find('\n') + 1)).node.bootstrap);
+    CHECK_THROWS_WITH_AS(platform::parseSettings("zone atl\n"), "the setting instance is missing", Error);
+    CHECK_THROWS_AS(platform::parseSettings(text + "grace-time-s soon\n"), Error);
+    CHECK_THROWS_AS(platform::readSettingsFile("/nonexistent"), Error);
+}
--- /dev/null
+++ b/tests/RoutedDaemonTests.cpp
@@ -0,0 +1,271 @@
+// Guards against: leaf connections that are lost, reused in a wrong state or beyond the leaf's limit; directory changes
+// that are acknowledged before others know them; log lines that block or grow without bound; routes that are mistaken.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "backend/UpstreamClient.h"
+#include "daemon/ItemBroadcast.h"
+#include "daemon/LogBuffer.h"
+#include "query/RouteTable.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace citronplank;
+
+namespace {
+
+const TimePoint start { seconds(1000) };
+TimePoint at(int ms) { return start + milliseconds(ms); }
+
+/// A leaf that answers each connection's requests with what the test says.
+class FakeLeaf {
+public:
+    explicit FakeLeaf(asio::io_context& io)
+        : m_acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        accept();
+    }
+    Announcement announcement() const
+    {
+        Announcement it;
+        it.leaf = "leaf";
+        it.service = "s";
+        it.address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        return it;
+    }
+    int connections = 0;
+    bool isSilent = false;
+    std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    bool closesAfterReply = false;
+
+private:
+    using Socket = std::shared_ptr<asio::ip::tcp::socket>;
+    void accept()
+    {
+        m_acceptor.async_accept([this](std::error_code ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            ++connections;
+            serve(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+            accept();
+        });
+    }
+    void serve(const Socket& socket)
+    {
+        auto buf = std::make_shared<std::string>();
+        asio::async_read_until(
+            *socket, asio::dynamic_buffer(*buf), "\r\n\r\n", [this, socket, buf](std::error_code ec, std::size_t) {
+                if (ec)
+                    return;
+                m_kept.push_back(socket);
+                if (isSilent)
+                    return;
+                asio::write(*socket, asio::buffer(reply), ec);
+                if (closesAfterReply)
+                    socket->close();
+                else
+                    serve(socket);
+            });
+    }
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<Socket> m_kept;
+};
+
+struct ClientFixture {
+    asio::io_context io;
+    FakeLeaf leaf { io };
+    std::shared_ptr<UpstreamClient> client
+        = std::make_shared<UpstreamClient>(asio::make_strand(io), UpstreamSettings {});
+    std::uint64_t lastAttempt = 0;
+
+    void runFor(milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+    std::optional<LeafReply> exchange(std::uint32_t limit = 4)
+    {
+        std::optional<LeafReply> got;
+        client->send(++lastAttempt, leaf.announcement(), limit, "GET / HTTP/1.1\r\n\r\n", false,
+            [&](LeafReply reply) { got = std::move(reply); });
+        for (int i = 0; i < 200 && !got; ++i)
+            runFor(milliseconds(5));
+        return got;
+    }
+    ~ClientFixture() { client->closeAll(); }
+};
+
+} // namespace
+
+TEST_CASE("a connection serves one exchange after the other")
+{
+    ClientFixture it;
+    for (int i = 0; i < 3; ++i) {
+        auto reply = it.exchange();
+        REQUIRE(reply);
+        CHECK(reply->end == LeafReply::End::Complete);
+        CHECK(reply->body == "ok");
+    }
+    CHECK(it.leaf.connections == 1);
+}
+
+TEST_CASE("bytes behind an answer belong to nobody, and end the connection")
+{
+    ClientFixture it;
+    it.leaf.reply += "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+    CHECK(it.exchange()->body == "ok");
+    CHECK(it.exchange()->body == "ok");
+    CHECK(it.leaf.connections == 2);
+}
+
+TEST_CASE("an answer without a length is whole when the leaf ends the connection, a cut one is not")
+{
+    ClientFixture it;
+    it.leaf.closesAfterReply = true;
+    it.leaf.reply = "HTTP/1.1 200 OK\r\n\r\nuntil the end";
+    auto reply = it.exchange();
+    CHECK(reply->end == LeafReply::End::Complete);
+    CHECK(reply->body == "until the end");
+    it.leaf.reply = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort";
+    CHECK(it.exchange()->end == LeafReply::End::Lost);
+    it.leaf.reply = "not HTTP at all\r\n\r\n";
+    CHECK(it.exchange()->end == LeafReply::End::Malformed);
+}
+
+TEST_CASE("no more connections than the limit; a cancelled exchange frees its own")
+{
+    ClientFixture it;
+    it.leaf.isSilent = true;
+    auto ignore = [](const LeafReply&) {};
+    it.client->send(101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, ignore);
+    CHECK(it.exchange(1)->end == LeafReply::End::NotTaken);
+    std::optional<UpstreamClient::Late> late;
+    it.client->cancel(101, milliseconds(30), [&](UpstreamClient::Late end) { late = end; });
+    it.runFor(milliseconds(100));
+    CHECK(late == UpstreamClient::Late::Silent);
+    it.leaf.isSilent = false;
+    CHECK(it.exchange(1)->end == LeafReply::End::Complete);
+}
+
+TEST_CASE("a cancelled exchange that is answered in time keeps its connection")
+{
+    ClientFixture it;
+    it.client->send(
+        101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
+    std::optional<UpstreamClient::Late> late;
+    it.client->cancel(101, milliseconds(500), [&](UpstreamClient::Late end) { late = end; });
+    for (int i = 0; i < 50 && !late; ++i)
+        it.runFor(milliseconds(5));
+    CHECK(late == UpstreamClient::Late::Answered);
+    CHECK(it.exchange(1)->end == LeafReply::End::Complete);
+    CHECK(it.leaf.connections == 1);
+}
+
+TEST_CASE("a probe tells whether a leaf can be reached")
+{
+    ClientFixture it;
+    std::optional<bool> reached;
+    it.client->probe(it.leaf.announcement(), [&](bool ok) { reached = ok; });
+    it.runFor(milliseconds(50));
+    CHECK(reached == true);
+    auto gone = it.leaf.announcement();
+    gone.leaf = "gone";
+    gone.address = "127.0.0.1:1";
+    it.client->probe(gone, [&](bool ok) { reached = ok; });
+    it.runFor(milliseconds(50));
+    CHECK(reached == false);
+    gone.address = "nowhere";
+    it.client->probe(gone, [&](bool ok) { reached = ok; });
+    CHECK(reached == false);
+    CHECK_THROWS_AS(it.client->send(9, gone, 1, "", false, nullptr), Error);
+}
+
+// ---------------------------------------------------------------------------------------------------------------
+
+TEST_CASE("a directory change is confirmed once all peers have it, or enough of them in time")
+{
+    std::vector<std::pair<std::string, std::uint64_t>> sent;
+    ItemBroadcast broadcast(
+        [&](const std::string& peer, std::uint64_t number, const std::string&) { sent.emplace_back(peer, number); });
+    std::vector<DirectoryItem> items { { "leaf/a", "payload", false } };
+    std::optional<bool> known;
+    broadcast.start(items, { "p1", "p2", "p3" }, at(0), [&](bool it) { known = it; });
+    REQUIRE(sent.size() == 3);
+    auto number = sent[0].second;
+    broadcast.onAck("p1", number);
+    CHECK_FALSE(known);
+    SUBCASE("all answer, one after a resend")
+    {
+        broadcast.onAck("p2", number);
+        broadcast.onTimer({ "p1", "p2", "p3" }, at(300));
+        CHECK(sent.back().first == "p3");
+        CHECK(sent.size() == 4);
+        broadcast.onAck("p3", number);
+        CHECK(known == true);
+    }
+    SUBCASE("a peer that is no member any more is not waited for")
+    {
+        broadcast.onAck("p2", number);
+        broadcast.onTimer({ "p1", "p2" }, at(50));
+        CHECK(known == true);
+    }
+    SUBCASE("too few answer in time")
+    {
+        broadcast.onTimer({ "p1", "p2", "p3" }, at(700));
+        CHECK(known == false);
+    }
+    SUBCASE("enough answer in time, the rest is sent on")
+    {
+        broadcast.onAck("p2", number);
+        broadcast.onTimer({ "p1", "p2", "p3" }, at(700));
+        CHECK(known == true);
+        auto n = sent.size();
+        broadcast.onTimer({ "p1", "p2", "p3" }, at(1000));
+        CHECK(sent.size() == n + 1);
+    }
+    CHECK(decodeItems(encodeItems(items))[0].payload == "payload");
+    CHECK_THROWS_AS(decodeItems("x"), Error);
+}
+
+TEST_CASE("log lines are bounded and never block")
+{
+    LogBuffer buffer;
+    std::string line(100, 'x');
+    for (int i = 0; i < 10000; ++i)
+        buffer.add(line);
+    int ends[2];
+    REQUIRE(::pipe(ends) == 0);
+    buffer.flush(ends[1]); // nobody reads: takes what fits into the pipe
+    buffer.flush(ends[1]);
+    std::string got(std::size_t { 1 } << 20U, 0);
+    ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    got.resize(static_cast<std::size_t>(::read(ends[0], got.data(), got.size())));
+    CHECK(got.size() < LogBuffer::maximumBytes);
+    CHECK(got.find("dropped_lines=") != std::string::npos);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    ServingConfiguration configuration;
+    configuration.version = 1;
+    configuration.services["s"] = {};
+    for (const char* prefix : { "/", "/a/", "/a/b/" }) {
+        Route route;
+        route.name = prefix;
+        route.host = "Host.Example";
+        route.pathPrefix = prefix;
+        route.targets = { { "s", 1 } };
+        configuration.routes.push_back(route);
+    }
+    checkConfiguration(configuration);
+    RouteTable table(configuration);
+    CHECK(table.find("host.example", "/a/b/c")->name == "/a/b/");
+    CHECK(table.find("HOST.example:80", "/a/b")->name == "/a/");
+    CHECK(table.find("host.example", "/x?p=/a/b/")->name == "/");
+    CHECK(table.find("host.example", "/a/b/?q")->name == "/a/b/");
+    CHECK_FALSE(table.find("other.example", "/a/"));
+    CHECK_FALSE(table.find("host.example", "*"));
+}
