Find the configuration again at once after a partition has healed

Now an instance that hears nothing of the leader asks control members that it ever knew, refetches announcements when it hears of the leader again, and gossip tries lost members more often. Ruled out: the links, which were up 0.3 s after the heal; the freshness notice, which arrives with the first message.

--- a/daemon/MembershipService.cpp
+++ b/daemon/MembershipService.cpp
@@ -12,21 +12,23 @@
 /// once; with a small burst their records took over 20 s to spread and starved the freshness notices.
 constexpr std::uint32_t gossipBurstBytes = 64 * 1024;
 
-Gossip makeGossip(const Instance& self, std::vector<std::string> seeds)
+Gossip makeGossip(
+    const Instance& self, std::vector<std::string> seeds, std::optional<milliseconds> rejoinInterval)
 {
     std::random_device random;
     GossipSettings settings;
     settings.burstBytes = gossipBurstBytes;
+    settings.rejoinInterval = rejoinInterval.value_or(settings.rejoinInterval);
     return GossipBuilder().self(self).seeds(std::move(seeds)).settings(settings).randomSeed(random()).build();
 }
 
 } // namespace
 
 MembershipService::MembershipService(asio::io_context& io, const Instance& self, std::vector<std::string> seeds,
-    MembershipHandlers handlers, milliseconds lapse)
+    MembershipHandlers handlers, milliseconds lapse, std::optional<milliseconds> rejoinInterval)
     : m_self(self.name)
     , m_handlers(std::move(handlers))
-    , m_gossip(LockRank::Members, makeGossip(self, std::move(seeds)))
+    , m_gossip(LockRank::Members, makeGossip(self, std::move(seeds), rejoinInterval))
     , m_directory(LockRank::Directory, self.name, lapse)
     , m_strand(asio::make_strand(io))
     , m_timer(m_strand)
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr milliseconds catchUpTick { 200 };      // fetches of configuration and directory
+constexpr milliseconds noticeLimit { 1500 };     // three notices of the leader were missed
+constexpr std::size_t controlMembersAsked = 3;   // at once, of which one or two may be lost
 constexpr milliseconds controlClientTick { 20 }; // offers and time-outs of proposals
 constexpr milliseconds reopenInterval { 1000 }; // of a disk that failed; each try writes the log once
 constexpr std::string_view freshnessKey = "control/freshness";
@@ -46,7 +48,10 @@
     : m_settings(settings)
     , m_incarnation(makeIncarnation())
     , m_work(asio::make_work_guard(m_io))
+    , m_knownControl(LockRank::Requests)
 {
+    for (const auto& [name, address] : settings.controlMembers)
+        m_knownControl.with([&](std::set<std::string>& it) { it.insert(name); });
     m_controlClient = std::make_unique<ControlClient>(namesOf(settings.controlMembers),
         [this](const std::string& member, const Propose& proposal) { return offerProposal(member, proposal); });
     LinkSettings links;
@@ -66,7 +71,7 @@
     handlers.membersChanged = [this] { onMembersChanged(); };
     handlers.directoryChanged = [this] { onDirectory(); };
     m_membership = std::make_unique<MembershipService>(
-        m_io, self, settings.seeds, std::move(handlers), settings.announcementLapse);
+        m_io, self, settings.seeds, std::move(handlers), settings.announcementLapse, settings.rejoinInterval);
     m_control = makeControl();
 }
 
@@ -106,8 +111,7 @@
     m_membership->start();
     every(controlClientTick, [this] { m_controlClient->onTimer(Clock::now()); });
     every(catchUpTick, [this] {
-        if (!m_hasDirectory || !m_configuration.isFresh(Clock::now()))
-            catchUp();
+        catchUp();
     });
     if (m_control)
         m_control->start();
@@ -263,8 +267,14 @@
 void Node::onFreshnessNotice(std::string_view bytes)
 {
     auto notice = decodeFreshness(bytes);
+    auto age = m_configuration.freshnessAge(Clock::now());
     if (!m_configuration.noteFreshness(notice, Clock::now()))
         return;
+    // Announcements were missed too while this instance heard nothing of the leader.
+    if (age && *age > noticeLimit) {
+        log(LogLevel::Info, "config", "The leader " + notice.leader + " is heard of again.");
+        askControlMembers(MessageKind::DirectoryFetch);
+    }
     m_controlClient->noteLeader(notice.leader);
     if (notice.publishedVersion > m_configuration.current()->published.version)
         catchUp();
@@ -279,6 +289,7 @@
             if (it.controlMember)
                 control.insert(it.name);
         }
+        m_knownControl.with([&](std::set<std::string>& it) { it.insert(control.begin(), control.end()); });
         if (m_control) {
             control.insert(m_settings.name);
             m_control->setContacts(control);
@@ -294,31 +305,42 @@
 {
     auto notice = m_configuration.lastNotice();
     auto peers = m_membership->livePeers();
-    if (peers.empty())
-        return;
     thread_local std::mt19937 random { std::random_device {}() };
     std::shuffle(peers.begin(), peers.end(), random);
     auto isNear = [&](const Instance& it) { return it.zone == m_settings.zone; };
-    if (m_configuration.current()->published.version < notice.publishedVersion || notice.leader.empty()) {
-        auto member = std::find_if(peers.begin(), peers.end(), [](const Instance& it) { return it.controlMember; });
-        auto near = std::find_if(peers.begin(), peers.end(), isNear);
+    auto near = std::find_if(peers.begin(), peers.end(), isNear);
+    auto age = m_configuration.freshnessAge(Clock::now());
+    bool isStale = !age || *age > noticeLimit;
+    if (m_configuration.current()->published.version < notice.publishedVersion || isStale) {
         if (near != peers.end())
-            fetchFrom(*near, MessageKind::ConfigurationFetch);
-        if (member != peers.end())
-            fetchFrom(*member, MessageKind::ConfigurationFetch);
+            fetchFrom(near->linkAddress, MessageKind::ConfigurationFetch);
+        askControlMembers(MessageKind::ConfigurationFetch);
     }
-    if (!m_hasDirectory) {
-        auto near = std::find_if(peers.begin(), peers.end(), isNear);
-        fetchFrom(near != peers.end() ? *near : peers.front(), MessageKind::DirectoryFetch);
+    if (!m_hasDirectory && !peers.empty())
+        fetchFrom(near != peers.end() ? near->linkAddress : peers.front().linkAddress, MessageKind::DirectoryFetch);
+}
+
+/// Asks control members also if gossip takes them for dead: after a partition has healed, gossip needs seconds to find
+/// all members again, and the configuration must not be older for so long.
+void Node::askControlMembers(MessageKind kind)
+{
+    auto names = m_knownControl.with([](std::set<std::string>& it) { return it; });
+    std::vector<std::string> asked;
+    thread_local std::mt19937 random { std::random_device {}() };
+    std::sample(names.begin(), names.end(), std::back_inserter(asked), controlMembersAsked, random);
+    for (const auto& it : asked) {
+        auto address = addressOf(it);
+        if (it != m_settings.name && !address.empty())
+            fetchFrom(address, kind);
     }
 }
 
-void Node::fetchFrom(const Instance& peer, MessageKind kind)
+void Node::fetchFrom(const std::string& address, MessageKind kind)
 {
     Envelope envelope;
     envelope.kind = static_cast<std::uint16_t>(kind);
     envelope.body = encodeConfigurationFetch({ m_configuration.current()->published.version });
-    m_links->send(peer.linkAddress, Lane::Control, std::move(envelope));
+    m_links->send(address, Lane::Control, std::move(envelope));
 }
 
 void Node::onConfigurationFetch(const Envelope& envelope)
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -51,7 +51,7 @@
     /// Runs `task` on the workers every `interval`, never twice at once.
     void every(milliseconds interval, std::function<void()> task);
 
-    /// Asks for what this daemon lacks: a peer of the own zone first, then any control member.
+    /// Asks for what this daemon lacks: a peer of the own zone and some control members.
     void catchUp();
     bool hasConfiguration() const { return m_configuration.current()->published.cluster != 0; }
 
@@ -80,10 +80,13 @@
     void onFreshness(const Freshness&);
     void onFreshnessNotice(std::string_view bytes);
     void onMembersChanged();
-    void fetchFrom(const Instance&, MessageKind);
+    void fetchFrom(const std::string& address, MessageKind);
+    void askControlMembers(MessageKind);
     void onConfigurationFetch(const Envelope&);
     void onDirectoryFetch(const Envelope&);
     void onDirectoryAnswer(const Envelope&);
+
+    Guarded<std::set<std::string>> m_knownControl; // names ever seen, lost ones included
 };
 
 /// Milliseconds since 1970. Thread safe.
