Test the whole routed path on loopback

Three control members, an entry and leaves in one process: configurations, zones taken out, draining and departing leaves, a reused address, restarts, an empty disk, and an entry that gossip cannot reach. The last case was seen failing without the fetch from control members. No change of behaviour.

--- /dev/null
+++ b/tests/RoutedSystemTests.cpp
@@ -0,0 +1,292 @@
+// The whole path on loopback, in one process: control members, entries and leaves that are small HTTP servers.
+//
+// Guards against: configurations that are lost, reverted or not in force; leaves that drain, leave or are in a zone
+// that is out and still get requests; entries that are ready too early; an instance that gossip has lost.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/ConfigurationCodec.h"
+#include "platform/ControlApi.h"
+#include "platform/RequestProtocol.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <unistd.h>
+
+using namespace citronplank;
+using nlohmann::json;
+
+namespace {
+
+constexpr int basePort = 23000;
+constexpr int portsPerRun = 10;
+constexpr int runs = 800;
+int port(int offset) { return basePort + portsPerRun * (::getpid() % runs) + offset; }
+
+template <typename Condition>
+bool eventually(Condition condition, milliseconds limit = milliseconds(15000))
+{
+    for (auto end = Clock::now() + limit; Clock::now() < end; std::this_thread::sleep_for(milliseconds(20))) {
+        if (condition())
+            return true;
+    }
+    return condition();
+}
+
+/// Leaves of all services, each an HTTP server at an address of its own.
+class Leaves {
+public:
+    Leaves()
+        : m_work(asio::make_work_guard(m_io))
+        , m_thread([this] { m_io.run(); })
+    {
+    }
+    ~Leaves()
+    {
+        m_work.reset();
+        m_io.stop();
+        m_thread.join();
+    }
+    std::string add(const std::string& name)
+    {
+        HttpServerSettings settings;
+        settings.address = "127.0.0.1:0";
+        m_servers.push_back(
+            std::make_unique<HttpServer>(m_io, settings, [this, name](HttpRequest request, Responder responder) {
+                ++m_counts[name];
+                HttpAnswer answer { 200, "", std::string(16, name.back()) };
+                answer.headers = { { "Server-Stamp", "stamp-" + name },
+                    { "Request-Id", std::string(request.header("Request-Id")) } };
+                if (request.header("Expect-Instance") != name)
+                    answer = { 421, "", "" };
+                responder.answer(std::move(answer));
+            }));
+        m_servers.back()->start();
+        return m_servers.back()->address();
+    }
+    int count(const std::string& name) { return m_counts[name]; }
+
+private:
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+    std::map<std::string, std::atomic<int>> m_counts;
+    std::thread m_thread;
+};
+
+class System {
+public:
+    System()
+    {
+        std::filesystem::remove_all(m_folder);
+        for (const char* ip : { "127.40.1.1", "127.40.2.1", "127.40.3.1" })
+            m_control.push_back(ip);
+    }
+    ~System()
+    {
+        m_daemons.clear();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void start(const std::string& ip, bool isControl, bool findsGossip = true, bool bootstrap = true)
+    {
+        RoutedDaemonSettings settings;
+        auto& node = settings.node;
+        node.name = ip;
+        node.region = "region";
+        node.zone = "zone" + ip.substr(7, 1);
+        node.gossipAddress = ip + ":" + std::to_string(port(0));
+        node.linkAddress = ip + ":" + std::to_string(port(1));
+        node.openControl = true;
+        node.bootstrap = bootstrap;
+        node.voterTarget = 3;
+        node.announcementLapse = milliseconds(20000);
+        for (const auto& it : m_control) {
+            node.controlMembers[it] = it + ":" + std::to_string(port(1));
+            node.seeds.push_back((findsGossip ? it : std::string("127.40.9.9")) + ":" + std::to_string(port(0)));
+        }
+        if (isControl) {
+            node.dataDir = m_folder / ip;
+            std::filesystem::create_directories(node.dataDir);
+            settings.controlAddress = ip + ":" + std::to_string(port(2));
+        } else {
+            settings.callerAddress = ip + ":" + std::to_string(port(3));
+            settings.readyAddress = ip + ":" + std::to_string(port(4));
+        }
+        node.adminAddress = isControl ? settings.controlAddress : settings.readyAddress;
+        m_daemons[ip] = std::make_unique<RoutedDaemon>(
+            settings, m_protocol, platform::decodeConfiguration, platform::handleControlCall);
+        m_daemons[ip]->start();
+    }
+    void startControl()
+    {
+        for (const auto& it : m_control)
+            start(it, true);
+    }
+    void stop(const std::string& ip) { m_daemons.erase(ip); }
+
+    int put(const json& configuration, const std::string& ip = "127.40.1.1")
+    {
+        return call(
+            ip, [&](httplib::Client& it) { return it.Put("/-/config", configuration.dump(), "application/json"); });
+    }
+    std::optional<json> read(const std::string& ip = "127.40.1.1")
+    {
+        httplib::Client client(ip, port(2));
+        auto result = client.Get("/-/config");
+        if (!result || result->status != 200)
+            return std::nullopt;
+        return json::parse(result->body);
+    }
+    int announce(const std::string& name, const std::string& service, const std::string& zone,
+        const std::string& address, int sequence, const char* state = "ready", const std::string& ip = "127.40.1.1")
+    {
+        json body { { "service", service }, { "address", address }, { "zone", zone }, { "version", "v1" },
+            { "slots", 2 }, { "state", state }, { "warmup_left_ms", 0 }, { "seq", sequence }, { "born", 1 } };
+        return call(
+            ip, [&](httplib::Client& it) { return it.Put("/-/instances/" + name, body.dump(), "application/json"); });
+    }
+    template <typename Call>
+    int call(const std::string& ip, Call call)
+    {
+        httplib::Client client(ip, port(2));
+        client.set_read_timeout(std::chrono::seconds(4));
+        auto result = call(client);
+        return result ? result->status : 0;
+    }
+    bool isReady(const std::string& ip)
+    {
+        httplib::Client client(ip, port(4));
+        auto result = client.Get("/-/ready");
+        return result && result->status == 200;
+    }
+    httplib::Result query(const std::string& ip, const std::string& path)
+    {
+        httplib::Client client(ip, port(3));
+        return client.Get(path, { { "Host", "h.example" }, { "Request-Id", "id" + path }, { "Deadline-Ms", "2000" } });
+    }
+
+private:
+    std::filesystem::path m_folder
+        = std::filesystem::temp_directory_path() / ("citronplank-routed-" + std::to_string(::getpid()));
+    std::vector<std::string> m_control;
+    platform::RequestProtocol m_protocol;
+    std::map<std::string, std::unique_ptr<RoutedDaemon>> m_daemons;
+};
+
+json configurationOf(int version, const std::string& service = "single")
+{
+    return { { "version", version },
+        { "routes",
+            { { { "name", "list" }, { "host", "h.example" }, { "path_prefix", "/list/" },
+                  { "route_type", "idempotent" }, { "timeout_ms", 1000 }, { "target_latency_ms", 500 },
+                  { "gather", { "s1", "s2" } }, { "top_k", 2 }, { "max_attempts", 2 }, { "min_coverage", 0.5 } },
+                { { "name", "one" }, { "host", "h.example" }, { "path_prefix", "/one/" },
+                    { "route_type", "idempotent" }, { "timeout_ms", 1000 }, { "target_latency_ms", 500 },
+                    { "service", service }, { "max_attempts", 2 } } } },
+        { "services",
+            { { { "name", "s1" }, { "max_connections", 25 } }, { { "name", "s2" }, { "max_connections", 25 } },
+                { { "name", "single" }, { "max_connections", 25 } },
+                { { "name", "other" }, { "max_connections", 25 } } } } };
+}
+
+const std::string entry = "127.40.1.2";
+
+} // namespace
+
+TEST_CASE("configurations, leaves and requests on a whole system")
+{
+    Leaves leaves;
+    System system;
+    system.startControl();
+    system.start(entry, false);
+    CHECK_FALSE(system.isReady(entry));
+    CHECK(system.query(entry, "/one/x")->status == 503);
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    std::map<std::string, std::string> addresses;
+    for (const auto& [name, service, zone] :
+        std::vector<std::array<std::string, 3>> { { "a", "s1", "zone1" }, { "b", "s2", "zone2" },
+            { "c", "single", "zone1" }, { "d", "single", "zone2" }, { "e", "other", "zone1" } }) {
+        addresses[name] = leaves.add(name);
+        CHECK(system.announce(name, service, zone, addresses[name], 1) == 200);
+    }
+    REQUIRE(eventually([&] { return system.isReady(entry); }));
+
+    // A merged answer: greatest records first, with the proofs of both parts.
+    auto merged = system.query(entry, "/list/x");
+    REQUIRE(merged->status == 200);
+    CHECK(merged->body == std::string(16, 'b') + std::string(16, 'a'));
+    CHECK(merged->get_header_value("Missing-Parts") == "0");
+    CHECK(merged->get_header_value("Part-Stamps").find("stamp-a") != std::string::npos);
+    CHECK(system.query(entry, "/none/x")->status == 404);
+
+    // The highest version wins; equal and lower ones are acknowledged and change nothing; invalid ones are refused.
+    CHECK(system.put(configurationOf(5, "other"), "127.40.2.1") == 200);
+    CHECK(system.put(configurationOf(4), "127.40.3.1") == 200);
+    CHECK(system.put(configurationOf(5, "single"), "127.40.3.1") == 200);
+    CHECK(system.put(configurationOf(6, "nowhere")) == 400);
+    for (const char* ip : { "127.40.1.1", "127.40.2.1", "127.40.3.1" }) {
+        auto stored = system.read(ip);
+        REQUIRE(stored);
+        CHECK(*stored == configurationOf(5, "other"));
+    }
+    CHECK(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'e'); }, milliseconds(3000)));
+    CHECK(system.put(configurationOf(7)) == 200);
+    CHECK(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'c'); }, milliseconds(3000)));
+
+    // The own zone is preferred; a zone that is out gets nothing, and gets requests again when it is back.
+    CHECK(system.call("127.40.2.1", [](httplib::Client& it) { return it.Post("/-/evacuation/zone1", "", ""); }) == 200);
+    CHECK(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'd'); }, milliseconds(5000)));
+    CHECK(system.call("127.40.3.1", [](httplib::Client& it) { return it.Delete("/-/evacuation/zone1"); }) == 200);
+    CHECK(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'c'); }, milliseconds(5000)));
+
+    // A leaf that drains gets nothing once its notice is acknowledged, and neither does one that says goodbye.
+    CHECK(system.announce("c", "single", "zone1", addresses["c"], 2, "draining", "127.40.3.1") == 200);
+    CHECK(system.query(entry, "/one/x")->body == std::string(16, 'd'));
+    CHECK(system.call("127.40.1.1", [](httplib::Client& it) { return it.Delete("/-/instances/d"); }) == 200);
+    auto refused = system.query(entry, "/one/x");
+    CHECK(refused->status == 503);
+    CHECK(refused->has_header("Retry-After"));
+
+    // Another leaf took the address of one that is still announced: it runs nothing, and the part is missing.
+    CHECK(system.announce("b2", "s2", "zone2", addresses["a"], 1) == 200);
+    CHECK(system.announce("b", "s2", "zone2", addresses["b"], 2, "draining") == 200);
+    auto partial = system.query(entry, "/list/x");
+    CHECK(partial->status == 200);
+    CHECK(partial->get_header_value("Missing-Parts") == "1");
+}
+
+TEST_CASE("what was accepted is there after all control members were down, and after one came back empty")
+{
+    System system;
+    system.startControl();
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    for (const char* ip : { "127.40.1.1", "127.40.2.1", "127.40.3.1" })
+        system.stop(ip);
+    system.startControl();
+    REQUIRE(eventually([&] { return system.read().has_value(); }));
+    CHECK(*system.read() == configurationOf(3));
+    // A member with an empty disk joins in place of its former self, and one more may be lost then.
+    system.stop("127.40.2.1");
+    std::filesystem::remove_all(
+        std::filesystem::temp_directory_path() / ("citronplank-routed-" + std::to_string(::getpid())) / "127.40.2.1");
+    system.start("127.40.2.1", true, true, false);
+    REQUIRE(eventually([&] { return system.put(configurationOf(9), "127.40.2.1") == 200; }));
+    std::this_thread::sleep_for(milliseconds(4000)); // the repair
+    system.stop("127.40.3.1");
+    REQUIRE(eventually([&] { return system.read("127.40.2.1").has_value(); }));
+    CHECK(*system.read("127.40.2.1") == configurationOf(9));
+}
+
+TEST_CASE("an entry that gossip cannot reach still gets each configuration")
+{
+    Leaves leaves;
+    System system;
+    system.startControl();
+    system.start(entry, false, false);
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    CHECK(eventually([&] { return system.query(entry, "/none/x")->status == 404; }, milliseconds(4000)));
+}
