Limit how many gathered requests run at once at an entry

An entry now limits the requests on one set of shards by additive increase and multiplicative decrease, lets others wait for a fifth of the objective, urgent ones first, and refuses the rest at once with a spread Retry-After; leaves get parts with a deadline soon after the objective.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -9,7 +9,11 @@
 /// An attempt whose result is no longer wanted keeps its connection if the leaf answers within this time: a new
 /// connection costs the leaf more than the rest of a short request. Leaves should not work for nobody much longer.
 constexpr milliseconds cancelGrace { 250 };
-constexpr milliseconds checkInterval { 100 }; // of the routes; balancers ask once a second
+constexpr double greatestWaitShare = 0.2;        // of the objective, for a place; the rest is for the leaves
+constexpr std::uint32_t urgentPriority = 1;      // and below it
+constexpr milliseconds leastRetryAfter { 150 };  // a few requests end meanwhile
+constexpr milliseconds retryAfterSpread { 500 }; // so that callers do not come back together
+constexpr milliseconds checkInterval { 100 };    // of the routes; balancers ask once a second
 
 double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
@@ -64,6 +68,7 @@
     , m_policies(instance, zone)
     , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
     , m_sender(std::move(sender))
+    , m_waitTimer(m_strand)
     , m_lastId(firstId())
     , m_checkTimer(m_strand)
 {
@@ -155,16 +160,123 @@
         return;
     }
     m_policies.onRequest(*route);
+    if (route->shards.empty()) {
+        run(std::move(call), std::move(request), std::move(responder), arrivedAt, std::move(route), nullptr);
+        return;
+    }
+    auto wait = std::chrono::duration_cast<Duration>(greatestWaitShare * route->objective);
+    auto& gathers = m_gathers[route->shards.front()];
+    admit({ std::move(call), std::move(request), std::move(responder), arrivedAt, arrivedAt + wait, std::move(route) },
+        gathers);
+}
+
+/// Runs a request, lets it wait for a place, or refuses it.
+void RouteService::admit(Waiting it, Gathers& gathers)
+{
+    bool isUrgent = it.route->priority <= urgentPriority;
+    if (gathers.waiting.empty() && gathers.limit.tryAcquire(isUrgent)) {
+        run(std::move(it.call), std::move(it.request), std::move(it.responder), it.arrivedAt, std::move(it.route),
+            &gathers.limit);
+        return;
+    }
+    if (static_cast<double>(gathers.waiting.size()) >= gathers.limit.limit()) {
+        refuseOverload(it, gathers);
+        return;
+    }
+    gathers.waiting.push_back(std::move(it));
+    admitWaiting();
+}
+
+void RouteService::refuseOverload(const Waiting& it, const Gathers& gathers)
+{
+    // Callers that come back at the same moment would meet the same load again.
+    auto spread = static_cast<double>(m_random()) / static_cast<double>(std::mt19937::max());
+    auto retryAfter = std::chrono::duration_cast<milliseconds>(
+        leastRetryAfter + std::chrono::duration_cast<Duration>(spread * retryAfterSpread));
+    refuse(it.call, it.request, it.responder,
+        { .error = ErrorKind::Overloaded,
+            .reason = "all " + decimal(gathers.limit.limit()) + " places for requests are taken",
+            .retryAfter = retryAfter });
+}
+
+/// Runs waiting requests that have a place now, urgent ones first, and refuses those that have waited long enough.
+void RouteService::admitWaiting()
+{
+    auto now = Clock::now();
+    std::optional<TimePoint> next;
+    for (auto& [shard, gathers] : m_gathers) {
+        auto& waiting = gathers.waiting;
+        for (bool isUrgent : { true, false }) {
+            for (std::size_t i = 0; i < waiting.size();) {
+                bool isGone = waiting[i].responder.isCallerGone();
+                bool isOver = now >= waiting[i].until;
+                if ((waiting[i].route->priority <= urgentPriority) != isUrgent && !isGone && !isOver) {
+                    ++i;
+                    continue;
+                }
+                bool runs = !isGone && !isOver && gathers.limit.tryAcquire(isUrgent);
+                if (!isGone && !isOver && !runs) {
+                    ++i;
+                    continue;
+                }
+                auto it = std::move(waiting[i]);
+                waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
+                if (runs)
+                    run(std::move(it.call), std::move(it.request), std::move(it.responder), it.arrivedAt,
+                        std::move(it.route), &gathers.limit);
+                else if (isGone)
+                    --m_runningCount;
+                else
+                    refuseOverload(it, gathers);
+            }
+        }
+        for (const auto& it : waiting)
+            next = std::min(next.value_or(it.until), it.until);
+    }
+    if (!next)
+        return;
+    m_waitTimer.expires_at(*next);
+    m_waitTimer.async_wait([this](const std::error_code& ec) {
+        if (!ec)
+            admitWaiting();
+    });
+}
+
+void RouteService::release(ConcurrencyLimit* limit, ObservedLoad load)
+{
+    if (!limit)
+        return;
+    limit->release(load, Clock::now());
+    // Not from within another request's step.
+    asio::post(m_strand, [this] { admitWaiting(); });
+}
+
+/// A request that waited for one slow leaf only tells nothing of the load.
+ObservedLoad RouteService::observedLoad(const Running& running, const RouteOutcome& outcome, TimePoint now)
+{
+    const auto& execution = *running.execution;
+    auto objective = execution.route().objective;
+    if (objective == milliseconds::zero())
+        return ObservedLoad::Busy;
+    bool isShort = outcome.kind == RouteOutcome::Kind::Error || outcome.missing > 0;
+    auto share = std::chrono::duration<double>(now - running.arrivedAt) / std::chrono::duration<double>(objective);
+    auto load = isShort ? ObservedLoad::Congested : loadOf(share);
+    return load == ObservedLoad::Congested && !execution.isCongested() ? ObservedLoad::Busy : load;
+}
+
+void RouteService::run(RoutedCall call, HttpRequest request, Responder responder, TimePoint arrivedAt,
+    std::shared_ptr<const Route> route, ConcurrencyLimit* limit)
+{
     auto deadline = arrivedAt + std::min(route->timeout, call.remaining.value_or(route->timeout));
     auto id = ++m_lastId;
     auto execution = std::make_unique<RouteExecution>(
-        route, table, arrivedAt, deadline, id * RouteExecution::attemptsPerRequest, m_policies);
+        std::move(route), m_policies.table(), arrivedAt, deadline, id * RouteExecution::attemptsPerRequest, m_policies);
     responder.onCallerGone([this, id] { asio::post(m_strand, [this, id] { onCallerGone(id); }); });
     auto& running
         = *m_running
                .emplace(id,
                    std::make_unique<Running>(Running { std::move(call), std::move(request), std::move(responder),
-                       arrivedAt, std::move(execution), LeafConnection::Timer(m_strand) }))
+                       arrivedAt, std::move(execution), LeafConnection::Timer(m_strand), limit }))
                .first->second;
     perform(id, running.execution->start(Clock::now()));
 }
@@ -356,6 +468,7 @@
     log(LogLevel::Info, "query",
         "request id=" + found->second->call.id + " route=" + found->second->execution->route().name
             + " outcome=caller_gone");
+    release(found->second->limit, ObservedLoad::Busy);
     m_running.erase(id);
     --m_runningCount;
 }
@@ -368,6 +481,7 @@
     m_counters.latency("route_latency").record(now - running.arrivedAt);
     m_counters.counter("route_answers_" + std::string(kindName(outcome.kind)) + "_total").add();
     logAnswer(running, outcome, now);
+    release(running.limit, observedLoad(running, outcome, now));
     running.responder.answer(m_protocol.renderOutcome(std::move(outcome), running.call));
     --m_runningCount;
 }
@@ -430,6 +544,7 @@
 {
     asio::post(m_strand, [this] {
         m_checkTimer.cancel();
+        m_waitTimer.cancel();
         m_running.clear();
         m_relayed.clear();
         m_upstream->closeAll();
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -5,9 +5,12 @@
 #include "daemon/Counters.h"
 #include "daemon/PartMessages.h"
 #include "daemon/RouteProtocol.h"
+#include "policy/ConcurrencyLimit.h"
 #include "query/RelayedGather.h"
 
 #include <atomic>
+#include <deque>
+#include <random>
 
 namespace citronplank {
 
@@ -55,6 +58,21 @@
         TimePoint arrivedAt;
         std::unique_ptr<RouteExecution> execution;
         LeafConnection::Timer timer;
+        ConcurrencyLimit* limit = nullptr; // a place in it is taken
+    };
+    /// A request that waits for a place.
+    struct Waiting {
+        RoutedCall call;
+        HttpRequest request;
+        Responder responder;
+        TimePoint arrivedAt;
+        TimePoint until;
+        std::shared_ptr<const Route> route;
+    };
+    /// The requests on routes that gather the same shards.
+    struct Gathers {
+        ConcurrencyLimit limit;
+        std::deque<Waiting> waiting;
     };
     /// A relay that this instance runs for another one.
     struct Relayed {
@@ -69,6 +87,12 @@
 
     void checkRoutes();
     void begin(HttpRequest, Responder, TimePoint arrivedAt);
+    void run(RoutedCall, HttpRequest, Responder, TimePoint arrivedAt, std::shared_ptr<const Route>, ConcurrencyLimit*);
+    void admit(Waiting, Gathers&);
+    void refuseOverload(const Waiting&, const Gathers&);
+    void admitWaiting();
+    void release(ConcurrencyLimit*, ObservedLoad);
+    static ObservedLoad observedLoad(const Running&, const RouteOutcome&, TimePoint now);
     void refuse(const RoutedCall&, const HttpRequest&, const Responder&, RouteOutcome);
     void perform(Id, RouteActions);
     void sendRelay(Id, const RelaySend&);
@@ -90,8 +114,11 @@
     Counters& m_counters;
     RoutePolicies m_policies;
     std::shared_ptr<UpstreamClient> m_upstream;
+    std::mt19937 m_random { std::random_device {}() };
     RelaySender m_sender;
     std::unordered_map<Id, std::unique_ptr<Running>> m_running;
+    std::map<std::string, Gathers> m_gathers; // by first shard
+    LeafConnection::Timer m_waitTimer;
     std::unordered_map<Id, std::unique_ptr<Relayed>> m_relayed;
     std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry and correlation
     std::atomic<std::size_t> m_runningCount { 0 };
--- a/policy/LeafSelector.cpp
+++ b/policy/LeafSelector.cpp
@@ -25,8 +25,7 @@
 Duration LeafSelector::expected(const Announcement& leaf, Duration typical, TimePoint now) const
 {
     double usual = inUnits(typical);
-    double cost
-        = leaf.zone == m_ownZone ? 0 : inUnits(m_settings.otherZoneCost) + usual * m_settings.otherZoneShare;
+    double cost = leaf.zone == m_ownZone ? 0 : inUnits(m_settings.otherZoneCost) + usual * m_settings.otherZoneShare;
     auto found = m_leaves.find(leaf.leaf);
     if (found == m_leaves.end())
         return Duration(static_cast<Duration::rep>(usual + cost));
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t greatestArrivals = 4;   // of one part at leaves, refusals included
 constexpr milliseconds smallestRemaining { 1 }; // a leaf is not asked with less
 constexpr milliseconds answerTime { 5 };        // before the deadline, so that the answer arrives in time
+constexpr double congestedShare = 0.4;          // of the parts; leaves that are down, slow or shedding are fewer
+constexpr double leafTimeBeyondObjective = 0.5; // of the objective: a leaf drops a part that is later
 constexpr milliseconds relayTime { 12 };        // of two messages between busy instances, beyond a leaf's time
 constexpr milliseconds shortRetryAfter { 200 }; // a burst or a full leaf passes in about this time
 constexpr milliseconds longRetryAfter { 1000 }; // leaves that are gone come back after seconds
@@ -129,11 +131,22 @@
     return settle(std::move(actions), now);
 }
 
+/// Time that a leaf is given. A part that comes well after the objective is of hardly any use, and a leaf with a long
+/// queue should not work on it.
+milliseconds RouteExecution::leafTime(TimePoint now) const
+{
+    auto until = m_deadline;
+    if (isGather() && now < m_answerBy)
+        until = std::min(
+            until, m_answerBy + std::chrono::duration_cast<Duration>(m_route->objective * leafTimeBeyondObjective));
+    return std::chrono::floor<milliseconds>(until - now);
+}
+
 /// Sends a part to the best leaf that it has not been sent to yet. False: none can take it now.
 bool RouteExecution::trySend(std::uint32_t index, bool isExtra, RouteActions& actions, TimePoint now)
 {
     auto& part = m_parts[index];
-    auto remaining = std::chrono::floor<milliseconds>(m_deadline - now);
+    auto remaining = leafTime(now);
     if (remaining < smallestRemaining || m_attempts.size() >= attemptsPerRequest)
         return false;
     auto typical = m_policies.typical(*m_route);
@@ -272,7 +285,7 @@
         send.request.routeName = m_route->name;
         send.request.objective = m_route->objective;
         send.request.topRecords = m_route->topRecords;
-        send.request.remaining = std::chrono::floor<milliseconds>(m_deadline - now);
+        send.request.remaining = leafTime(now);
         send.request.batchAfter = std::chrono::ceil<milliseconds>(hedgeDelay);
         m_relays.push_back({ plan.peer, std::move(plan.services) });
         actions.relays.push_back(std::move(send));
@@ -380,6 +393,7 @@
                 scheduleResend(part, now);
         } else if (part.hedgeAt && now >= *part.hedgeAt) {
             part.hedgeAt.reset();
+            ++m_counters.late;
             if (part.relay && !m_relays[*part.relay].hasBatch) {
                 breakRelay(*part.relay, true, actions, now);
                 continue;
@@ -414,6 +428,11 @@
     return actions;
 }
 
+bool RouteExecution::isCongested() const
+{
+    return m_counters.late + m_counters.refusals > congestedShare * static_cast<double>(m_parts.size());
+}
+
 std::vector<std::string> RouteExecution::missingShards() const
 {
     std::vector<std::string> missing;
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -78,7 +78,8 @@
 
 struct RouteCounters {
     std::uint32_t sends = 0;
-    std::uint32_t hedges = 0;
+    std::uint32_t late = 0;   // parts that took longer than most do
+    std::uint32_t hedges = 0; // of these, sent to another leaf
     std::uint32_t retries = 0;
     std::uint32_t refusals = 0; // by leaves
     std::uint32_t failures = 0;
@@ -118,6 +119,8 @@
     const RouteCounters& counters() const { return m_counters; }
     /// Shards without an answer, for the log.
     std::vector<std::string> missingShards() const;
+    /// Whether many parts were late or refused: a sign that leaves have more load than they can take.
+    bool isCongested() const;
     /// Parts whose answer came.
     std::size_t answered() const { return m_answered; }
     std::size_t parts() const { return m_parts.size(); }
@@ -152,6 +155,7 @@
 
     bool isGather() const { return !m_route->shards.empty(); }
     std::size_t leastAnswered() const;
+    milliseconds leafTime(TimePoint now) const;
     bool trySend(std::uint32_t part, bool isExtra, RouteActions&, TimePoint now);
     void sendRelays(RouteActions&, TimePoint now);
     void breakRelay(std::uint32_t relay, bool mayHaveArrived, RouteActions&, TimePoint now);
--- /dev/null
+++ b/tests/ConcurrencyLimitTests.cpp
@@ -0,0 +1,119 @@
+// Guards against a collapse at more load than the leaves can take, against a limit that stays low after it, and against
+// starving less urgent requests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "policy/ConcurrencyLimit.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <queue>
+#include <random>
+
+using namespace citronplank;
+
+namespace {
+
+/// Leaves as one server with `slots` places and a queue, shared by several entries. Requests arrive at random; each is
+/// served in time if it ends within `objective`, and its leaf drops it after the objective.
+struct Simulation {
+    int entries = 7;
+    int slots = 4;
+    double workMs = 16.7;
+    double objectiveMs = 120;
+    bool limited = true;
+    std::mt19937 random { 7 };
+
+    struct Job {
+        int entry = 0;
+        double arrivedMs = 0;
+        double startedMs = -1;
+    };
+
+    /// Requests answered in time, a second.
+    double run(double perSecond, double seconds)
+    {
+        std::vector<ConcurrencyLimit> limits(static_cast<std::size_t>(entries));
+        std::deque<Job> queue;
+        std::vector<std::pair<double, Job>> running;
+        std::exponential_distribution<double> gap(perSecond / 1000);
+        std::exponential_distribution<double> work(1 / workMs);
+        double next = gap(random);
+        int good = 0;
+        auto finish = [&](const Job& job, double nowMs) {
+            double share = (nowMs - job.arrivedMs) / objectiveMs;
+            good += share <= 1 ? 1 : 0;
+            limits[static_cast<std::size_t>(job.entry)].release(
+                loadOf(share), TimePoint(std::chrono::microseconds(static_cast<std::int64_t>(nowMs * 1000))));
+        };
+        for (double now = 0; now < seconds * 1000; now += 1) {
+            std::erase_if(running, [&](const auto& it) {
+                if (it.first > now)
+                    return false;
+                finish(it.second, now);
+                return true;
+            });
+            for (; next <= now; next += gap(random)) {
+                Job job { static_cast<int>(random() % static_cast<unsigned>(entries)), next };
+                if (!limited || limits[static_cast<std::size_t>(job.entry)].tryAcquire(true))
+                    queue.push_back(job);
+            }
+            while (static_cast<int>(running.size()) < slots && !queue.empty()) {
+                running.emplace_back(now + work(random), queue.front());
+                queue.pop_front();
+            }
+        }
+        return good / seconds;
+    }
+};
+
+} // namespace
+
+TEST_CASE("at three times the capacity most of the capacity is still served in time")
+{
+    Simulation simulation;
+    double capacity = 1000 / simulation.workMs * simulation.slots;
+    simulation.limited = false;
+    double without = simulation.run(3 * capacity, 20);
+    simulation.limited = true;
+    double with = simulation.run(3 * capacity, 20);
+    CAPTURE(without);
+    CAPTURE(with);
+    CHECK(without < 0.2 * capacity);
+    CHECK(with >= 0.8 * capacity);
+}
+
+TEST_CASE("at the usual load nothing is refused")
+{
+    Simulation simulation;
+    double capacity = 1000 / simulation.workMs * simulation.slots;
+    CHECK(simulation.run(0.5 * capacity, 20) >= 0.47 * capacity);
+}
+
+TEST_CASE("the limit falls at congestion, not below its least, and recovers")
+{
+    ConcurrencyLimit limit;
+    TimePoint now { seconds(1) };
+    for (int i = 0; i < 100; ++i) {
+        REQUIRE(limit.tryAcquire(true));
+        limit.release(ObservedLoad::Congested, now += milliseconds(200));
+    }
+    CHECK(limit.limit() == ConcurrencySettings {}.least);
+    for (int i = 0; i < 200; ++i) {
+        while (limit.tryAcquire(true)) { }
+        while (limit.inFlight() > 0)
+            limit.release(ObservedLoad::Light, now);
+    }
+    CHECK(limit.limit() > 20);
+}
+
+TEST_CASE("near the limit urgent requests come first, others keep a place")
+{
+    ConcurrencyLimit limit;
+    int lower = 0;
+    while (limit.tryAcquire(false))
+        ++lower;
+    int urgent = 0;
+    while (limit.tryAcquire(true))
+        ++urgent;
+    CHECK(lower >= 6);
+    CHECK(urgent >= 1);
+}
