Let connection limits follow the number of senders; tell callers of a starting instance when to come back

A changed limit now closes idle connections at once, and a failed connect to a leaf with other open connections means that it is full, not down. After a restart of all processes the first election comes sooner, and a refusal names what is left of a usual start. Test: RoutedDaemonTests, a smaller limit.

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -58,6 +58,7 @@
 {
     auto& pool = poolOf(leaf);
     auto key = poolKey(leaf);
+    pool.limit = limit;
     auto& exchange = m_exchanges[attempt];
     exchange = { key, nullptr, std::move(callback), Clock::now(), nullptr, isHead };
     while (!pool.idle.empty()) {
@@ -97,8 +98,11 @@
                 return;
             }
             ++self->m_counters.connectFailures;
+            // A leaf with other open connections is up: it has as many as it takes.
+            auto pool = self->m_pools.find(self->m_exchanges.at(attempt).leaf);
+            bool isFull = pool != self->m_pools.end() && pool->second.open > 1;
             LeafReply reply;
-            reply.end = LeafReply::End::NotWritten;
+            reply.end = isFull ? LeafReply::End::NotTaken : LeafReply::End::NotWritten;
             self->onReply(attempt, std::move(reply));
         });
 }
@@ -140,7 +144,7 @@
 void UpstreamClient::keepOpen(const std::string& leaf, const Connection& connection, bool isKept, Duration idleTimeout)
 {
     auto pool = m_pools.find(leaf);
-    if (pool == m_pools.end() || !isKept) {
+    if (pool == m_pools.end() || !isKept || pool->second.open > pool->second.limit) {
         connection->close();
         if (pool != m_pools.end())
             --pool->second.open;
@@ -166,7 +170,21 @@
     m_counters.closedByLeaf += n;
 }
 
-void UpstreamClient::cancel(std::uint64_t attempt, milliseconds grace, std::function<void(Late)> done)
+void UpstreamClient::setLimit(const Announcement& leaf, std::uint32_t limit)
+{
+    auto found = m_pools.find(poolKey(leaf));
+    if (found == m_pools.end())
+        return;
+    auto& pool = found->second;
+    pool.limit = limit;
+    while (pool.open > pool.limit && !pool.idle.empty()) {
+        pool.idle.front().connection->close();
+        pool.idle.erase(pool.idle.begin());
+        --pool.open;
+    }
+}
+
+void UpstreamClient::cancel(std::uint64_t attempt, milliseconds grace, const std::function<void(Late)>& done)
 {
     auto found = m_exchanges.find(attempt);
     if (found == m_exchanges.end())
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -7,6 +7,7 @@
 
 #include "backend/LeafConnection.h"
 
+#include <limits>
 #include <unordered_map>
 
 namespace citronplank {
@@ -48,7 +49,9 @@
     /// Drops the result of an attempt. Its connection is kept if the answer comes within `grace`, and closed otherwise,
     /// which tells the leaf to stop. `done` runs once with what the attempt came to; not for an unknown attempt.
     enum class Late : std::uint8_t { Answered, Ended, Silent };
-    void cancel(std::uint64_t attempt, milliseconds grace, std::function<void(Late)> done);
+    void cancel(std::uint64_t attempt, milliseconds grace, const std::function<void(Late)>& done);
+    /// Applies a new limit to the leaf's connections: idle ones beyond it are closed, busy ones after their exchange.
+    void setLimit(const Announcement& leaf, std::uint32_t limit);
     /// Opens a connection, which is kept, to find out whether the leaf can be reached. Errors of the address count as
     /// no.
     void probe(const Announcement& leaf, std::function<void(bool reached)> done);
@@ -65,8 +68,9 @@
     };
     struct Pool {
         asio::ip::tcp::endpoint endpoint;
-        std::vector<Idle> idle; // the one used last is reused first
-        std::uint32_t open = 0; // idle, busy and connecting ones
+        std::vector<Idle> idle;                                          // the one used last is reused first
+        std::uint32_t open = 0;                                          // idle, busy and connecting ones
+        std::uint32_t limit = std::numeric_limits<std::uint32_t>::max(); // of `open`, as of the last send
     };
     struct Exchange {
         std::string leaf;
--- a/coordination/ControlLog.h
+++ b/coordination/ControlLog.h
@@ -244,6 +244,10 @@
     if (!m_settings.openMembership && !isConfigured(m_settings.name))
         throw Error(ErrorKind::BadRequest, m_settings.name + " is not one of the configured control members");
     resetElectionTimer();
+    if (m_settings.firstElectionTimeout) {
+        auto first = static_cast<std::uint64_t>(m_settings.firstElectionTimeout->count());
+        m_electionDeadline = now + milliseconds(first + m_random() % (first + 1));
+    }
 }
 
 template <ControlStorage Storage>
--- a/coordination/ControlLogTypes.h
+++ b/coordination/ControlLogTypes.h
@@ -37,6 +37,9 @@
     std::size_t voterTarget = 0; // with open membership: voters to keep
     // With open membership: a voter that is silent for this long is replaced by a live learner.
     milliseconds silentVoterTimeout { 2500 };
+    // The first election of a run may come sooner: nobody hears a leader if all members were down, and a pre-vote keeps
+    // a member that has just not heard one yet from disturbing it. Absent: as all others.
+    std::optional<milliseconds> firstElectionTimeout {};
     milliseconds heartbeatInterval { controlHeartbeatInterval };
     milliseconds electionTimeout { shortestElectionTimeout }; // the random timeout is at most twice as long
 };
--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr milliseconds tickInterval { 20 };
+constexpr milliseconds firstElectionTimeout { 200 }; // two heartbeats of a leader, if there is one
 
 std::uint64_t wallTimeMs(TimePoint at)
 {
@@ -41,6 +42,8 @@
     made.openMembership = settings.openMembership;
     made.mayBootstrap = settings.mayBootstrap;
     made.voterTarget = settings.voterTarget;
+    if (settings.openMembership)
+        made.firstElectionTimeout = firstElectionTimeout;
     made.seed = (std::uint64_t { random() } << 32U) | random();
     made.wallTimeMs = wallTimeMs;
     return made;
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -12,6 +12,8 @@
 constexpr double greatestWaitShare = 0.2;        // of the objective, for a place; the rest is for the leaves
 constexpr std::uint32_t urgentPriority = 1;      // and below it
 constexpr milliseconds leastRetryAfter { 150 };  // a few requests end meanwhile
+constexpr milliseconds usualStartTime { 1100 };  // until a starting instance has a configuration, with an election
+constexpr milliseconds leastStartRetryAfter { 100 };
 constexpr milliseconds retryAfterSpread { 500 }; // so that callers do not come back together
 constexpr milliseconds checkInterval { 100 };    // of the routes; balancers ask once a second
 
@@ -115,9 +117,14 @@
     });
 }
 
+/// With more senders each one's share of a leaf's connections is smaller; a new sender needs its share at once.
 void RouteService::setSenders(std::vector<std::string> names)
 {
-    asio::post(m_strand, [this, names = std::move(names)]() mutable { m_policies.setSenders(std::move(names)); });
+    asio::post(m_strand, [this, names = std::move(names)]() mutable {
+        m_policies.setSenders(std::move(names));
+        for (const auto& it : m_policies.leaves())
+            m_upstream->setLimit(it, m_policies.connectionLimit(it.service));
+    });
 }
 
 void RouteService::setPeers(std::map<std::string, std::vector<std::string>> peers)
@@ -146,12 +153,19 @@
     --m_runningCount;
 }
 
+milliseconds RouteService::startRetryAfter() const
+{
+    auto left = usualStartTime - std::chrono::duration_cast<milliseconds>(Clock::now() - m_startedAt);
+    return std::max(left, leastStartRetryAfter);
+}
+
 void RouteService::begin(HttpRequest request, Responder responder, TimePoint arrivedAt)
 {
     auto call = m_protocol.readCall(request);
     const auto& table = m_policies.table();
     if (table->configuration().version == 0) {
-        refuse(call, request, responder, { .error = ErrorKind::NotReady, .reason = "no configuration is known yet" });
+        refuse(call, request, responder,
+            { .error = ErrorKind::NotReady, .reason = "no configuration is known yet", .retryAfter = startRetryAfter() });
         return;
     }
     auto route = table->find(request.header("Host"), request.target);
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -86,6 +86,7 @@
     using Id = std::uint64_t;
 
     void checkRoutes();
+    milliseconds startRetryAfter() const;
     void begin(HttpRequest, Responder, TimePoint arrivedAt);
     void run(RoutedCall, HttpRequest, Responder, TimePoint arrivedAt, std::shared_ptr<const Route>, ConcurrencyLimit*);
     void admit(Waiting, Gathers&);
@@ -122,6 +123,7 @@
     std::unordered_map<Id, std::unique_ptr<Relayed>> m_relayed;
     std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry and correlation
     std::atomic<std::size_t> m_runningCount { 0 };
+    TimePoint m_startedAt = Clock::now();
     Id m_lastId;
     std::atomic<bool> m_canServe { false };
     LeafConnection::Timer m_checkTimer;
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -154,6 +154,16 @@
     return names;
 }
 
+std::vector<Announcement> RoutePolicies::leaves() const
+{
+    std::vector<Announcement> all;
+    for (const auto& [service, known] : m_leaves) {
+        for (const auto& it : known)
+            all.push_back(it.announcement);
+    }
+    return all;
+}
+
 std::uint32_t RoutePolicies::connectionLimit(const std::string& service) const
 {
     auto share = greatestConnectionShare * m_table->limitsOf(service).connections / static_cast<double>(senders());
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -48,6 +48,9 @@
     /// Greatest number of connections of this instance to a leaf of the service.
     std::uint32_t connectionLimit(const std::string& service) const;
 
+    /// All leaves in use, to apply a new connection limit.
+    std::vector<Announcement> leaves() const;
+
     /// Entries in other zones, by zone.
     void setPeers(std::map<std::string, std::vector<std::string>> peers) { m_peers = std::move(peers); }
     /// A peer answered a relay in time or not; one that did not is left alone for a while.
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -162,6 +162,25 @@
     CHECK(it.leaf.connections == 1);
 }
 
+TEST_CASE("a smaller limit closes connections, and a leaf that takes no more is not taken for down")
+{
+    ClientFixture it;
+    it.leaf.isSilent = true;
+    for (std::uint64_t i = 101; i <= 103; ++i)
+        it.client->send(i, it.leaf.announcement(), 4, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) {});
+    it.runFor(milliseconds(50));
+    CHECK(it.leaf.connections == 3);
+    it.client->setLimit(it.leaf.announcement(), 1);
+    it.leaf.isSilent = false;
+    CHECK(it.exchange(1)->end == LeafReply::End::NotTaken);
+    for (std::uint64_t i = 101; i <= 103; ++i)
+        it.client->cancel(i, milliseconds(10), [](UpstreamClient::Late) {});
+    it.runFor(milliseconds(50));
+    for (int i = 0; i < 3; ++i)
+        CHECK(it.exchange(1)->end == LeafReply::End::Complete);
+    CHECK(it.leaf.connections == 4);
+}
+
 TEST_CASE("a probe tells whether a leaf can be reached")
 {
     ClientFixture it;
