--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -66,6 +66,13 @@
         m_readyServer = std::make_unique<HttpServer>(m_io, ready,
             [this](const HttpRequest& request, const Responder& responder) { answerReady(request, responder); });
     }
+    if (!m_routed.metricsAddress.empty()) {
+        HttpServerSettings metrics;
+        metrics.address = m_routed.metricsAddress;
+        metrics.maximumConnections = readyConnections;
+        m_metricsServer = std::make_unique<HttpServer>(m_io, metrics,
+            [this](const HttpRequest& request, const Responder& responder) { answerMetrics(request, responder); });
+    }
     if (!m_routed.controlAddress.empty()) {
         HttpServerSettings control;
         control.address = m_routed.controlAddress;
@@ -83,7 +90,7 @@
     every(leavesTick, [this] { pushLeaves(); });
     every(broadcastTick, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
     every(readinessTick, [this] { updateReadiness(); });
-    for (auto* it : { m_callerServer.get(), m_readyServer.get(), m_controlServer.get() }) {
+    for (auto* it : { m_callerServer.get(), m_readyServer.get(), m_controlServer.get(), m_metricsServer.get() }) {
         if (it)
             it->start();
     }
@@ -202,6 +209,43 @@
         responder.fail(m_stopping ? ErrorKind::Stopping : ErrorKind::NotReady, "this instance takes no new callers");
 }
 
+void RoutedDaemon::answerMetrics(const HttpRequest& request, const Responder& responder) const
+{
+    if (request.target == "/metrics")
+        responder.answer({ .contentType = "text/plain", .body = metrics() });
+    else if (request.target == "/dump")
+        responder.answer({ .contentType = "text/plain", .body = dump() });
+    else
+        responder.fail(ErrorKind::UnknownService, "there are /metrics and /dump");
+}
+
+std::string RoutedDaemon::dump() const
+{
+    auto current = m_configuration.current();
+    auto age = m_configuration.freshnessAge(Clock::now());
+    std::string text;
+    auto line = [&](std::string_view name, const std::string& value) {
+        text.append(name).append(" ").append(value).append("\n");
+    };
+    line("instance", m_settings.name);
+    line("zone", m_settings.zone);
+    line("ready", m_ready ? "yes" : "no");
+    line("configuration_version", std::to_string(current->published.document.version));
+    line("published_version", std::to_string(current->published.version));
+    line("leader_heard_ms_ago",
+        age ? std::to_string(std::chrono::duration_cast<milliseconds>(*age).count()) : std::string("never"));
+    for (const auto& it : current->rules.zonesOut)
+        line("zone_out", it);
+    for (const auto& it : m_membership->members())
+        line("member", it.instance.name + " " + std::string(memberStatusName(it.status)));
+    for (const auto& it : m_membership->leaves())
+        line("leaf",
+            it.leaf + " " + it.service + " " + it.address + " " + it.zone + (it.draining ? " draining" : " ready"));
+    if (m_control)
+        line("control", describe(m_control->status().log));
+    return text;
+}
+
 // ---------------------------------------------------------------------------------------------------------------
 // Leaves
 
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -32,6 +32,7 @@
     std::string callerAddress;  // empty: no entry
     std::string readyAddress;   // of the entry's readiness
     std::string controlAddress; // empty: no control member
+    std::string metricsAddress; // of GET /metrics and GET /dump; empty: not served
     SharedBounds bounds;
     milliseconds graceTime { 6000 };     // from SIGTERM to the end
     milliseconds notReadyTime { 2300 };  // balancers notice within this time that the entry is not ready
@@ -56,8 +57,9 @@
     void stopGracefully();
     /// Takes over what may change while the daemon runs: the seeds. Thread safe.
     void reload(const Settings&);
-    /// Text of all counters. Thread safe.
+    /// Text of all counters, and of the state, one "name value" a line. Thread safe.
     std::string metrics() const { return m_counters.text(); }
+    std::string dump() const;
 
 private:
     void onMessage(const Envelope&) override;
@@ -78,6 +80,7 @@
     void pushLeaves();
     void updateReadiness();
     void answerReady(const HttpRequest&, const Responder&);
+    void answerMetrics(const HttpRequest&, const Responder&) const;
 
     RoutedDaemonSettings m_routed;
     const RouteProtocol& m_protocol;
@@ -94,6 +97,7 @@
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readyServer;
     std::unique_ptr<HttpServer> m_controlServer;
+    std::unique_ptr<HttpServer> m_metricsServer;
 };
 
 } // namespace citronplank
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -116,6 +116,7 @@
             settings.callerAddress = ip + ":" + std::to_string(port(3));
             settings.readyAddress = ip + ":" + std::to_string(port(4));
         }
+        settings.metricsAddress = ip + ":" + std::to_string(port(5));
         node.adminAddress = isControl ? settings.controlAddress : settings.readyAddress;
         m_daemons[ip] = std::make_unique<RoutedDaemon>(
             settings, m_protocol, platform::decodeConfiguration, platform::handleControlCall);
@@ -222,6 +223,9 @@
     CHECK(merged->get_header_value("Missing-Parts") == "0");
     CHECK(merged->get_header_value("Part-Stamps").find("stamp-a") != std::string::npos);
     CHECK(system.query(entry, "/none/x")->status == 404);
+    httplib::Client metrics(entry, port(5));
+    CHECK(metrics.Get("/metrics")->body.find("citronplank_route_answers_merged_total 1") != std::string::npos);
+    CHECK(metrics.Get("/dump")->body.find("configuration_version 3") != std::string::npos);
 
     // The highest version wins; equal and lower ones are acknowledged and change nothing; invalid ones are refused.
     CHECK(system.put(configurationOf(5, "other"), "127.40.2.1") == 200);
