--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -10,22 +10,12 @@
 /// connection costs the leaf more than the rest of a short request. Leaves should not work for nobody much longer.
 constexpr milliseconds cancelGrace { 250 };
 constexpr double greatestWaitShare = 0.2;       // of the objective, for a place; the rest is for the leaves
-constexpr std::uint32_t urgentPriority = 1;     // and below it
-constexpr milliseconds leastRetryAfter { 150 }; // a few requests end meanwhile
 constexpr milliseconds usualStartTime { 1100 }; // until a starting instance has a configuration, with an election
 constexpr milliseconds leastStartRetryAfter { 100 };
-constexpr milliseconds retryAfterSpread { 500 }; // so that callers do not come back together
-constexpr milliseconds checkInterval { 100 };    // of the routes; balancers ask once a second
+constexpr milliseconds checkInterval { 100 }; // of the routes; balancers ask once a second
 
 double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
-std::string decimal(double value)
-{
-    std::array<char, 32> buf {};
-    auto n = std::snprintf(buf.data(), buf.size(), "%.1f", value);
-    return { buf.data(), static_cast<std::size_t>(n) };
-}
-
 std::string_view kindName(RouteOutcome::Kind kind)
 {
     switch (kind) {
@@ -49,9 +39,6 @@
     return (ms & mask) << room;
 }
 
-constexpr unsigned relayBits = 8; // of the correlation of a relay message: number of the relay within its request
-constexpr std::uint64_t relayMask = (1ULL << relayBits) - 1;
-
 std::string joined(const std::vector<std::string>& names)
 {
     std::string text;
@@ -78,6 +65,14 @@
     checkRoutes();
 }
 
+/// A number for a log line.
+std::string RouteService::decimal(double value)
+{
+    std::array<char, 32> buf {};
+    auto n = std::snprintf(buf.data(), buf.size(), "%.1f", value);
+    return { buf.data(), static_cast<std::size_t>(n) };
+}
+
 RouteService::~RouteService() = default;
 
 void RouteService::checkRoutes()
@@ -186,100 +181,6 @@
         gathers);
 }
 
-/// Runs a request, lets it wait for a place, or refuses it.
-void RouteService::admit(Waiting it, Gathers& gathers)
-{
-    bool isUrgent = it.route->priority <= urgentPriority;
-    if (gathers.waiting.empty() && gathers.limit.tryAcquire(isUrgent)) {
-        run(std::move(it.call), std::move(it.request), std::move(it.responder), it.arrivedAt, std::move(it.route),
-            &gathers.limit);
-        return;
-    }
-    if (static_cast<double>(gathers.waiting.size()) >= gathers.limit.limit()) {
-        refuseOverload(it, gathers);
-        return;
-    }
-    gathers.waiting.push_back(std::move(it));
-    admitWaiting();
-}
-
-void RouteService::refuseOverload(const Waiting& it, const Gathers& gathers)
-{
-    // Callers that come back at the same moment would meet the same load again.
-    auto spread = static_cast<double>(m_random()) / static_cast<double>(std::mt19937::max());
-    auto retryAfter = std::chrono::duration_cast<milliseconds>(
-        leastRetryAfter + std::chrono::duration_cast<Duration>(spread * retryAfterSpread));
-    refuse(it.call, it.request, it.responder,
-        { .error = ErrorKind::Overloaded,
-            .reason = "all " + decimal(gathers.limit.limit()) + " places for requests are taken",
-            .retryAfter = retryAfter });
-}
-
-/// Runs waiting requests that have a place now, urgent ones first, and refuses those that have waited long enough.
-void RouteService::admitWaiting()
-{
-    auto now = Clock::now();
-    std::optional<TimePoint> next;
-    for (auto& [shard, gathers] : m_gathers) {
-        auto& waiting = gathers.waiting;
-        for (bool isUrgent : { true, false }) {
-            for (std::size_t i = 0; i < waiting.size();) {
-                bool isGone = waiting[i].responder.isCallerGone();
-                bool isOver = now >= waiting[i].until;
-                if ((waiting[i].route->priority <= urgentPriority) != isUrgent && !isGone && !isOver) {
-                    ++i;
-                    continue;
-                }
-                bool runs = !isGone && !isOver && gathers.limit.tryAcquire(isUrgent);
-                if (!isGone && !isOver && !runs) {
-                    ++i;
-                    continue;
-                }
-                auto it = std::move(waiting[i]);
-                waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
-                if (runs)
-                    run(std::move(it.call), std::move(it.request), std::move(it.responder), it.arrivedAt,
-                        std::move(it.route), &gathers.limit);
-                else if (isGone)
-                    --m_runningCount;
-                else
-                    refuseOverload(it, gathers);
-            }
-        }
-        for (const auto& it : waiting)
-            next = std::min(next.value_or(it.until), it.until);
-    }
-    if (!next)
-        return;
-    m_waitTimer.expires_at(*next);
-    m_waitTimer.async_wait([this](const std::error_code& ec) {
-        if (!ec)
-            admitWaiting();
-    });
-}
-
-void RouteService::release(ConcurrencyLimit* limit, ObservedLoad load)
-{
-    if (!limit)
-        return;
-    limit->release(load, Clock::now());
-    // Not from within another request's step.
-    asio::post(m_strand, [this] { admitWaiting(); });
-}
-
-/// A request that waited for one slow leaf only tells nothing of the load.
-ObservedLoad RouteService::observedLoad(const Running& running, const RouteOutcome& outcome, TimePoint now)
-{
-    const auto& execution = *running.execution;
-    auto objective = execution.route().objective;
-    if (objective == milliseconds::zero())
-        return ObservedLoad::Busy;
-    bool isShort = outcome.kind == RouteOutcome::Kind::Error || outcome.missing > 0;
-    auto share = std::chrono::duration<double>(now - running.arrivedAt) / std::chrono::duration<double>(objective);
-    auto load = isShort ? ObservedLoad::Congested : loadOf(share);
-    return load == ObservedLoad::Congested && !execution.isCongested() ? ObservedLoad::Busy : load;
-}
-
 void RouteService::run(RoutedCall call, HttpRequest request, Responder responder, TimePoint arrivedAt,
     std::shared_ptr<const Route> route, ConcurrencyLimit* limit)
 {
@@ -364,99 +265,6 @@
     });
 }
 
-// ---------------------------------------------------------------------------------------------------------------
-// Relays
-
-void RouteService::sendRelay(Id id, const RelaySend& send)
-{
-    const auto& request = m_running.at(id)->request;
-    m_counters.counter("relays_sent_total").add();
-    RelayedCall call { send.request, request.method, request.target, request.headers, request.body };
-    if (m_sender(send.peer, MessageKind::RelayRequest, encode(call), (id << relayBits) | send.relay))
-        return;
-    asio::post(m_strand, [this, id, relay = send.relay] {
-        if (auto found = m_running.find(id); found != m_running.end())
-            perform(id, found->second->execution->onRelayFailed(relay, Clock::now()));
-    });
-}
-
-void RouteService::onRelayMessage(
-    const std::string& sender, MessageKind kind, std::string_view body, std::uint64_t correlation)
-{
-    if (kind == MessageKind::RelayRequest) {
-        asio::post(m_strand, [this, sender, correlation, call = decodeRelayedCall(body)]() mutable {
-            beginRelayed(sender, correlation, std::move(call));
-        });
-    } else if (kind == MessageKind::RelayCancel) {
-        asio::post(m_strand, [this, sender, correlation] { cancelRelayed(sender, correlation); });
-    } else {
-        asio::post(m_strand, [this, correlation, answer = decodeRelayAnswer(body)] {
-            auto id = correlation >> relayBits;
-            auto relay = static_cast<std::uint32_t>(correlation & relayMask);
-            if (auto found = m_running.find(id); found != m_running.end())
-                perform(id, found->second->execution->onRelayAnswer(relay, answer, Clock::now()));
-        });
-    }
-}
-
-void RouteService::beginRelayed(const std::string& entry, std::uint64_t correlation, RelayedCall call)
-{
-    auto id = ++m_lastId;
-    m_counters.counter("relays_served_total").add();
-    HttpRequest request { std::move(call.method), std::move(call.target), std::move(call.headers),
-        std::move(call.body) };
-    auto routed = m_protocol.readCall(request);
-    auto gather
-        = std::make_unique<RelayedGather>(std::move(call.relay), id * RouteExecution::attemptsPerRequest, m_policies);
-    auto actions = gather->start(Clock::now());
-    m_relayedIds[{ entry, correlation }] = id;
-    m_relayed.emplace(id,
-        std::make_unique<Relayed>(Relayed { entry, correlation, std::move(routed), std::move(request),
-            std::move(gather), LeafConnection::Timer(m_strand) }));
-    performRelayed(id, std::move(actions));
-}
-
-void RouteService::cancelRelayed(const std::string& entry, std::uint64_t correlation)
-{
-    auto found = m_relayedIds.find({ entry, correlation });
-    if (found != m_relayedIds.end())
-        performRelayed(found->second, m_relayed.at(found->second)->gather->cancel());
-}
-
-void RouteService::performRelayed(Id id, RelayActions actions)
-{
-    auto& relayed = *m_relayed.at(id);
-    for (auto attempt : actions.cancels)
-        cancelAttempt(relayed.gather->leafOf(attempt), attempt);
-    for (const auto& it : actions.answers)
-        m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation);
-    for (const auto& it : actions.sends) {
-        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt](LeafReply reply) {
-            auto found = m_relayed.find(id);
-            if (found == m_relayed.end())
-                return;
-            auto result = m_protocol.readReply(std::move(reply), found->second->call);
-            result.attempt = attempt;
-            performRelayed(id, found->second->gather->onResult(std::move(result), Clock::now()));
-        });
-    }
-    if (actions.finished) {
-        m_relayedIds.erase({ relayed.entry, relayed.correlation });
-        m_relayed.erase(id);
-        return;
-    }
-    if (!actions.nextTimer)
-        return;
-    relayed.timer.expires_at(*actions.nextTimer);
-    relayed.timer.async_wait([this, id](const std::error_code& ec) {
-        auto found = m_relayed.find(id);
-        if (!ec && found != m_relayed.end())
-            performRelayed(id, found->second->gather->onTimer(Clock::now()));
-    });
-}
-
-// ---------------------------------------------------------------------------------------------------------------
-
 void RouteService::onReply(Id id, std::uint64_t attempt, const Announcement& leaf, LeafReply reply)
 {
     auto found = m_running.find(id);
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -18,6 +18,10 @@
 using RelaySender
     = std::function<bool(const std::string& peer, MessageKind, std::string body, std::uint64_t correlation)>;
 
+/// Position of a relay's number within the correlation of its messages; the request's number is above it.
+constexpr unsigned relayBits = 8;
+constexpr std::uint64_t relayMask = (1ULL << relayBits) - 1;
+
 /// Every public method is thread safe; all state is changed on one strand.
 class RouteService {
 public:
@@ -108,6 +112,7 @@
     void onTimer(Id);
     void onCallerGone(Id);
     void logAnswer(const Running&, const RouteOutcome&, TimePoint now);
+    static std::string decimal(double value);
     void logAttempt(const Running&, const Announcement& leaf, const AttemptResult&);
 
     Strand m_strand;
--- /dev/null
+++ b/query/RouteExecutionRelays.cpp
@@ -0,0 +1,124 @@
+// Parts that a request asks of peers in other zones.
+#include "query/RouteExecution.h"
+
+#include <utility>
+
+namespace citronplank {
+
+namespace {
+
+constexpr milliseconds relayTime { 12 }; // of two messages between busy instances, beyond a leaf's time
+
+} // namespace
+
+/// Asks peers for the parts that no leaf of the own zone can give.
+void RouteExecution::sendRelays(RouteActions& actions, TimePoint now)
+{
+    auto hedgeDelay = m_policies.hedgeDelay(*m_route);
+    for (auto& plan : m_policies.planRelays(*m_route, now)) {
+        auto number = static_cast<std::uint32_t>(m_relays.size());
+        RelaySend send { number, plan.peer, {} };
+        for (auto index : plan.services) {
+            auto& part = m_parts[index];
+            part.relay = number;
+            part.running = 1;
+            part.hedgeAt = now + hedgeDelay + relayTime;
+            part.tried = m_policies.leavesIn(part.service, plan.zone);
+            send.request.services.push_back(part.service);
+            ++m_counters.relayed;
+        }
+        send.request.routeName = m_route->name;
+        send.request.objective = m_route->objective;
+        send.request.topRecords = m_route->topRecords;
+        send.request.remaining = leafTime(now);
+        send.request.batchAfter = std::chrono::ceil<milliseconds>(hedgeDelay);
+        m_relays.push_back({ plan.peer, std::move(plan.services) });
+        actions.relays.push_back(std::move(send));
+    }
+}
+
+void RouteExecution::acceptRelayed(Part& part, std::string proof, RouteActions& actions)
+{
+    m_mayHaveRun = true;
+    ++part.ran;
+    ++part.arrived;
+    answerPart(part, actions);
+    m_proofs.push_back(std::move(proof));
+}
+
+void RouteExecution::failRelayed(
+    std::uint32_t index, bool hasArrived, bool hasRun, RouteActions& actions, TimePoint now)
+{
+    auto& part = m_parts[index];
+    part.relay.reset();
+    --part.running;
+    part.arrived += hasArrived ? 1 : 0;
+    if (hasRun) {
+        m_mayHaveRun = true;
+        ++part.ran;
+        ++m_counters.failures;
+    }
+    onFailed(index, actions, now);
+}
+
+RouteActions RouteExecution::onRelayAnswer(std::uint32_t number, const RelayAnswer& answer, TimePoint now)
+{
+    RouteActions actions;
+    if (m_finished || number >= m_relays.size() || m_relays[number].ended)
+        return actions;
+    auto& relay = m_relays[number];
+    if (answer.isBatch) {
+        relay.hasBatch = true;
+        m_policies.onPeer(relay.peer, true, now);
+    }
+    // Before the batch no part of the relay can be answered by another way, so the merged records count each part once.
+    bool merges = false;
+    for (const auto& it : answer.answered) {
+        if (it.service >= relay.parts.size() || m_parts[relay.parts[it.service]].relay != number)
+            continue;
+        acceptRelayed(m_parts[relay.parts[it.service]], it.proof, actions);
+        merges = true;
+    }
+    if (merges)
+        m_merge.add(answer.records);
+    for (const auto& it : answer.failed) {
+        if (it.service < relay.parts.size() && m_parts[relay.parts[it.service]].relay == number)
+            failRelayed(relay.parts[it.service], it.hasArrived, it.mayHaveRun, actions, now);
+    }
+    bool isOpen = false;
+    for (auto index : relay.parts) {
+        auto& part = m_parts[index];
+        if (part.relay != number)
+            continue;
+        isOpen = true;
+        if (answer.isBatch)
+            part.hedgeAt = now;
+    }
+    relay.ended = !isOpen;
+    return settle(std::move(actions), now);
+}
+
+RouteActions RouteExecution::onRelayFailed(std::uint32_t number, TimePoint now)
+{
+    RouteActions actions;
+    if (m_finished || m_relays[number].ended)
+        return actions;
+    breakRelay(number, false, actions, now);
+    return settle(std::move(actions), now);
+}
+
+/// The peer did not answer in time. Its batch would count parts twice that are asked for again, so it is not used.
+void RouteExecution::breakRelay(std::uint32_t number, bool mayHaveArrived, RouteActions& actions, TimePoint now)
+{
+    auto& relay = m_relays[number];
+    relay.ended = true;
+    ++m_counters.brokenRelays;
+    m_policies.onPeer(relay.peer, false, now);
+    actions.relayCancels.emplace_back(relay.peer, number);
+    for (auto index : relay.parts) {
+        if (m_parts[index].relay == number)
+            failRelayed(index, mayHaveArrived, mayHaveArrived, actions, now);
+    }
+}
+
+} // namespace citronplank
