--- a/tests/ControlMembershipTests.cpp
+++ b/tests/ControlMembershipTests.cpp
@@ -19,7 +19,7 @@
         openVoterTarget = 3;
     }
     Membership membership() { return replica(leader()).log().status().membership; }
-    bool hasVoters(std::set<std::string> names)
+    bool hasVoters(const std::set<std::string>& names)
     {
         if (leader().empty())
             return false;
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -94,12 +94,13 @@
     CHECK(leaf.sequence == 4);
     CHECK(leaf.warmupLeft == milliseconds(1500));
     CHECK_FALSE(leaf.draining);
-    for (const auto& [field, wrong] :
+    for (const auto& damage :
         std::vector<std::pair<std::string, json>> { { "service", 3 }, { "address", "x" }, { "zone", nullptr },
             { "slots", "2" }, { "state", "asleep" }, { "seq", -1 }, { "born", 1.5 }, { "warmup_left_ms", "soon" } }) {
+        const auto& field = damage.first;
         CAPTURE(field);
         auto body = announcementBody;
-        body[field] = wrong;
+        body[field] = damage.second;
         CHECK_THROWS_AS(platform::decodeAnnouncement("i-1", body.dump()), Error);
         if (field == "born" || field == "warmup_left_ms")
             continue;
--- a/tests/RouteExecutionTests.cpp
+++ b/tests/RouteExecutionTests.cpp
@@ -293,7 +293,7 @@
         policies.onPartBytes(route, 1000);
     }
 
-    static RelayAnswer batch(std::vector<std::uint32_t> services, const std::string& records)
+    static RelayAnswer batch(const std::vector<std::uint32_t>& services, const std::string& records)
     {
         RelayAnswer answer { true, {}, records, {} };
         for (auto service : services)
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -54,8 +54,8 @@
     {
         HttpServerSettings settings;
         settings.address = "127.0.0.1:0";
-        m_servers.push_back(
-            std::make_unique<HttpServer>(m_io, settings, [this, name](HttpRequest request, Responder responder) {
+        m_servers.push_back(std::make_unique<HttpServer>(
+            m_io, settings, [this, name](const HttpRequest& request, const Responder& responder) {
                 ++m_counts[name];
                 HttpAnswer answer { 200, "", std::string(16, name.back()) };
                 answer.headers = { { "Server-Stamp", "stamp-" + name },
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -29,7 +29,7 @@
     if (!answer.contentType.empty())
         text += "Content-Type: " + answer.contentType + "\r\n";
     for (const auto& [name, value] : answer.headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     bool hasLength = answer.status / 100 != 1 && answer.status != 204;
     if (hasLength)
         text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
