--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -33,6 +33,15 @@
     return {};
 }
 
+std::size_t LeafReply::size() const
+{
+    constexpr std::size_t separators = 4; // ": " and the line end
+    std::size_t n = body.size();
+    for (const auto& [key, value] : headers)
+        n += key.size() + value.size() + separators;
+    return n;
+}
+
 LeafConnection::LeafConnection(const Strand& strand, std::size_t maximumAnswerBytes, bool acceptsCloseDelimited)
     : m_socket(strand)
     , m_timer(strand)
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -30,6 +30,8 @@
 
     /// Value of the first header of that name, compared without regard to case; empty when absent.
     std::string_view header(std::string_view name) const;
+    /// About as many bytes as were received.
+    std::size_t size() const;
 };
 
 /// One HTTP/1.1 connection to a leaf, for one exchange at a time. Not thread safe: every call and callback is on the
--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -383,6 +383,15 @@
     return members;
 }
 
+std::vector<Instance> Gossip::livePeers() const
+{
+    std::vector<Instance> peers;
+    peers.reserve(m_alive.size());
+    for (const auto& [name, instance] : m_alive)
+        peers.push_back(instance);
+    return peers;
+}
+
 std::optional<MemberStatus> Gossip::statusOf(std::string_view name) const
 {
     const auto* record = m_store.find(GossipRecordKind::Member, name);
--- a/coordination/Gossip.h
+++ b/coordination/Gossip.h
@@ -104,6 +104,10 @@
     std::optional<GossipItem> item(std::string_view key) const;
     /// All members known, this one included, ordered by name. Callers serialize calls.
     std::vector<Member> members() const;
+    /// The instance of one member, this one included; nothing when it is unknown. Callers serialize calls.
+    std::optional<Instance> instanceOf(std::string_view name) const;
+    /// Members that are alive or suspected, without this one, ordered by name. Callers serialize calls.
+    std::vector<Instance> livePeers() const;
     /// The status of one member; nothing when it is unknown. Callers serialize calls.
     std::optional<MemberStatus> statusOf(std::string_view name) const;
     const Instance& self() const { return m_self; }
@@ -170,7 +174,6 @@
 
     enum class Extra : std::uint8_t { Queued, None };
     bool send(const std::string& address, const std::string& receiver, GossipBody, Output&, Extra = Extra::Queued);
-    std::optional<Instance> instanceOf(std::string_view name) const;
     std::vector<std::string> randomMembers(std::size_t count, std::string_view except);
     void updateMemberCount();
     void raiseLocalHealth(std::uint32_t by);
--- a/daemon/MembershipService.cpp
+++ b/daemon/MembershipService.cpp
@@ -191,13 +191,7 @@
 
 std::vector<Instance> MembershipService::livePeers() const
 {
-    std::vector<Instance> peers;
-    for (auto& it : members()) {
-        bool isLive = it.status == MemberStatus::Alive || it.status == MemberStatus::Suspect;
-        if (isLive && it.instance.name != m_self)
-            peers.push_back(std::move(it.instance));
-    }
-    return peers;
+    return m_gossip.with([](Gossip& it) { return it.livePeers(); });
 }
 
 std::set<std::string> MembershipService::liveNamesIn(std::string_view zone) const
@@ -210,13 +204,9 @@
     return names;
 }
 
-std::string MembershipService::linkAddressOf(std::string_view name) const
+std::optional<Instance> MembershipService::instanceOf(std::string_view name) const
 {
-    for (const auto& it : members()) {
-        if (it.instance.name == name)
-            return it.instance.linkAddress;
-    }
-    return {};
+    return m_gossip.with([&](Gossip& it) { return it.instanceOf(name); });
 }
 
 std::vector<std::string> MembershipService::services() const
--- a/daemon/MembershipService.h
+++ b/daemon/MembershipService.h
@@ -64,8 +64,8 @@
     std::vector<Instance> livePeers() const;
     /// Names of the live instances of a zone, this one included if it is in it.
     std::set<std::string> liveNamesIn(std::string_view zone) const;
-    /// Empty if the instance is not known.
-    std::string linkAddressOf(std::string_view name) const;
+    /// Nothing if the instance was never heard of; one that is lost stays known for a while.
+    std::optional<Instance> instanceOf(std::string_view name) const;
 
     std::vector<std::string> services() const;
     std::vector<Announcement> replicasOf(std::string_view service) const;
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -206,7 +206,8 @@
 {
     if (auto it = m_settings.controlMembers.find(name); it != m_settings.controlMembers.end())
         return it->second;
-    auto address = m_membership->linkAddressOf(name);
+    auto instance = m_membership->instanceOf(name);
+    auto address = instance ? instance->linkAddress : std::string();
     if (address.empty() && m_settings.openControl)
         address = name + m_settings.linkAddress.substr(m_settings.linkAddress.rfind(':'));
     return address;
@@ -226,7 +227,19 @@
         return true;
     }
     auto address = addressOf(name);
-    return !address.empty() && m_links->send(address, lane, std::move(envelope));
+    return !address.empty() && sendCounted(name, address, std::move(envelope), lane);
+}
+
+/// An instance that gossip does not know counts as one of another zone.
+bool Node::sendCounted(const std::string& name, const std::string& address, Envelope envelope, Lane lane)
+{
+    auto kind = static_cast<MessageKind>(envelope.kind);
+    auto bytes = envelope.body.size();
+    if (!m_links->send(address, lane, std::move(envelope)))
+        return false;
+    auto instance = m_membership->instanceOf(name);
+    m_traffic.onLinkMessage(kind, instance && instance->zone == m_settings.zone, bytes);
+    return true;
 }
 
 bool Node::offerProposal(const std::string& member, const Propose& proposal)
@@ -318,11 +331,11 @@
     bool isStale = !age || *age > noticeLimit;
     if (m_configuration.current()->published.version < notice.publishedVersion || isStale) {
         if (near != peers.end())
-            fetchFrom(near->linkAddress, MessageKind::ConfigurationFetch);
+            fetchFrom(near->name, MessageKind::ConfigurationFetch);
         askControlMembers(MessageKind::ConfigurationFetch);
     }
     if (!m_hasDirectory && !peers.empty())
-        fetchFrom(near != peers.end() ? near->linkAddress : peers.front().linkAddress, MessageKind::DirectoryFetch);
+        fetchFrom(near != peers.end() ? near->name : peers.front().name, MessageKind::DirectoryFetch);
 }
 
 /// Asks control members also if gossip takes them for dead: after a partition has healed, gossip needs seconds to find
@@ -334,18 +347,14 @@
     thread_local std::mt19937 random { std::random_device {}() };
     std::sample(names.begin(), names.end(), std::back_inserter(asked), controlMembersAsked, random);
     for (const auto& it : asked) {
-        auto address = addressOf(it);
-        if (it != m_settings.name && !address.empty())
-            fetchFrom(address, kind);
+        if (it != m_settings.name)
+            fetchFrom(it, kind);
     }
 }
 
-void Node::fetchFrom(const std::string& address, MessageKind kind)
+void Node::fetchFrom(const std::string& name, MessageKind kind)
 {
-    Envelope envelope;
-    envelope.kind = static_cast<std::uint16_t>(kind);
-    envelope.body = encodeConfigurationFetch({ m_configuration.current()->published.version });
-    m_links->send(address, Lane::Control, std::move(envelope));
+    sendTo(name, kind, encodeConfigurationFetch({ m_configuration.current()->published.version }));
 }
 
 void Node::onConfigurationFetch(const Envelope& envelope)
@@ -357,7 +366,7 @@
     Envelope answer;
     answer.kind = static_cast<std::uint16_t>(MessageKind::ConfigurationAnswer);
     answer.body = encode(difference);
-    m_links->send(envelope.from, Lane::Control, std::move(answer));
+    sendCounted(envelope.sender, envelope.from, std::move(answer));
 }
 
 void Node::onDirectoryFetch(const Envelope& envelope)
@@ -367,7 +376,7 @@
     answer.body = m_membership->exportDirectory();
     // A peer that is itself starting has not heard all announcements.
     answer.correlation = m_hasDirectory ? 1 : 0;
-    m_links->send(envelope.from, Lane::Control, std::move(answer));
+    sendCounted(envelope.sender, envelope.from, std::move(answer));
 }
 
 void Node::onDirectoryAnswer(const Envelope& envelope)
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -7,6 +7,7 @@
 #include "daemon/MembershipService.h"
 #include "daemon/PartMessages.h"
 #include "daemon/Settings.h"
+#include "daemon/Traffic.h"
 #include "transport/Links.h"
 
 #include <asio/executor_work_guard.hpp>
@@ -63,6 +64,8 @@
     std::vector<std::thread> m_workers;
     std::atomic<bool> m_timersEnded { false };
 
+    Counters m_counters;
+    TrafficCounters m_traffic { m_counters };
     ConfigurationTable m_configuration;
     std::unique_ptr<ControlClient> m_controlClient;
     std::unique_ptr<Links> m_links;
@@ -80,7 +83,9 @@
     void onFreshness(const Freshness&);
     void onFreshnessNotice(std::string_view bytes);
     void onMembersChanged();
-    void fetchFrom(const std::string& address, MessageKind);
+    void fetchFrom(const std::string& name, MessageKind);
+    bool sendCounted(
+        const std::string& name, const std::string& address, Envelope envelope, Lane lane = Lane::Control);
     void askControlMembers(MessageKind);
     void onConfigurationFetch(const Envelope&);
     void onDirectoryFetch(const Envelope&);
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -50,10 +50,13 @@
 } // namespace
 
 RouteService::RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters)
+    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters,
+    TrafficCounters& traffic)
     : m_strand(asio::make_strand(io))
     , m_protocol(protocol)
     , m_counters(counters)
+    , m_traffic(traffic)
+    , m_zone(zone)
     , m_policies(instance, zone)
     , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
     , m_sender(std::move(sender))
@@ -245,8 +248,14 @@
     const RouteSend& send, const HttpRequest& request, const UpstreamClient::Callback& callback)
 {
     try {
-        m_upstream->send(send.attempt, send.leaf, send.connectionLimit,
-            m_protocol.renderRequest(request, send.leaf, send.remaining), request.method == "HEAD", callback);
+        auto bytes = m_protocol.renderRequest(request, send.leaf, send.remaining);
+        m_traffic.onLeafBytes(send.leaf.zone == m_zone, bytes.size());
+        auto counted = [this, isOwnZone = send.leaf.zone == m_zone, callback](LeafReply reply) {
+            m_traffic.onLeafBytes(isOwnZone, reply.size());
+            callback(std::move(reply));
+        };
+        m_upstream->send(send.attempt, send.leaf, send.connectionLimit, std::move(bytes), request.method == "HEAD",
+            std::move(counted));
     } catch (const Error& error) {
         log(LogLevel::Warning, "leaf", "leaf=" + send.leaf.leaf + " cannot be sent to: " + error.what());
         asio::post(m_strand, [callback] {
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -2,9 +2,8 @@
 #pragma once
 
 #include "backend/UpstreamClient.h"
-#include "daemon/Counters.h"
-#include "daemon/PartMessages.h"
 #include "daemon/RouteProtocol.h"
+#include "daemon/Traffic.h"
 #include "policy/ConcurrencyLimit.h"
 #include "query/RelayedGather.h"
 
@@ -25,9 +24,9 @@
 /// Every public method is thread safe; all state is changed on one strand.
 class RouteService {
 public:
-    /// Precondition: `io`, `protocol` and `counters` outlive this object.
+    /// Precondition: `io`, `protocol`, `counters` and `traffic` outlive this object.
     RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters);
+        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters, TrafficCounters& traffic);
     ~RouteService();
     RouteService(const RouteService&) = delete;
     RouteService& operator=(const RouteService&) = delete;
@@ -118,6 +117,8 @@
     Strand m_strand;
     const RouteProtocol& m_protocol;
     Counters& m_counters;
+    TrafficCounters& m_traffic;
+    std::string m_zone;
     RoutePolicies m_policies;
     std::shared_ptr<UpstreamClient> m_upstream;
     std::mt19937 m_random { std::random_device {}() };
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds leavesTick { 50 };      // changes of the directory are handed on together
 constexpr milliseconds broadcastTick { 50 };   // resends and time-outs
 constexpr milliseconds readinessTick { 100 };  //
+constexpr seconds trafficTick { 10 };          // one line each, so that a log alone tells where bytes go
 constexpr milliseconds proposalLimit { 2500 }; // operators send again after a few seconds without an answer
 constexpr milliseconds readLimit { 900 };      // operators wait a second for an answer
 constexpr milliseconds readTick { 20 };        //
@@ -52,7 +53,7 @@
             [this](const std::string& peer, MessageKind kind, std::string body, std::uint64_t correlation) {
                 return sendTo(peer, kind, std::move(body), correlation, Lane::Part);
             },
-            m_counters);
+            m_counters, m_traffic);
         HttpServerSettings callers;
         callers.address = m_routed.callerAddress;
         m_callerServer = std::make_unique<HttpServer>(m_io, callers, [this](HttpRequest request, Responder responder) {
@@ -90,6 +91,7 @@
     every(leavesTick, [this] { pushLeaves(); });
     every(broadcastTick, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
     every(readinessTick, [this] { updateReadiness(); });
+    every(trafficTick, [this] { logTraffic(); });
     for (auto* it : { m_callerServer.get(), m_readyServer.get(), m_controlServer.get(), m_metricsServer.get() }) {
         if (it)
             it->start();
@@ -188,6 +190,13 @@
         m_routes->setLeaves(std::move(leaves));
 }
 
+void RoutedDaemon::logTraffic() const
+{
+    log(LogLevel::Info, "traffic",
+        "bytes gossip=" + std::to_string(m_membership->counters().bytesSent) + " " + m_traffic.summary()
+            + " open_links=" + std::to_string(m_links->counters().openLanes));
+}
+
 void RoutedDaemon::updateReadiness()
 {
     if (!m_hasDirectory && Clock::now() - m_startedAt > m_routed.directoryWait) {
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -79,6 +79,7 @@
     void onBroadcastTimer();
     void pushLeaves();
     void updateReadiness();
+    void logTraffic() const;
     void answerReady(const HttpRequest&, const Responder&);
     void answerMetrics(const HttpRequest&, const Responder&) const;
 
@@ -86,7 +87,6 @@
     const RouteProtocol& m_protocol;
     ConfigurationDecoder m_decode;
     ControlHandler m_controlHandler;
-    Counters m_counters;
     std::atomic<bool> m_ready { false };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leavesChanged { true };
