Tell a pause of a leaf from slowness

Cause: a leaf pauses for 4.4% of the time. One answer that waited for a pause of 200 ms counted as 10 usual latencies, and the leaf was avoided for about 3 s after it was well again. Two thirds of the bytes between zones were parts that went past a sound leaf of the own zone.

Now a first late answer only tells a pause, which has ended with it; a second one that started after it tells a slow leaf. Ruled out: relays and control traffic (2.6 MB of 13.5 MB by the line "traffic").

--- a/policy/LeafSelector.cpp
+++ b/policy/LeafSelector.cpp
@@ -69,7 +69,7 @@
     it->second.running.push_back({ attempt, now, typical });
 }
 
-void LeafSelector::learn(Observed& it, double slowness, bool failed, TimePoint now)
+void LeafSelector::learn(Observed& it, double slowness, bool failed, TimePoint now) const
 {
     double weight = decay(it, now);
     double before = 1 + (it.slowness - 1) * weight;
@@ -78,6 +78,17 @@
     it.updatedAt = now;
 }
 
+/// A late answer tells a pause, which ended with it. Only an attempt that started later and is late as well tells a
+/// slow leaf.
+void LeafSelector::learnAnswer(Observed& it, TimePoint since, double relative, TimePoint now) const
+{
+    bool isLate = relative > m_settings.pauseFactor;
+    bool isPause = isLate && (!it.lateAt || since < *it.lateAt);
+    if (!isPause)
+        learn(it, relative, false, now);
+    it.lateAt = isLate ? std::optional(now) : std::nullopt;
+}
+
 void LeafSelector::onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
 {
     auto found = m_leaves.find(leaf);
@@ -88,7 +99,8 @@
         it.running.begin(), it.running.end(), [&](const Running& other) { return other.attempt == attempt; });
     if (running == it.running.end())
         return;
-    double elapsed = inUnits(now - running->since);
+    auto since = running->since;
+    double elapsed = inUnits(now - since);
     double relative = elapsed / std::max(1.0, inUnits(running->typical));
     it.running.erase(running);
     switch (end) {
@@ -104,7 +116,7 @@
     case AttemptEnd::Abandoned:
         return;
     case AttemptEnd::Answered:
-        learn(it, relative, false, now);
+        learnAnswer(it, since, relative, now);
         break;
     case AttemptEnd::Refused:
     case AttemptEnd::Failed:
--- a/policy/LeafSelector.h
+++ b/policy/LeafSelector.h
@@ -28,7 +28,7 @@
     milliseconds greatestBackoff { 2000 };           // about the time a leaf takes to restart
     std::chrono::microseconds otherZoneCost { 700 }; // round trip between zones, in favour of the own zone
     double otherZoneShare = 0.6;                     // of a usual latency that bytes between zones are worth avoiding
-    double pauseFactor = 2.5;                        // a leaf that owes an answer for this many usual latencies
+    double pauseFactor = 2.5;                        // an answer that takes this many usual latencies is late
 };
 
 /// Not thread safe; callers serialize calls.
@@ -69,13 +69,15 @@
         double slowness = 1;    // latency relative to the usual one, smoothed
         double failureRate = 0; // smoothed
         TimePoint updatedAt;
+        std::optional<TimePoint> lateAt; // when the last answer came, if it was late
         std::uint32_t silentInRow = 0;
         std::uint32_t failedProbes = 0; // connects in a row, those of requests included
         TimePoint probeAt;
         std::vector<Running> running;
     };
     double decay(const Observed&, TimePoint now) const;
-    void learn(Observed&, double slowness, bool failed, TimePoint now);
+    void learn(Observed&, double slowness, bool failed, TimePoint now) const;
+    void learnAnswer(Observed&, TimePoint since, double relative, TimePoint now) const;
     bool isDown(const Observed& it) const { return it.failedProbes > 0 || it.silentInRow >= m_settings.silentAttempts; }
     void scheduleProbe(Observed&, TimePoint now) const;
 
