Serve gathers where entries are many: relays by the same few peers, connections by zone

Their relays went to 50 peers in turn, so nearly each was the first on its link and was lost to opening it; the wait beyond the leaves' time, 12 ms, was shorter than an instance with 0.12 of a core needs; and the budget of extra requests of one entry allows hardly any retry. Each entry had one connection to a leaf and half of the leaves reset some.

Now an entry asks two peers in each zone, keeps the links to them open (Links::keepOpen), gives up a relay after 0.55 of the objective, and where a leaf has less than two connections for each entry the entries of its zone share them and all parts of other zones are relayed.

Ruled out: the leaves (busiest/mean 1.35). Still open there: relays that break (37 of about 120 in one zone), processor time of one entry for 90 parts, bytes of configurations.

--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -60,6 +60,7 @@
     links.listenAddress = settings.linkAddress;
     links.sender = settings.name;
     links.incarnation = m_incarnation;
+    links.partLaneIntervals = settings.partLaneIntervals;
     if (settings.linkHeartbeat) {
         links.heartbeatInterval = *settings.linkHeartbeat;
         links.silenceLimit = silentHeartbeats * *settings.linkHeartbeat;
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -116,20 +116,16 @@
 }
 
 /// With more senders each one's share of a leaf's connections is smaller; a new sender needs its share at once.
-void RouteService::setSenders(std::vector<std::string> names)
+void RouteService::setSenders(std::vector<std::string> names, RoutePolicies::PeersByZone peers)
 {
-    asio::post(m_strand, [this, names = std::move(names)]() mutable {
+    asio::post(m_strand, [this, names = std::move(names), peers = std::move(peers)]() mutable {
         m_policies.setSenders(std::move(names));
+        m_policies.setPeers(peers);
         for (const auto& it : m_policies.leaves())
-            m_upstream->setLimit(it, m_policies.connectionLimit(it.service));
+            m_upstream->setLimit(it, m_policies.connectionLimit(it));
     });
 }
 
-void RouteService::setPeers(std::map<std::string, std::vector<std::string>> peers)
-{
-    asio::post(m_strand, [this, peers = std::move(peers)]() mutable { m_policies.setPeers(std::move(peers)); });
-}
-
 void RouteService::onRequest(HttpRequest request, Responder responder)
 {
     ++m_runningCount;
@@ -337,6 +333,8 @@
         + " sends=" + std::to_string(counters.sends) + " hedges=" + std::to_string(counters.hedges) + " retries="
         + std::to_string(counters.retries) + " refusals=" + std::to_string(counters.refusals) + " failures="
         + std::to_string(counters.failures) + " config=" + std::to_string(m_policies.table()->configuration().version);
+    if (counters.relayed > 0)
+        text += " relayed=" + std::to_string(counters.relayed) + " broken_relays=" + std::to_string(counters.brokenRelays);
     text += " attempts=" + std::to_string(route.attempts) + (route.idempotent ? "" : " non_idempotent");
     if (running.call.remaining)
         text += " caller_waits_ms=" + std::to_string(running.call.remaining->count());
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -37,9 +37,8 @@
     void setTable(std::shared_ptr<const RouteTable>);
     void setZonesOut(std::set<std::string, std::less<>> zones);
     void setLeaves(std::vector<Announcement> leaves);
-    void setSenders(std::vector<std::string> names);
-    /// Entries in other zones, by zone.
-    void setPeers(std::map<std::string, std::vector<std::string>> peers);
+    /// Names of all entries, this one included, and of those in other zones by zone.
+    void setSenders(std::vector<std::string> names, RoutePolicies::PeersByZone peers);
     /// A relay message of another instance arrived. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const std::string& sender, MessageKind, std::string_view body, std::uint64_t correlation);
 
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds leavesTick { 50 };      // changes of the directory are handed on together
 constexpr milliseconds broadcastTick { 50 };   // resends and time-outs
 constexpr milliseconds readinessTick { 100 };  //
+constexpr seconds relayLinkTick { 10 };        // below the time after which an idle link is closed
 constexpr seconds trafficTick { 10 };          // one line each, so that a log alone tells where bytes go
 constexpr milliseconds proposalLimit { 2500 }; // operators send again after a few seconds without an answer
 constexpr milliseconds readLimit { 900 };      // operators wait a second for an answer
@@ -39,6 +40,7 @@
     , m_protocol(protocol)
     , m_decode(std::move(decode))
     , m_controlHandler(std::move(controlHandler))
+    , m_relayPeers(LockRank::Requests)
     , m_broadcastStrand(asio::make_strand(m_io))
     , m_broadcast([this](const std::string& peer, std::uint64_t number, const std::string& body) {
         sendTo(peer, MessageKind::DirectoryItems, body, number);
@@ -92,6 +94,7 @@
     every(broadcastTick, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
     every(readinessTick, [this] { updateReadiness(); });
     every(trafficTick, [this] { logTraffic(); });
+    every(relayLinkTick, [this] { keepRelayLinks(); });
     for (auto* it : { m_callerServer.get(), m_readyServer.get(), m_controlServer.get(), m_metricsServer.get() }) {
         if (it)
             it->start();
@@ -162,7 +165,7 @@
     if (!m_routes)
         return;
     std::vector<std::string> senders { m_settings.name };
-    std::map<std::string, std::vector<std::string>> peers;
+    RoutePolicies::PeersByZone peers;
     for (const auto& it : m_membership->livePeers()) {
         if (it.controlMember)
             continue;
@@ -171,8 +174,18 @@
             peers[it.zone].push_back(it.name);
     }
     log(LogLevel::Info, "members", "senders=" + std::to_string(senders.size()));
-    m_routes->setSenders(std::move(senders));
-    m_routes->setPeers(std::move(peers));
+    m_relayPeers.with([&](RoutePolicies::PeersByZone& it) { it = RoutePolicies::usedPeers(m_settings.name, peers); });
+    m_routes->setSenders(std::move(senders), std::move(peers));
+    keepRelayLinks();
+}
+
+void RoutedDaemon::keepRelayLinks()
+{
+    auto peers = m_relayPeers.with([](const RoutePolicies::PeersByZone& it) { return it; });
+    for (const auto& [zone, names] : peers) {
+        for (const auto& it : names)
+            m_links->keepOpen(addressOf(it), Lane::Part);
+    }
 }
 
 void RoutedDaemon::onDirectory() { m_leavesChanged = true; }
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -80,6 +80,7 @@
     void pushLeaves();
     void updateReadiness();
     void logTraffic() const;
+    void keepRelayLinks();
     void answerReady(const HttpRequest&, const Responder&);
     void answerMetrics(const HttpRequest&, const Responder&) const;
 
@@ -91,6 +92,7 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leavesChanged { true };
     std::atomic<std::uint64_t> m_decodedVersion { 0 };
+    Guarded<RoutePolicies::PeersByZone> m_relayPeers;
     asio::strand<asio::io_context::executor_type> m_broadcastStrand;
     ItemBroadcast m_broadcast; // on its strand
     std::unique_ptr<RouteService> m_routes;
--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -30,6 +30,7 @@
     bool bootstrap = true;       // with open control: this start may create the cluster
     std::size_t voterTarget = 0; // with open control
     milliseconds announcementLapse { citronplank::announcementLapse }; // a leaf not renewed for this long is gone
+    unsigned partLaneIntervals = 1;                                    // see LinkSettings
     std::optional<milliseconds> linkHeartbeat;                         // see LinkSettings; absent: its defaults
     std::optional<milliseconds> rejoinInterval;                        // see GossipSettings; absent: its default
     unsigned workers = 1;
--- a/query/RelayedGather.cpp
+++ b/query/RelayedGather.cpp
@@ -31,7 +31,7 @@
         auto number = m_firstAttempt + m_attempts.size();
         m_attempts.push_back({ i, leaf->leaf, now });
         m_policies.onStart(*leaf, number, typical, now);
-        actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(service), m_request.remaining, false });
+        actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(*leaf), m_request.remaining, false });
         ++m_running;
     }
     return settle(std::move(actions), now);
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -162,7 +162,7 @@
     part.resendAt.reset();
     part.hedgeAt = now + m_policies.hedgeDelay(*m_route);
     ++m_counters.sends;
-    actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(part.service), remaining, isExtra });
+    actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(*leaf), remaining, isExtra });
     return true;
 }
 
--- a/query/RouteExecutionRelays.cpp
+++ b/query/RouteExecutionRelays.cpp
@@ -1,13 +1,17 @@
 // Parts that a request asks of peers in other zones.
 #include "query/RouteExecution.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronplank {
 
 namespace {
 
-constexpr milliseconds relayTime { 12 }; // of two messages between busy instances, beyond a leaf's time
+constexpr milliseconds relayTime { 12 }; // of two messages between instances, beyond a leaf's time
+/// Of the objective, after which a peer is given up. A small or busy instance needs tens of milliseconds to send to some
+/// twenty leaves; what is left is enough to ask the leaves directly.
+constexpr double relayShareOfObjective = 0.55;
 
 } // namespace
 
@@ -15,6 +19,8 @@
 void RouteExecution::sendRelays(RouteActions& actions, TimePoint now)
 {
     auto hedgeDelay = m_policies.hedgeDelay(*m_route);
+    auto wait = std::max<Duration>(
+        hedgeDelay + relayTime, std::chrono::duration_cast<Duration>(m_route->objective * relayShareOfObjective));
     for (auto& plan : m_policies.planRelays(*m_route, now)) {
         auto number = static_cast<std::uint32_t>(m_relays.size());
         RelaySend send { number, plan.peer, {} };
@@ -22,7 +28,7 @@
             auto& part = m_parts[index];
             part.relay = number;
             part.running = 1;
-            part.hedgeAt = now + hedgeDelay + relayTime;
+            part.hedgeAt = now + wait;
             part.tried = m_policies.leavesIn(part.service, plan.zone);
             send.request.services.push_back(part.service);
             ++m_counters.relayed;
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds typicalWithoutObjective { 50 }; // before latencies are known
 constexpr milliseconds smallestHedgeDelay { 3 };       // two round trips between zones
 constexpr double greatestConnectionShare = 0.9;        // of a leaf's connections; the rest covers changes of membership
+/// Of each instance to a leaf; with less, two requests at the same time could not both go to the own zone's leaf.
+constexpr double fewestConnections = 2;
+constexpr double ownZoneConnectionShare = 0.8; // of a leaf's connections, where instances of other zones use relays
+constexpr std::size_t peersPerZone = 2;        // one may be down
 constexpr milliseconds peerBackoff { 1000 };  // of a peer that answers no relay; leaves are asked directly meanwhile
 constexpr std::size_t fewestRelayedParts = 2; // one part costs less when it is sent directly
 constexpr double relayedPartBytes = 600;      // below it two more hops cost callers more than the bytes are worth
@@ -164,10 +168,46 @@
     return all;
 }
 
-std::uint32_t RoutePolicies::connectionLimit(const std::string& service) const
+/// Whether a leaf has too few connections for all instances.
+bool RoutePolicies::sharesByZone(const std::string& service) const
 {
-    auto share = greatestConnectionShare * m_table->limitsOf(service).connections / static_cast<double>(senders());
-    return std::max(1U, static_cast<std::uint32_t>(share));
+    auto usable = greatestConnectionShare * m_table->limitsOf(service).connections;
+    return m_sendersElsewhere > 0 && usable / static_cast<double>(senders()) < fewestConnections;
+}
+
+std::uint32_t RoutePolicies::connectionLimit(const Announcement& leaf) const
+{
+    auto usable = greatestConnectionShare * m_table->limitsOf(leaf.service).connections;
+    auto n = senders();
+    if (sharesByZone(leaf.service)) {
+        if (leaf.zone != m_zone)
+            return 1;
+        usable *= ownZoneConnectionShare;
+        n = std::max<std::size_t>(1, n - std::min(n, m_sendersElsewhere));
+    }
+    return std::max(1U, static_cast<std::uint32_t>(usable / static_cast<double>(n)));
+}
+
+RoutePolicies::PeersByZone RoutePolicies::usedPeers(const std::string& instance, const PeersByZone& peers)
+{
+    PeersByZone used;
+    for (const auto& [zone, names] : peers) {
+        auto left = names;
+        for (std::size_t i = 0; i < peersPerZone && !left.empty(); ++i) {
+            auto name = rendezvousOwner(instance, left);
+            std::erase(left, name);
+            used[zone].push_back(std::move(name));
+        }
+    }
+    return used;
+}
+
+void RoutePolicies::setPeers(const PeersByZone& peers)
+{
+    m_peers = usedPeers(m_instance, peers);
+    m_sendersElsewhere = 0;
+    for (const auto& [zone, names] : peers)
+        m_sendersElsewhere += names.size();
 }
 
 void RoutePolicies::onPeer(const std::string& name, bool answered, TimePoint now)
@@ -212,8 +252,11 @@
 {
     std::vector<RelayPlan> plans;
     const auto& services = route.shards;
+    if (m_peers.empty() || services.empty())
+        return plans;
     auto bytes = m_partBytes.find(route.name);
-    if (m_peers.empty() || bytes == m_partBytes.end() || bytes->second < relayedPartBytes)
+    bool isLarge = bytes != m_partBytes.end() && bytes->second >= relayedPartBytes;
+    if (!isLarge && !sharesByZone(services.front()))
         return plans;
     std::map<std::string, std::vector<std::uint32_t>> byZone;
     for (std::uint32_t i = 0; i < services.size(); ++i) {
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -45,14 +45,20 @@
     const Announcement* pickInOwnZone(const std::string& service, Duration typical, TimePoint now);
     /// Names of the leaves of a service in a zone.
     std::vector<std::string> leavesIn(const std::string& service, std::string_view zone) const;
-    /// Greatest number of connections of this instance to a leaf of the service.
-    std::uint32_t connectionLimit(const std::string& service) const;
+    /// Greatest number of connections of this instance to a leaf. All instances have the same share, unless there are
+    /// so many that the instances of the leaf's zone need nearly all of them.
+    std::uint32_t connectionLimit(const Announcement& leaf) const;
 
     /// All leaves in use, to apply a new connection limit.
     std::vector<Announcement> leaves() const;
 
-    /// Entries in other zones, by zone.
-    void setPeers(std::map<std::string, std::vector<std::string>> peers) { m_peers = std::move(peers); }
+    /// Entries by zone.
+    using PeersByZone = std::map<std::string, std::vector<std::string>>;
+    /// The few of `peers` in each zone that an instance asks for parts, always the same, so that links to them stay open.
+    /// Thread safe.
+    static PeersByZone usedPeers(const std::string& instance, const PeersByZone& peers);
+    /// Entries in other zones.
+    void setPeers(const PeersByZone& peers);
     /// A peer answered a relay in time or not; one that did not is left alone for a while.
     void onPeer(const std::string& name, bool answered, TimePoint now);
     /// Which of the services, by position, to ask of which peer: those without a leaf in the own zone.
@@ -110,6 +116,7 @@
     bool mayWarmUp(const Known&, TimePoint now);
     PercentBudget& budgetOf(const std::string& service);
     double extraBurst() const;
+    bool sharesByZone(const std::string& service) const;
 
     const Announcement* choose(const std::string& service, std::span<const std::string> tried, bool ownZoneOnly,
         Duration typical, TimePoint now);
@@ -130,7 +137,8 @@
         m_shares;                                        // by name of the route: sent beyond the weights' part
     std::unordered_map<std::string, double> m_partBytes; // smoothed, by name of the route
     std::unordered_map<std::string, double> m_use;       // recent requests by name of the route
-    std::map<std::string, std::vector<std::string>> m_peers;
+    PeersByZone m_peers;                // those in use
+    std::size_t m_sendersElsewhere = 0; // in other zones
     std::unordered_map<std::string, TimePoint> m_peersLeftAlone; // until then
     std::size_t m_rotation = 0;                                  // spreads relays over peers and zones
     ColdStartGate m_coldGate;
--- a/tests/LinksTests.cpp
+++ b/tests/LinksTests.cpp
@@ -292,6 +292,47 @@
 }
 
 // Guards against envelopes of a replaced connection that the kernel delivers after the network heals.
+// The first relay to a peer was lost to the time that opening a lane in both directions takes.
+TEST_CASE("a lane that is kept open is up before the first envelope, and stays so without one")
+{
+    LinkSettings settings;
+    settings.heartbeatInterval = milliseconds(50);
+    settings.silenceLimit = milliseconds(200);
+    settings.idleLimit = milliseconds(400);
+    Node a("a", settings);
+    Node b("b", settings);
+    a.links->keepOpen(b.links->address(), Lane::Part);
+    REQUIRE(a.waitFor([&] { return !a.states.empty(); }));
+    CHECK(a.states.front() == std::pair(Lane::Part, true));
+    CHECK(b.links->counters().openLanes == 1); // for answers
+    for (int i = 0; i < 8; ++i) {
+        std::this_thread::sleep_for(milliseconds(100));
+        a.links->keepOpen(b.links->address(), Lane::Part);
+    }
+    CHECK(a.links->counters().openLanes == 1);
+    CHECK(a.links->counters().redials == 0);
+}
+
+TEST_CASE("a part lane with rare heartbeats stays up between them and is still found silent")
+{
+    LinkSettings settings;
+    settings.heartbeatInterval = milliseconds(50);
+    settings.silenceLimit = milliseconds(150);
+    settings.partLaneIntervals = 6;
+    Node a("a", settings);
+    std::string address;
+    {
+        Node b("b", settings);
+        address = b.links->address();
+        REQUIRE(a.links->send(address, Lane::Part, { .kind = 1 }));
+        REQUIRE(a.waitFor([&] { return !a.states.empty(); }));
+        std::this_thread::sleep_for(milliseconds(1000));
+        CHECK(a.states.size() == 1);
+        CHECK(a.links->counters().redials == 0);
+    }
+    CHECK(a.waitFor([&] { return a.states.size() >= 2 && !a.states.at(1).second; }));
+}
+
 TEST_CASE("envelopes of an older connection are dropped")
 {
     Node receiver("b");
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -184,3 +184,62 @@
     policies.setLeaves({ leafOf("l", "ledger"), leafOf("a", "s1"), leafOf("b", "s2"), leafOf("c", "s3") }, start);
     CHECK(policies.canServe());
 }
+
+namespace {
+
+/// 16 entries in each of 4 zones, a leaf that accepts 55 connections, and a route to it.
+struct ManyEntries {
+    static constexpr std::size_t entriesPerZone = 16;
+    static constexpr std::uint32_t leafConnections = 55;
+
+    ManyEntries()
+    {
+        route.name = "r";
+        route.shards = { "list", "list2" };
+        ServingConfiguration configuration;
+        configuration.version = 1;
+        configuration.routes = { route };
+        configuration.services["list"].connections = leafConnections;
+        configuration.services["list2"].connections = leafConnections;
+        policies.setTable(std::make_shared<const RouteTable>(std::move(configuration)));
+        std::vector<std::string> names;
+        std::map<std::string, std::vector<std::string>> peers;
+        for (const auto* zone : { "atl", "sav", "mac", "aug" }) {
+            for (std::size_t i = 0; i < entriesPerZone; ++i) {
+                names.push_back(zone + std::to_string(i));
+                if (std::string_view(zone) != "atl")
+                    peers[zone].push_back(names.back());
+            }
+        }
+        policies.setSenders(names);
+        policies.setPeers(peers);
+    }
+
+    Route route;
+    RoutePolicies policies { "atl0", "atl" };
+};
+
+} // namespace
+
+TEST_CASE("where entries are many, those of a leaf's zone get enough of its connections for two requests at a time")
+{
+    ManyEntries it;
+    auto near = it.policies.connectionLimit(leafOf("a", "list", "atl"));
+    CHECK(near >= 2);
+    CHECK(near * ManyEntries::entriesPerZone <= ManyEntries::leafConnections);
+    CHECK(it.policies.connectionLimit(leafOf("b", "list", "sav")) == 1);
+}
+
+TEST_CASE("where entries are many, parts of other zones are relayed whatever their size, always by the same few peers")
+{
+    ManyEntries it;
+    it.policies.setLeaves({ leafOf("a", "list", "sav"), leafOf("b", "list2", "sav") }, start);
+    std::set<std::string> used;
+    for (int i = 0; i < 50; ++i) {
+        auto plans = it.policies.planRelays(it.route, start);
+        REQUIRE(plans.size() == 1);
+        CHECK(plans.front().services.size() == 2);
+        used.insert(plans.front().peer);
+    }
+    CHECK(used.size() <= 2);
+}
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -99,6 +99,17 @@
     return accepted;
 }
 
+void Links::Impl::keepOpen(const std::string& address, Lane lane)
+{
+    if (m_stopped || !isAddress(address))
+        return;
+    const std::shared_ptr<Dialer> dialer = findOrOpen(DialerKey(address, lane));
+    if (!dialer)
+        return;
+    const std::lock_guard lock(m_mutex);
+    dialer->lastUse = Clock::now();
+}
+
 LinkCounters Links::Impl::counters()
 {
     const std::lock_guard lock(m_mutex);
@@ -295,6 +306,7 @@
         dialers.assign(m_dialers.begin(), m_dialers.end());
     }
     const TimePoint now = Clock::now();
+    ++m_ticks;
     for (const auto& [key, dialer] : dialers)
         tickDialer(key, dialer, now);
 }
@@ -305,11 +317,14 @@
     bool inUse = false;
     bool wentDown = false;
     bool hasPipe = false;
+    const unsigned intervals = key.second == Lane::Part ? m_settings.partLaneIntervals : 1;
+    bool isDue = m_ticks % intervals == 0;
     {
         const std::lock_guard lock(m_mutex);
         hasPipe = dialer->hasPipe;
+        isDue = isDue || dialer->state != Dialer::State::Up;
         inUse = now - dialer->lastUse < m_settings.idleLimit;
-        const bool silent = now - std::max(dialer->openedAt, dialer->lastAnswer) > m_settings.silenceLimit;
+        const bool silent = now - std::max(dialer->openedAt, dialer->lastAnswer) > intervals * m_settings.silenceLimit;
         if (!inUse && now - std::max(dialer->openedAt, dialer->lastPeerUse) > m_settings.silenceLimit) {
             action = Action::Close;
             m_dialers.erase(key);
@@ -326,7 +341,7 @@
         closeDialer(*dialer);
     else if (action == Action::Redial)
         redial(key, dialer);
-    else if (hasPipe)
+    else if (hasPipe && isDue)
         sendHeartbeat(key, *dialer, inUse);
 }
 
@@ -532,6 +547,8 @@
     return m_impl->send(address, lane, std::move(envelope));
 }
 
+void Links::keepOpen(const std::string& address, Lane lane) { m_impl->keepOpen(address, lane); }
+
 LinkCounters Links::counters() const { return m_impl->counters(); }
 
 } // namespace citronplank
--- a/transport/LinksImpl.h
+++ b/transport/LinksImpl.h
@@ -69,6 +69,7 @@
     void start();
     void stop();
     bool send(const std::string& address, Lane, Envelope&&);
+    void keepOpen(const std::string& address, Lane);
     LinkCounters counters();
 
     void setHandler(Handler handler) { m_handler = std::move(handler); }
@@ -125,6 +126,7 @@
     std::uint64_t m_lastEpoch = 0;
     std::size_t m_pending = 0;
     bool m_receivePaused = false;
+    unsigned m_ticks = 0; // of the timer
     LinkCounters m_counters;
 };
 
