Answer suspicions directly and check a suspect once more before it counts as dead

With long queues of updates refutations come late as a rule.

Now a member that is told of a suspicion, also of an old one, sends its own record with the answer; a member that hears from a suspect holds the suspicion for a second; and before declaring a death it pings the suspect up to three times, counting only pings that its budget allowed.

--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t sendsAfterSync = 2;       // others lack it too if this member did, but most of them will not
 constexpr std::size_t suspectPings = 6;           // expected number over the whole group, for each suspicion
 constexpr std::size_t lastWordReceivers = 4;      // enough that the news of leaving survives 5% loss; they pass it on
+constexpr milliseconds suspicionHoldTime { 1000 }; // for the refutation of a suspect that answers
 constexpr seconds cleanupInterval { 10 };
 constexpr milliseconds freezeGap { 1000 };
 
@@ -94,8 +95,8 @@
 {
     m_probes.clear();
     m_relays.clear();
-    for (auto& [name, deadline] : m_suspicions)
-        deadline = std::max(deadline + gap, now + suspicionTimeout());
+    for (auto& [name, it] : m_suspicions)
+        it.deadline = std::max(it.deadline + gap, now + suspicionTimeout());
     raiseLocalHealth(2);
     m_nextPeriod = now + m_settings.period;
 }
@@ -142,6 +143,9 @@
         m_nextSync = now + gossipFastSyncInterval;
         send(sender.address, sender.name, m_store.digest(), out, Extra::None);
     }
+    // It is up, and its refutation is on its way.
+    if (const auto it = m_suspicions.find(sender.name); it != m_suspicions.end())
+        it->second.deadline = std::max<TimePoint>(it->second.deadline, now + suspicionHoldTime);
     const auto* records = std::get_if<GossipRecords>(&datagram->message.body);
     const bool isSync = records && records->isSync;
     std::optional<std::uint32_t> sendsLeft;
@@ -154,6 +158,7 @@
     if (isSync && !newer.empty())
         sendFull(sender.address, newer, false, out);
     std::visit([&](const auto& body) { handle(body, sender, now, out); }, datagram->message.body);
+    m_refutes = false;
     return out;
 }
 
@@ -181,6 +186,8 @@
 void Gossip::acceptSelf(const GossipRecord& record, TimePoint now)
 {
     const auto* own = m_store.find(GossipRecordKind::Member, m_self.name);
+    // The sender may have missed an earlier refutation.
+    m_refutes = m_refutes || isSuspectOrLost(&record);
     if (!record.isNewerThan(*own) || m_left)
         return;
     if (isSuspectOrLost(&record)) {
@@ -208,7 +215,7 @@
     else
         m_alive.erase(record.key);
     if (status == MemberStatus::Suspect) {
-        m_suspicions.try_emplace(record.key, now + suspicionTimeout());
+        m_suspicions.try_emplace(record.key, Suspicion { now + suspicionTimeout() });
         tellSuspect(*instance, out);
     } else {
         m_suspicions.erase(record.key);
@@ -308,6 +315,9 @@
         if (bytes.size() + notice.size() <= gossipDatagramBytes)
             bytes += notice;
     }
+    // Whoever told of a suspicion gets the refutation with the answer; spread by others it may come too late.
+    if (m_refutes && bytes.size() < gossipDatagramBytes)
+        bytes += encodeGossipRecord(*m_store.find(GossipRecordKind::Member, m_self.name), true);
     if (extra == Extra::Queued && bytes.size() < gossipDatagramBytes) {
         // Half of what is left keeps some of the budget for the next datagrams of a burst.
         const double spare = (m_budgetBytes - static_cast<double>(updateReservedBytes + bytes.size())) / 2;
--- a/coordination/Gossip.h
+++ b/coordination/Gossip.h
@@ -124,6 +124,10 @@
         std::uint32_t nacksExpected = 0;
         std::uint32_t nacks = 0;
     };
+    struct Suspicion {
+        TimePoint deadline; // then the suspect is declared dead
+        int checks = 0;     // last pings sent at the deadline
+    };
     struct Relay {
         std::string address; // of the member that asked
         std::uint64_t number = 0;
@@ -202,7 +206,8 @@
     std::deque<std::string> m_probeOrder;
     std::map<std::uint64_t, Probe> m_probes;
     std::map<std::uint64_t, Relay> m_relays;
-    std::map<std::string, TimePoint> m_suspicions; // when a suspect is declared dead
+    std::map<std::string, Suspicion, std::less<>> m_suspicions; // by name of the suspect
+    bool m_refutes = false; // the datagram that is handled told of a suspicion of this member
 };
 
 class GossipBuilder {
--- a/coordination/GossipProbes.cpp
+++ b/coordination/GossipProbes.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint32_t maxLocalHealth = 8; // as in Lifeguard
+constexpr int lastChecks = 3;                 // a ping and its answer are lost 1 in 10 times at a loss of 5%
 constexpr int probeAttempts = 3;            // one direct, then two with relays; see retryProbe
 
 } // namespace
@@ -96,9 +97,20 @@
 void Gossip::expireSuspicions(TimePoint now, Output& out)
 {
     std::vector<std::string> expired;
-    for (const auto& [name, deadline] : m_suspicions)
-        if (now >= deadline)
+    for (auto& [name, it] : m_suspicions) {
+        if (now < it.deadline)
+            continue;
+        const auto instance = m_alive.find(name);
+        if (it.checks == lastChecks || instance == m_alive.end()) {
             expired.push_back(name);
+            continue;
+        }
+        // The refutation may not have come this way yet. The ping tells the suspect, and its answer brings it. A ping
+        // that the budget did not allow proves nothing.
+        it.deadline = now + m_settings.ackTimeout;
+        if (send(instance->second.gossipAddress, name, GossipPing { m_nextNumber++, name }, out, Extra::None))
+            ++it.checks;
+    }
     for (const auto& name : expired)
         setStatus(name, MemberStatus::Dead, now, out);
 }
--- a/tests/GossipTests.cpp
+++ b/tests/GossipTests.cpp
@@ -149,6 +149,33 @@
 }
 
 // Guards against control traffic that exceeds its budget while there is much to spread.
+TEST_CASE("a refuted suspicion causes no false alarm while many other updates spread")
+{
+    constexpr std::size_t count = 48;
+    constexpr int itemsPerMember = 20;
+    for (std::uint64_t seed : { 21, 22, 23 }) {
+        CAPTURE(seed);
+        SimulatedGossip group(count, seed, 0.05);
+        REQUIRE(group.runUntil([](Gossip& gossip) { return knowsAlive(gossip, count); }, seconds(60)));
+        group.run(seconds(30));
+        for (std::size_t i = 0; i < count; ++i) {
+            for (int item = 0; item < itemsPerMember; ++item)
+                group.at(i).publish(
+                    "leaf/" + std::to_string(i) + "-" + std::to_string(item), std::string(110, 'x'), group.now());
+        }
+        // Long enough for some probes of the member to fail, too short for a suspicion to run out.
+        group.setReachable([](std::size_t from, std::size_t to) { return from != 7 && to != 7; });
+        group.run(milliseconds(1500));
+        group.setReachable(nullptr);
+        group.run(seconds(30));
+        std::uint64_t suspicions = 0;
+        for (const auto& node : group.nodes())
+            suspicions += node.gossip->counters().suspicions;
+        CHECK(suspicions > 0);
+        CHECK(deaths(group) == 0);
+    }
+}
+
 TEST_CASE("no member sends more than its budget")
 {
     GossipSettings settings;
