Gather groups of shards at one entry of each zone where entries are many

Now the shards are cut into groups of about 16, and all entries of a zone ask the same one of them for a group; for other zones each zone has one peer there, and a second in case the first is down. A peer reports the parts that no leaf answered in the time for leaves.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -203,10 +203,11 @@
         cancelAttempt(m_running.at(id)->execution->leafOf(attempt), attempt);
     for (const auto& [peer, relay] : actions.relayCancels)
         m_sender(peer, MessageKind::RelayCancel, {}, (id << relayBits) | relay);
-    for (const auto& it : actions.sends)
-        sendPart(id, it);
+    // Relays have the longer way.
     for (const auto& it : actions.relays)
         sendRelay(id, it);
+    for (const auto& it : actions.sends)
+        sendPart(id, it);
     if (actions.finish) {
         finish(id, std::move(*actions.finish));
         return;
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -37,7 +37,7 @@
     void setTable(std::shared_ptr<const RouteTable>);
     void setZonesOut(std::set<std::string, std::less<>> zones);
     void setLeaves(std::vector<Announcement> leaves);
-    /// Names of all entries, this one included, and of those in other zones by zone.
+    /// Names of all entries, this one included, and of the others by zone.
     void setSenders(std::vector<std::string> names, RoutePolicies::PeersByZone peers);
     /// A relay message of another instance arrived. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const std::string& sender, MessageKind, std::string_view body, std::uint64_t correlation);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -170,11 +170,10 @@
         if (it.controlMember)
             continue;
         senders.push_back(it.name);
-        if (it.zone != m_settings.zone)
-            peers[it.zone].push_back(it.name);
+        peers[it.zone].push_back(it.name);
     }
     log(LogLevel::Info, "members", "senders=" + std::to_string(senders.size()));
-    m_relayPeers.with([&](RoutePolicies::PeersByZone& it) { it = RoutePolicies::usedPeers(m_settings.name, peers); });
+    m_relayPeers.with([&](RoutePolicies::PeersByZone& it) { it = RoutePolicies::usedPeers(m_settings.name, m_settings.zone, peers); });
     m_routes->setSenders(std::move(senders), std::move(peers));
     keepRelayLinks();
 }
--- a/query/RelayedGather.cpp
+++ b/query/RelayedGather.cpp
@@ -23,7 +23,7 @@
     auto typical = m_policies.typical(m_route);
     for (std::uint32_t i = 0; i < m_request.services.size(); ++i) {
         const auto& service = m_request.services[i];
-        const auto* leaf = m_policies.pickInOwnZone(service, typical, now);
+        const auto* leaf = m_policies.pickForPeer(service, typical, now);
         if (!leaf) {
             m_batch.failed.push_back({ i });
             continue;
@@ -71,8 +71,22 @@
 RelayActions RelayedGather::onTimer(TimePoint now)
 {
     RelayActions actions;
-    if (now >= m_deadline)
-        return cancel();
+    if (now >= m_deadline) {
+        // The entry must not wait for parts that no longer come.
+        RelayAnswer late;
+        for (const auto& it : m_attempts) {
+            if (!it.ended)
+                late.failed.push_back({ it.service, true, true });
+        }
+        actions = cancel();
+        if (!m_batchSent) {
+            m_batch.failed.insert(m_batch.failed.end(), late.failed.begin(), late.failed.end());
+            emitBatch(actions);
+        } else if (!late.failed.empty()) {
+            actions.answers.push_back(std::move(late));
+        }
+        return actions;
+    }
     return settle(std::move(actions), now);
 }
 
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -25,6 +25,9 @@
 constexpr double fewestConnections = 2;
 constexpr double ownZoneConnectionShare = 0.8; // of a leaf's connections, where instances of other zones use relays
 constexpr std::size_t peersPerZone = 2;        // one may be down
+constexpr std::size_t fewestGatherers = 4;     // other entries of the own zone, for groups of shards to be worth it
+constexpr std::size_t linkedGroups = 6;        // of shards; links to the entries that gather them are kept open
+constexpr std::size_t partsPerSender = 16;     // at 0.12 of a core sending and reading them takes about 10 ms
 constexpr milliseconds peerBackoff { 1000 };  // of a peer that answers no relay; leaves are asked directly meanwhile
 constexpr std::size_t fewestRelayedParts = 2; // one part costs less when it is sent directly
 constexpr double relayedPartBytes = 600;      // below it two more hops cost callers more than the bytes are worth
@@ -118,9 +121,9 @@
     return choose(service, tried, false, typical, now);
 }
 
-const Announcement* RoutePolicies::pickInOwnZone(const std::string& service, Duration typical, TimePoint now)
+const Announcement* RoutePolicies::pickForPeer(const std::string& service, Duration typical, TimePoint now)
 {
-    return choose(service, {}, true, typical, now);
+    return choose(service, {}, !sharesByZone(service), typical, now);
 }
 
 const Announcement* RoutePolicies::choose(
@@ -188,26 +191,41 @@
     return std::max(1U, static_cast<std::uint32_t>(usable / static_cast<double>(n)));
 }
 
-RoutePolicies::PeersByZone RoutePolicies::usedPeers(const std::string& instance, const PeersByZone& peers)
+RoutePolicies::PeersByZone RoutePolicies::usedPeers(
+    const std::string& instance, const std::string& zone, const PeersByZone& peers)
 {
     PeersByZone used;
-    for (const auto& [zone, names] : peers) {
-        auto left = names;
-        for (std::size_t i = 0; i < peersPerZone && !left.empty(); ++i) {
-            auto name = rendezvousOwner(instance, left);
-            std::erase(left, name);
-            used[zone].push_back(std::move(name));
+    for (const auto& [name, entries] : peers) {
+        auto left = entries;
+        std::vector<std::string> chosen;
+        if (name != zone) {
+            for (std::size_t i = 0; i < peersPerZone && !left.empty(); ++i) {
+                chosen.push_back(rendezvousOwner(zone, left));
+                std::erase(left, chosen.back());
+            }
+        } else if (left.size() >= fewestGatherers) {
+            left.push_back(instance);
+            for (std::size_t group = 0; group < linkedGroups; ++group)
+                chosen.push_back(rendezvousOwner(std::to_string(group), left));
+            std::erase(chosen, instance);
         }
+        if (!chosen.empty())
+            used[name] = std::move(chosen);
     }
     return used;
 }
 
 void RoutePolicies::setPeers(const PeersByZone& peers)
 {
-    m_peers = usedPeers(m_instance, peers);
+    m_peers = usedPeers(m_instance, m_zone, peers);
+    m_ownZone = { m_instance };
     m_sendersElsewhere = 0;
-    for (const auto& [zone, names] : peers)
-        m_sendersElsewhere += names.size();
+    for (const auto& [zone, names] : peers) {
+        if (zone == m_zone)
+            m_ownZone.insert(m_ownZone.end(), names.begin(), names.end());
+        else
+            m_sendersElsewhere += names.size();
+    }
 }
 
 void RoutePolicies::onPeer(const std::string& name, bool answered, TimePoint now)
@@ -232,17 +250,22 @@
     return zones;
 }
 
+bool RoutePolicies::isLeftAlone(const std::string& peer, TimePoint now) const
+{
+    auto found = m_peersLeftAlone.find(peer);
+    return found != m_peersLeftAlone.end() && now < found->second;
+}
+
 /// A peer of the zone in turn; empty if none is to be asked.
-std::string RoutePolicies::peerIn(const std::string& zone, TimePoint now)
+std::string RoutePolicies::peerIn(const std::string& zone, std::size_t turn, TimePoint now) const
 {
     auto found = m_peers.find(zone);
     if (found == m_peers.end())
         return {};
     const auto& names = found->second;
     for (std::size_t i = 0; i < names.size(); ++i) {
-        const auto& name = names[(m_rotation + i) % names.size()];
-        auto leftAlone = m_peersLeftAlone.find(name);
-        if (leftAlone == m_peersLeftAlone.end() || now >= leftAlone->second)
+        const auto& name = names[(turn + i) % names.size()];
+        if (!isLeftAlone(name, now))
             return name;
     }
     return {};
@@ -256,27 +279,35 @@
         return plans;
     auto bytes = m_partBytes.find(route.name);
     bool isLarge = bytes != m_partBytes.end() && bytes->second >= relayedPartBytes;
-    if (!isLarge && !sharesByZone(services.front()))
+    bool areMany = sharesByZone(services.front());
+    if (!isLarge && !areMany)
         return plans;
     std::map<std::string, std::vector<std::uint32_t>> byZone;
+    std::vector<std::uint32_t> ownZone;
     for (std::uint32_t i = 0; i < services.size(); ++i) {
         auto zones = zonesOf(services[i], now);
-        if (std::find(zones.begin(), zones.end(), m_zone) != zones.end())
+        if (std::find(zones.begin(), zones.end(), m_zone) != zones.end()) {
+            ownZone.push_back(i);
             continue;
+        }
         for (const auto& zone : std::set<std::string>(zones.begin(), zones.end()))
             byZone[zone].push_back(i);
     }
     ++m_rotation;
+    if (areMany)
+        planOwnZone(std::move(ownZone), plans, now);
     std::vector<std::pair<std::string, std::vector<std::uint32_t>>> order(byZone.begin(), byZone.end());
+    // Where entries are many, each zone has a usual one to ask, whose peer then sees enough of its leaves.
+    auto turn = areMany ? std::hash<std::string>()(m_zone) : m_rotation;
     if (!order.empty())
-        std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(m_rotation % order.size()), order.end());
+        std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(turn % order.size()), order.end());
     // The zone with most of the parts first, so that few messages cross between zones.
     std::stable_sort(
         order.begin(), order.end(), [](const auto& a, const auto& b) { return a.second.size() > b.second.size(); });
     std::set<std::uint32_t> planned;
     for (auto& [zone, indices] : order) {
         std::erase_if(indices, [&](std::uint32_t it) { return planned.contains(it); });
-        auto peer = indices.size() < fewestRelayedParts ? std::string() : peerIn(zone, now);
+        auto peer = indices.size() < fewestRelayedParts ? std::string() : peerIn(zone, areMany ? 0 : m_rotation, now);
         if (peer.empty())
             continue;
         planned.insert(indices.begin(), indices.end());
@@ -285,6 +316,24 @@
     return plans;
 }
 
+/// Spreads parts over the entries of the own zone that gather their groups of shards; those of groups of its own this
+/// instance sends itself.
+void RoutePolicies::planOwnZone(std::vector<std::uint32_t> indices, std::vector<RelayPlan>& plans, TimePoint now) const
+{
+    auto groups = indices.size() / partsPerSender;
+    if (m_ownZone.size() <= fewestGatherers || groups < 2)
+        return;
+    auto candidates = m_ownZone;
+    std::erase_if(candidates, [&](const std::string& it) { return isLeftAlone(it, now); });
+    for (std::size_t group = 0; group < groups; ++group) {
+        auto peer = rendezvousOwner(std::to_string(group), candidates);
+        auto begin = indices.begin() + static_cast<std::ptrdiff_t>(group * indices.size() / groups);
+        auto end = indices.begin() + static_cast<std::ptrdiff_t>((group + 1) * indices.size() / groups);
+        if (peer != m_instance)
+            plans.push_back({ std::move(peer), m_zone, { begin, end } });
+    }
+}
+
 bool RoutePolicies::hasLeaf(const std::string& service) const
 {
     auto found = m_leaves.find(service);
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -41,8 +41,8 @@
     /// Best leaf of the service that is not in `tried`; null if there is none now.
     const Announcement* pick(
         const std::string& service, std::span<const std::string> tried, Duration typical, TimePoint now);
-    /// The same among the leaves of the own zone.
-    const Announcement* pickInOwnZone(const std::string& service, Duration typical, TimePoint now);
+    /// Best leaf for a part that a peer asks for: one of the own zone, unless the peer may be in the same zone.
+    const Announcement* pickForPeer(const std::string& service, Duration typical, TimePoint now);
     /// Names of the leaves of a service in a zone.
     std::vector<std::string> leavesIn(const std::string& service, std::string_view zone) const;
     /// Greatest number of connections of this instance to a leaf. All instances have the same share, unless there are
@@ -54,14 +54,16 @@
 
     /// Entries by zone.
     using PeersByZone = std::map<std::string, std::vector<std::string>>;
-    /// The few of `peers` in each zone that an instance asks for parts, always the same, so that links to them stay open.
-    /// Thread safe.
-    static PeersByZone usedPeers(const std::string& instance, const PeersByZone& peers);
-    /// Entries in other zones.
+    /// The few of `peers` that an instance asks for parts. In its own zone there is one for each group of shards, and in
+    /// other zones one for each zone that asks and a second one in case the first is down: always the same, so that
+    /// links stay open and each of them sees enough of its leaves to know which are slow. Thread safe.
+    static PeersByZone usedPeers(const std::string& instance, const std::string& zone, const PeersByZone& peers);
+    /// Other entries.
     void setPeers(const PeersByZone& peers);
     /// A peer answered a relay in time or not; one that did not is left alone for a while.
     void onPeer(const std::string& name, bool answered, TimePoint now);
-    /// Which of the services, by position, to ask of which peer: those without a leaf in the own zone.
+    /// Which of the services, by position, to ask of which peer: those without a leaf in the own zone and, where entries
+    /// are many and small, most of the others too, because sending all parts takes one of them longer than the leaves.
     struct RelayPlan {
         std::string peer;
         std::string zone;
@@ -121,7 +123,9 @@
     const Announcement* choose(const std::string& service, std::span<const std::string> tried, bool ownZoneOnly,
         Duration typical, TimePoint now);
     std::vector<std::string> zonesOf(const std::string& service, TimePoint now) const;
-    std::string peerIn(const std::string& zone, TimePoint now);
+    bool isLeftAlone(const std::string& peer, TimePoint now) const;
+    std::string peerIn(const std::string& zone, std::size_t turn, TimePoint now) const;
+    void planOwnZone(std::vector<std::uint32_t> indices, std::vector<RelayPlan>&, TimePoint now) const;
 
     std::string m_instance;
     std::string m_zone;
@@ -138,6 +142,7 @@
     std::unordered_map<std::string, double> m_partBytes; // smoothed, by name of the route
     std::unordered_map<std::string, double> m_use;       // recent requests by name of the route
     PeersByZone m_peers;                // those in use
+    std::vector<std::string> m_ownZone; // all entries of the own zone, this one included
     std::size_t m_sendersElsewhere = 0; // in other zones
     std::unordered_map<std::string, TimePoint> m_peersLeftAlone; // until then
     std::size_t m_rotation = 0;                                  // spreads relays over peers and zones
--- a/tests/RouteExecutionTests.cpp
+++ b/tests/RouteExecutionTests.cpp
@@ -411,6 +411,28 @@
     CHECK(late.finished);
 }
 
+// Guards against an entry that waits for its whole deadline for parts that the peer has given up.
+TEST_CASE("a peer reports the parts that no leaf answered in the time for leaves")
+{
+    for (bool hasBatch : { false, true }) {
+        CAPTURE(hasBatch);
+        RelayRequest request { "list", milliseconds(100), { "s0", "s1" }, 3, milliseconds(200),
+            hasBatch ? milliseconds(40) : milliseconds(300) };
+        RoutePolicies policies("front-sav", "sav");
+        policies.setLeaves({ Fixture::leafOf("s0", "sav"), Fixture::leafOf("s1", "sav") }, start);
+        RelayedGather gather(request, RouteExecution::attemptsPerRequest, policies);
+        CHECK(gather.start(at(0)).sends.size() == 2);
+        if (hasBatch)
+            CHECK(gather.onTimer(at(40)).answers.size() == 1);
+        auto last = gather.onTimer(at(200));
+        CHECK(last.finished);
+        REQUIRE(last.answers.size() == 1);
+        CHECK(last.answers.front().isBatch != hasBatch);
+        CHECK(last.answers.front().failed.size() == 2);
+        CHECK(last.cancels.size() == 2);
+    }
+}
+
 TEST_CASE("relay messages are read as they were written, and malformed ones are refused")
 {
     RelayedCall call { { "list", milliseconds(80), { "a", "b" }, 20, milliseconds(300), milliseconds(25) }, "GET",
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -207,7 +207,7 @@
         for (const auto* zone : { "atl", "sav", "mac", "aug" }) {
             for (std::size_t i = 0; i < entriesPerZone; ++i) {
                 names.push_back(zone + std::to_string(i));
-                if (std::string_view(zone) != "atl")
+                if (names.back() != "atl0")
                     peers[zone].push_back(names.back());
             }
         }
@@ -243,3 +243,55 @@
     }
     CHECK(used.size() <= 2);
 }
+
+TEST_CASE("where entries are many, all of a zone ask the same gatherer for a group of shards, and another if it is down")
+{
+    constexpr std::size_t shards = 64;
+    ServingConfiguration configuration;
+    configuration.version = 1;
+    Route route;
+    route.name = "r";
+    std::vector<Announcement> leaves;
+    for (std::size_t i = 0; i < shards; ++i) {
+        route.shards.push_back("list" + std::to_string(i));
+        configuration.services[route.shards.back()].connections = ManyEntries::leafConnections;
+        leaves.push_back(leafOf("leaf" + std::to_string(i), route.shards.back(), "atl"));
+    }
+    configuration.routes = { route };
+    auto table = std::make_shared<const RouteTable>(std::move(configuration));
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < ManyEntries::entriesPerZone; ++i)
+        names.push_back("atl" + std::to_string(i));
+    RoutePolicies::PeersByZone elsewhere { { "sav", {} } };
+    for (std::size_t i = 0; i < 3 * ManyEntries::entriesPerZone; ++i)
+        elsewhere["sav"].push_back("sav" + std::to_string(i));
+    std::set<std::string> gatherers;
+    for (const auto& self : names) {
+        RoutePolicies policies(self, "atl");
+        policies.setTable(table);
+        policies.setLeaves(leaves, start);
+        auto peers = elsewhere;
+        for (const auto& it : names) {
+            if (it != self)
+                peers["atl"].push_back(it);
+        }
+        auto all = names;
+        all.insert(all.end(), peers["sav"].begin(), peers["sav"].end());
+        policies.setSenders(all);
+        policies.setPeers(peers);
+        auto plans = policies.planRelays(route, start);
+        std::size_t parts = 0;
+        for (const auto& it : plans) {
+            CHECK(it.peer != self);
+            gatherers.insert(it.peer);
+            parts += it.services.size();
+        }
+        CHECK(parts >= shards / 2);
+        // The one that does not answer is left out; its group goes to another.
+        auto down = plans.front().peer;
+        policies.onPeer(down, false, start);
+        for (const auto& it : policies.planRelays(route, start))
+            CHECK(it.peer != down);
+    }
+    CHECK(gatherers.size() <= 4);
+}
