--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -109,11 +109,18 @@
     m_budgetBytes = std::min<double>(m_settings.burstBytes, m_budgetBytes + elapsed * m_settings.bytesPerSecond);
 }
 
+Duration Gossip::period() const
+{
+    constexpr double greatestFactor = 2;
+    auto factor = static_cast<double>(m_alive.size() + 1) / static_cast<double>(m_settings.smallGroup);
+    return gossipScaled(m_settings.period, std::clamp(factor, 1.0, greatestFactor));
+}
+
 void Gossip::runPeriod(TimePoint now, Output& out)
 {
-    m_nextPeriod += m_settings.period;
+    m_nextPeriod += period();
     if (m_nextPeriod <= now)
-        m_nextPeriod = now + m_settings.period;
+        m_nextPeriod = now + period();
     if (m_left)
         return;
     startProbe(now, out);
--- a/coordination/Gossip.h
+++ b/coordination/Gossip.h
@@ -39,7 +39,7 @@
 };
 
 struct GossipSettings {
-    milliseconds period { 200 };               // one probe is started in each
+    milliseconds period { 200 };               // one probe is started in each, in a group of at most `smallGroup`
     milliseconds ackTimeout { 150 };           // per attempt; multiplied by the local health score + 1
     milliseconds suspicionTimeout { 2000 };    // lower bound; see suspicionPerDoubling
     milliseconds suspicionPerDoubling { 300 }; // times log2(members), when that is longer
@@ -47,6 +47,7 @@
     milliseconds rejoinInterval { 2000 };      // between two attempts to reach a seed or a lost member
     seconds removalLifetime { 3600 };          // removals and lost members are remembered this long; bounds a partition
     seconds lostItemLifetime { 900 };    // items of lost members are kept this long; a blocked fingerprint needs 600 s
+    std::size_t smallGroup = 32;         // members; the period grows with more, up to twice, to save bytes
     std::uint32_t relays = 3;            // members asked to ping a silent one
     double sendsPerDoubling = 2.5;       // an update is passed on this often, times log2(members)
     std::uint32_t bytesPerSecond = 1600; // upper bound of what is sent, IP and UDP headers included
@@ -183,6 +184,7 @@
     void raiseLocalHealth(std::uint32_t by);
     Duration attemptTimeout() const { return m_settings.ackTimeout * (m_localHealth + 1); }
     Duration suspicionTimeout() const;
+    Duration period() const;
 
     Instance m_self;
     std::uint64_t m_selfSequence = 0;
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Node.h"
 
 #include "daemon/Logging.h"
+#include "transport/Compression.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -17,6 +18,7 @@
 constexpr std::uint64_t noticesPerItem = 4;      // of the leader to all peers, for each one that gossip carries too
 constexpr milliseconds controlClientTick { 50 }; // offers and time-outs of proposals
 constexpr milliseconds reopenInterval { 1000 };  // of a disk that failed; each try writes the log once
+constexpr std::size_t greatestConfigurationBytes = std::size_t { 64 } << 20U; // decoded; far above any in use
 constexpr std::string_view freshnessKey = "control/freshness";
 /// This many peers are told directly of freshness and suspicions. Gossip alone took up to 5 s for freshness while an
 /// index roll used its budget, and a poison request that was resent every 100 ms crashed a third leaf before gossip had
@@ -94,7 +96,7 @@
     handlers.published = [this](const PublishedDifference& difference) {
         onPublished(difference);
         if (m_control && m_control->isLeader())
-            tellPeers(MessageKind::ConfigurationAnswer, encode(difference));
+            tellPeers(MessageKind::ConfigurationAnswer, compressed(encode(difference)));
     };
     handlers.freshness = [this](const Freshness& freshness) { onFreshness(freshness); };
     handlers.views = [this](const std::vector<ZoneView>& views, std::uint64_t) { onViews(views); };
@@ -173,7 +175,7 @@
     case MessageKind::ConfigurationFetch:
         return onConfigurationFetch(envelope);
     case MessageKind::ConfigurationAnswer:
-        return onPublished(decodePublishedDifference(envelope.body));
+        return onPublished(decodePublishedDifference(decompressed(envelope.body, greatestConfigurationBytes)));
     case MessageKind::DirectoryFetch:
         return onDirectoryFetch(envelope);
     case MessageKind::DirectoryAnswer:
@@ -366,7 +368,7 @@
         return;
     Envelope answer;
     answer.kind = static_cast<std::uint16_t>(MessageKind::ConfigurationAnswer);
-    answer.body = encode(difference);
+    answer.body = compressed(encode(difference));
     sendCounted(envelope.sender, envelope.from, std::move(answer));
 }
 
