Refuse requests on routes that crash the leaves which run them

A request that crashes its leaf is sent again, by the same caller to any instance; on routes nothing stopped it. Now a loss followed by a leaf that cannot be reached counts as a crash of what ran there, instances tell each other, and after the crashes of three sends the request is refused with 503, not run, at once. An answer to a send clears it, so that requests which ran beside it are not blocked for long.

Tests: CrashGuardTests.

--- a/coordination/Vocabulary.cpp
+++ b/coordination/Vocabulary.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<ErrorAnswer, 19> answers { {
+constexpr std::array<ErrorAnswer, 20> answers { {
     { ErrorKind::BadRequest, "bad_request", 400, RetryAdvice::Never, Outcome::NotRun },
     { ErrorKind::RequestTooLarge, "request_too_large", 413, RetryAdvice::Never, Outcome::NotRun },
     { ErrorKind::RequestTimeout, "request_timeout", 408, RetryAdvice::Now, Outcome::NotRun },
@@ -16,6 +16,7 @@
     { ErrorKind::KeyReused, "key_reused", 409, RetryAdvice::Never, Outcome::NotRun },
     { ErrorKind::KeyExpired, "key_expired", 410, RetryAdvice::Never, Outcome::MayHaveRun },
     { ErrorKind::RequestBlocked, "request_blocked", 422, RetryAdvice::Later, Outcome::MayHaveRun },
+    { ErrorKind::CrashSuspect, "crash_suspect", 503, RetryAdvice::Later, Outcome::NotRun },
     { ErrorKind::ShareExceeded, "share_exceeded", 429, RetryAdvice::Later, Outcome::NotRun },
     { ErrorKind::Overloaded, "overloaded", 503, RetryAdvice::Later, Outcome::NotRun },
     { ErrorKind::DeadlineUnreachable, "deadline_unreachable", 504, RetryAdvice::MoreTime, Outcome::NotRun },
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -12,6 +12,7 @@
 constexpr double greatestWaitShare = 0.2;       // of the objective, for a place; the rest is for the leaves
 constexpr milliseconds usualStartTime { 1100 }; // until a starting instance has a configuration, with an election
 constexpr milliseconds leastStartRetryAfter { 100 };
+constexpr milliseconds crashRetryAfter { 60000 }; // longer than callers wait: another try would be refused as well
 constexpr milliseconds checkInterval { 100 }; // of the routes; balancers ask once a second
 
 double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
@@ -50,8 +51,8 @@
 } // namespace
 
 RouteService::RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters,
-    TrafficCounters& traffic)
+    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender,
+    CrashTeller tellCrash, Counters& counters, TrafficCounters& traffic)
     : m_strand(asio::make_strand(io))
     , m_protocol(protocol)
     , m_counters(counters)
@@ -60,6 +61,7 @@
     , m_policies(instance, zone)
     , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
     , m_sender(std::move(sender))
+    , m_tellCrash(std::move(tellCrash))
     , m_waitTimer(m_strand)
     , m_lastId(firstId())
     , m_checkTimer(m_strand)
@@ -169,6 +171,13 @@
         refuse(call, request, responder, { .error = ErrorKind::UnknownService, .reason = "no route matches" });
         return;
     }
+    if (m_crashGuard.isBlocked(fingerprintOf(request), Clock::now())) {
+        refuse(call, request, responder,
+            { .error = ErrorKind::CrashSuspect,
+                .reason = "earlier sends of this request crashed leaves",
+                .retryAfter = crashRetryAfter });
+        return;
+    }
     m_policies.onRequest(*route);
     if (route->shards.empty()) {
         run(std::move(call), std::move(request), std::move(responder), arrivedAt, std::move(route), nullptr);
@@ -187,12 +196,13 @@
     auto id = ++m_lastId;
     auto execution = std::make_unique<RouteExecution>(
         std::move(route), m_policies.table(), arrivedAt, deadline, id * RouteExecution::attemptsPerRequest, m_policies);
+    auto fingerprint = fingerprintOf(request);
     responder.onCallerGone([this, id] { asio::post(m_strand, [this, id] { onCallerGone(id); }); });
     auto& running
         = *m_running
                .emplace(id,
-                   std::make_unique<Running>(Running { std::move(call), std::move(request), std::move(responder),
-                       arrivedAt, std::move(execution), LeafConnection::Timer(m_strand), limit }))
+                   std::make_unique<Running>(Running { std::move(call), std::move(request), fingerprint,
+                       std::move(responder), arrivedAt, std::move(execution), LeafConnection::Timer(m_strand), limit }))
                .first->second;
     perform(id, running.execution->start(Clock::now()));
 }
@@ -278,11 +288,40 @@
         return;
     auto result = m_protocol.readReply(std::move(reply), found->second->call);
     result.attempt = attempt;
+    noteCrashes(found->second->fingerprint, found->second->call, leaf.leaf, result.status);
     if (result.status != AttemptResult::Status::Answered)
         logAttempt(*found->second, leaf, result);
     perform(id, found->second->execution->onResult(std::move(result), Clock::now()));
 }
 
+/// Equal for all sends of a request that a caller repeats unchanged.
+std::uint64_t RouteService::fingerprintOf(const HttpRequest& request)
+{
+    return hash64(request.body, hash64(request.target, hash64(request.header("Host"), hash64(request.method))));
+}
+
+void RouteService::noteCrashes(
+    std::uint64_t fingerprint, const RoutedCall& call, const std::string& leaf, AttemptResult::Status status)
+{
+    if (status == AttemptResult::Status::Answered) {
+        m_crashGuard.onAnswered(fingerprint);
+    } else if (status == AttemptResult::Status::Lost) {
+        m_crashGuard.onLost({ fingerprint, call.id }, leaf, Clock::now());
+    } else if (status == AttemptResult::Status::NotSent) {
+        for (const auto& it : m_crashGuard.onUnreached(leaf, Clock::now())) {
+            log(LogLevel::Info, "crash",
+                "request id=" + it.requestId + " fingerprint=" + std::to_string(it.fingerprint) + " leaf=" + leaf
+                    + " ended while it ran" + (m_crashGuard.isBlocked(it.fingerprint, Clock::now()) ? "; blocked" : ""));
+            m_tellCrash(it);
+        }
+    }
+}
+
+void RouteService::onCrashNotice(CrashNotice notice)
+{
+    asio::post(m_strand, [this, notice = std::move(notice)] { m_crashGuard.adopt(notice, Clock::now()); });
+}
+
 void RouteService::onTimer(Id id)
 {
     if (auto found = m_running.find(id); found != m_running.end())
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -5,6 +5,7 @@
 #include "daemon/RouteProtocol.h"
 #include "daemon/Traffic.h"
 #include "policy/ConcurrencyLimit.h"
+#include "policy/CrashGuard.h"
 #include "query/RelayedGather.h"
 
 #include <atomic>
@@ -17,6 +18,9 @@
 using RelaySender
     = std::function<bool(const std::string& peer, MessageKind, std::string body, std::uint64_t correlation)>;
 
+/// Tells all other instances of a crash.
+using CrashTeller = std::function<void(const CrashNotice&)>;
+
 /// Position of a relay's number within the correlation of its messages; the request's number is above it.
 constexpr unsigned relayBits = 8;
 constexpr std::uint64_t relayMask = (1ULL << relayBits) - 1;
@@ -26,7 +30,8 @@
 public:
     /// Precondition: `io`, `protocol`, `counters` and `traffic` outlive this object.
     RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, Counters& counters, TrafficCounters& traffic);
+        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, CrashTeller tellCrash, Counters& counters,
+        TrafficCounters& traffic);
     ~RouteService();
     RouteService(const RouteService&) = delete;
     RouteService& operator=(const RouteService&) = delete;
@@ -42,6 +47,9 @@
     /// A relay message of another instance arrived. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const std::string& sender, MessageKind, std::string_view body, std::uint64_t correlation);
 
+    /// Another instance saw a request crash a leaf.
+    void onCrashNotice(CrashNotice);
+
     /// Whether most of the configured routes have the leaves that an answer needs, as of the last few milliseconds.
     bool canServe() const { return m_canServe; }
     /// Requests that are not answered yet.
@@ -56,6 +64,7 @@
     struct Running {
         RoutedCall call;
         HttpRequest request;
+        std::uint64_t fingerprint = 0; // see fingerprintOf
         Responder responder;
         TimePoint arrivedAt;
         std::unique_ptr<RouteExecution> execution;
@@ -82,6 +91,7 @@
         std::uint64_t correlation = 0;
         RoutedCall call;
         HttpRequest request;
+        std::uint64_t fingerprint = 0;
         std::unique_ptr<RelayedGather> gather;
         LeafConnection::Timer timer;
     };
@@ -104,6 +114,8 @@
     void performRelayed(Id, RelayActions);
     void sendToLeaf(const RouteSend&, const HttpRequest&, const UpstreamClient::Callback&);
     void sendPart(Id, const RouteSend&);
+    static std::uint64_t fingerprintOf(const HttpRequest&);
+    void noteCrashes(std::uint64_t fingerprint, const RoutedCall&, const std::string& leaf, AttemptResult::Status);
     void cancelAttempt(const std::string& leaf, std::uint64_t attempt);
     void finish(Id, RouteOutcome);
     void onReply(Id, std::uint64_t attempt, const Announcement& leaf, LeafReply);
@@ -122,6 +134,8 @@
     std::shared_ptr<UpstreamClient> m_upstream;
     std::mt19937 m_random { std::random_device {}() };
     RelaySender m_sender;
+    CrashTeller m_tellCrash;
+    CrashGuard m_crashGuard;
     std::unordered_map<Id, std::unique_ptr<Running>> m_running;
     std::map<std::string, Gathers> m_gathers; // by first shard
     LeafConnection::Timer m_waitTimer;
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -42,12 +42,13 @@
     HttpRequest request { std::move(call.method), std::move(call.target), std::move(call.headers),
         std::move(call.body) };
     auto routed = m_protocol.readCall(request);
+    auto fingerprint = fingerprintOf(request);
     auto gather
         = std::make_unique<RelayedGather>(std::move(call.relay), id * RouteExecution::attemptsPerRequest, m_policies);
     auto actions = gather->start(Clock::now());
     m_relayedIds[{ entry, correlation }] = id;
     m_relayed.emplace(id,
-        std::make_unique<Relayed>(Relayed { entry, correlation, std::move(routed), std::move(request),
+        std::make_unique<Relayed>(Relayed { entry, correlation, std::move(routed), std::move(request), fingerprint,
             std::move(gather), LeafConnection::Timer(m_strand) }));
     performRelayed(id, std::move(actions));
 }
@@ -67,12 +68,13 @@
     for (const auto& it : actions.answers)
         m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation);
     for (const auto& it : actions.sends) {
-        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt](LeafReply reply) {
+        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt, leaf = it.leaf.leaf](LeafReply reply) {
             auto found = m_relayed.find(id);
             if (found == m_relayed.end())
                 return;
             auto result = m_protocol.readReply(std::move(reply), found->second->call);
             result.attempt = attempt;
+            noteCrashes(found->second->fingerprint, found->second->call, leaf, result.status);
             performRelayed(id, found->second->gather->onResult(std::move(result), Clock::now()));
         });
     }
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -55,6 +55,7 @@
             [this](const std::string& peer, MessageKind kind, std::string body, std::uint64_t correlation) {
                 return sendTo(peer, kind, std::move(body), correlation, Lane::Part);
             },
+            [this](const CrashNotice& notice) { tellPeers(MessageKind::Suspicion, encodeCrashNotice(notice)); },
             m_counters, m_traffic);
         HttpServerSettings callers;
         callers.address = m_routed.callerAddress;
@@ -312,6 +313,10 @@
         asio::post(m_broadcastStrand,
             [this, sender = envelope.sender, number = envelope.correlation] { m_broadcast.onAck(sender, number); });
         return;
+    case MessageKind::Suspicion:
+        if (m_routes)
+            m_routes->onCrashNotice(decodeCrashNotice(envelope.body));
+        return;
     case MessageKind::RelayRequest:
     case MessageKind::RelayAnswer:
     case MessageKind::RelayCancel:
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -54,6 +54,7 @@
     KeyReused,
     KeyExpired,
     RequestBlocked,
+    CrashSuspect,
     ShareExceeded,
     Overloaded,
     DeadlineUnreachable,
--- /dev/null
+++ b/policy/CrashGuard.cpp
@@ -0,0 +1,72 @@
+#include "policy/CrashGuard.h"
+
+#include <algorithm>
+#include <msgpack.hpp>
+
+namespace citronplank {
+
+void CrashGuard::onLost(CrashNotice notice, const std::string& leaf, TimePoint now)
+{
+    while (!m_losses.empty() && (m_losses.size() >= greatestLosses || now - m_losses.front().at > evidenceTime))
+        m_losses.pop_front();
+    m_losses.push_back({ std::move(notice), leaf, now });
+}
+
+std::vector<CrashNotice> CrashGuard::onUnreached(const std::string& leaf, TimePoint now)
+{
+    std::vector<CrashNotice> notices;
+    for (const auto& it : m_losses) {
+        if (it.leaf == leaf && now - it.at <= evidenceTime)
+            notices.push_back(it.notice);
+    }
+    std::erase_if(m_losses, [&](const Loss& it) { return it.leaf == leaf; });
+    for (const auto& it : notices)
+        adopt(it, now);
+    return notices;
+}
+
+void CrashGuard::onAnswered(std::uint64_t fingerprint)
+{
+    if (!m_suspects.empty())
+        m_suspects.erase(fingerprint);
+}
+
+void CrashGuard::adopt(const CrashNotice& notice, TimePoint now)
+{
+    if (m_suspects.size() >= greatestSuspects && !m_suspects.contains(notice.fingerprint)) {
+        m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
+            [](const auto& a, const auto& b) { return a.second.until < b.second.until; }));
+    }
+    auto& it = m_suspects[notice.fingerprint];
+    if (it.until <= now)
+        it.requests.clear();
+    it.until = now + holdTime;
+    if (it.requests.size() < crashesToBlock)
+        it.requests.insert(notice.requestId);
+}
+
+bool CrashGuard::isBlocked(std::uint64_t fingerprint, TimePoint now) const
+{
+    auto found = m_suspects.find(fingerprint);
+    return found != m_suspects.end() && now < found->second.until && found->second.requests.size() >= crashesToBlock;
+}
+
+std::string encodeCrashNotice(const CrashNotice& notice)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, std::tuple(notice.fingerprint, notice.requestId));
+    return { buf.data(), buf.size() };
+}
+
+CrashNotice decodeCrashNotice(std::string_view bytes)
+{
+    try {
+        auto [fingerprint, id]
+            = msgpack::unpack(bytes.data(), bytes.size()).get().as<std::tuple<std::uint64_t, std::string>>();
+        return { fingerprint, std::move(id) };
+    } catch (const std::exception&) {
+        throw Error(ErrorKind::BadRequest, "malformed crash notice");
+    }
+}
+
+} // namespace citronplank
--- /dev/null
+++ b/policy/CrashGuard.h
@@ -0,0 +1,61 @@
+// Requests that crash the leaves which run them.
+//
+// A caller sends such a request again and again, to any instance, and each time takes down a leaf for seconds, or one of
+// each shard. A lost connection alone is no crash: connections are reset and answers cut off for other reasons. A loss
+// counts if the leaf cannot be reached right after it. What ran beside the request on the same leaf is lost as well, so
+// a fingerprint is blocked only after the crashes of several requests, and forgotten when one of them is answered.
+#pragma once
+
+#include "citronplank.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace citronplank {
+
+/// A request with this fingerprint was running when its leaf crashed.
+struct CrashNotice {
+    std::uint64_t fingerprint = 0; // of what the caller sends again unchanged
+    std::string requestId;         // differs for each time that it is sent
+    bool operator==(const CrashNotice&) const = default;
+};
+
+/// Not thread safe; callers serialize calls.
+class CrashGuard {
+public:
+    static constexpr std::size_t crashesToBlock = 3;      // different requests; two may be companions by chance
+    static constexpr milliseconds evidenceTime { 1500 };  // from a loss until the leaf is found to be down; it is back later
+    static constexpr std::chrono::minutes holdTime { 10 }; // as for blocked fingerprints of keyed requests
+    static constexpr std::size_t greatestLosses = 4096;   // of the last moments; bounds memory
+    static constexpr std::size_t greatestSuspects = 4096; // the oldest is dropped
+
+    /// An attempt at a leaf ended without an answer and may have run.
+    void onLost(CrashNotice notice, const std::string& leaf, TimePoint now);
+    /// No connection to the leaf could be had. Returns what its crash says, to be told to other instances.
+    std::vector<CrashNotice> onUnreached(const std::string& leaf, TimePoint now);
+    /// A leaf answered a request with the fingerprint: it crashes nothing.
+    void onAnswered(std::uint64_t fingerprint);
+    /// Adopts what this or another instance found.
+    void adopt(const CrashNotice&, TimePoint now);
+    bool isBlocked(std::uint64_t fingerprint, TimePoint now) const;
+
+private:
+    struct Loss {
+        CrashNotice notice;
+        std::string leaf;
+        TimePoint at;
+    };
+    struct Suspect {
+        std::set<std::string> requests; // ids, at most crashesToBlock
+        TimePoint until;
+    };
+
+    std::deque<Loss> m_losses; // in order of time
+    std::unordered_map<std::uint64_t, Suspect> m_suspects;
+};
+
+std::string encodeCrashNotice(const CrashNotice&);
+/// Throws Error(BadRequest) on malformed input. Both are thread safe.
+CrashNotice decodeCrashNotice(std::string_view);
+
+} // namespace citronplank
--- /dev/null
+++ b/tests/CrashGuardTests.cpp
@@ -0,0 +1,95 @@
+// Guards against: a request that takes down leaf after leaf, and harmless requests that are refused because they ran
+// beside it or lost their connection for another reason.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "policy/CrashGuard.h"
+
+#include <doctest/doctest.h>
+
+using namespace citronplank;
+
+namespace {
+
+constexpr std::uint64_t poison = 7;
+constexpr std::uint64_t harmless = 8;
+const TimePoint start = TimePoint {} + std::chrono::hours(1);
+
+/// The request runs on a leaf beside others, the leaf crashes and cannot be reached.
+std::vector<CrashNotice> crash(CrashGuard& guard, const std::vector<CrashNotice>& running, TimePoint now)
+{
+    for (const auto& it : running)
+        guard.onLost(it, "leaf", now);
+    return guard.onUnreached("leaf", now + milliseconds(200));
+}
+
+} // namespace
+
+TEST_CASE("a request is blocked after the crashes of three sends, its companions are not")
+{
+    CrashGuard guard;
+    auto now = start;
+    for (int send = 0; send < 3; ++send) {
+        CHECK_FALSE(guard.isBlocked(poison, now));
+        auto id = std::to_string(send);
+        auto notices = crash(guard, { { poison, "p" + id }, { harmless + static_cast<std::uint64_t>(send), "h" + id } }, now);
+        CHECK(notices.size() == 2);
+        now += seconds(3);
+    }
+    CHECK(guard.isBlocked(poison, now));
+    for (std::uint64_t i = 0; i < 3; ++i)
+        CHECK_FALSE(guard.isBlocked(harmless + i, now));
+    CHECK_FALSE(guard.isBlocked(poison, now + CrashGuard::holdTime));
+}
+
+TEST_CASE("a gather that crashes a leaf of each shard counts once")
+{
+    CrashGuard guard;
+    for (int shard = 0; shard < 20; ++shard) {
+        guard.onLost({ harmless, "id" }, "leaf" + std::to_string(shard), start);
+        guard.onUnreached("leaf" + std::to_string(shard), start + milliseconds(50));
+    }
+    CHECK_FALSE(guard.isBlocked(harmless, start + milliseconds(100)));
+}
+
+TEST_CASE("lost connections to leaves that are up, or down much later, are no crashes")
+{
+    CrashGuard guard;
+    for (int i = 0; i < 10; ++i)
+        guard.onLost({ harmless, std::to_string(i) }, "leaf", start);
+    CHECK(guard.onUnreached("other", start + milliseconds(100)).empty());
+    CHECK(guard.onUnreached("leaf", start + seconds(5)).empty());
+    CHECK_FALSE(guard.isBlocked(harmless, start + seconds(5)));
+}
+
+TEST_CASE("an answer clears a request that ran beside crashes by chance")
+{
+    CrashGuard guard;
+    for (int i = 0; i < 2; ++i)
+        crash(guard, { { harmless, std::to_string(i) } }, start + seconds(i));
+    guard.onAnswered(harmless);
+    crash(guard, { { harmless, "2" } }, start + seconds(3));
+    CHECK_FALSE(guard.isBlocked(harmless, start + seconds(4)));
+}
+
+TEST_CASE("crashes that other instances saw count, each send once")
+{
+    CrashGuard guard;
+    guard.adopt({ poison, "a" }, start);
+    guard.adopt({ poison, "a" }, start);
+    guard.adopt({ poison, "b" }, start);
+    CHECK_FALSE(guard.isBlocked(poison, start));
+    guard.adopt(decodeCrashNotice(encodeCrashNotice({ poison, "c" })), start);
+    CHECK(guard.isBlocked(poison, start));
+    CHECK_THROWS_AS(decodeCrashNotice("\x93x"), Error);
+}
+
+TEST_CASE("memory stays bounded")
+{
+    CrashGuard guard;
+    for (std::uint64_t i = 0; i < 2 * CrashGuard::greatestSuspects; ++i) {
+        auto now = start + milliseconds(i);
+        crash(guard, { { i, "id" } }, now);
+    }
+    for (int i = 0; i < 3; ++i)
+        guard.adopt({ poison, std::to_string(i) }, start + seconds(20));
+    CHECK(guard.isBlocked(poison, start + seconds(21)));
+}
