Check a leaf that lost a request, and test crashing requests on a whole system

A lost connection says little; a connect right after it tells within milliseconds whether the leaf is down, so that nothing more is sent there and the crash is known while it can be blamed on what ran. At most one check a second and leaf.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds usualStartTime { 1100 }; // until a starting instance has a configuration, with an election
 constexpr milliseconds leastStartRetryAfter { 100 };
 constexpr milliseconds crashRetryAfter { 60000 }; // longer than callers wait: another try would be refused as well
+constexpr milliseconds lostCheckInterval { 1000 }; // of one leaf; each check is a connection, which costs the leaf
 constexpr milliseconds checkInterval { 100 }; // of the routes; balancers ask once a second
 
 double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
@@ -288,7 +289,7 @@
         return;
     auto result = m_protocol.readReply(std::move(reply), found->second->call);
     result.attempt = attempt;
-    noteCrashes(found->second->fingerprint, found->second->call, leaf.leaf, result.status);
+    noteEnd(found->second->fingerprint, found->second->call, leaf, result.status);
     if (result.status != AttemptResult::Status::Answered)
         logAttempt(*found->second, leaf, result);
     perform(id, found->second->execution->onResult(std::move(result), Clock::now()));
@@ -300,23 +301,47 @@
     return hash64(request.body, hash64(request.target, hash64(request.header("Host"), hash64(request.method))));
 }
 
-void RouteService::noteCrashes(
-    std::uint64_t fingerprint, const RoutedCall& call, const std::string& leaf, AttemptResult::Status status)
+/// Looks for crashes in how an attempt at a leaf ended.
+void RouteService::noteEnd(
+    std::uint64_t fingerprint, const RoutedCall& call, const Announcement& leaf, AttemptResult::Status status)
 {
     if (status == AttemptResult::Status::Answered) {
         m_crashGuard.onAnswered(fingerprint);
     } else if (status == AttemptResult::Status::Lost) {
-        m_crashGuard.onLost({ fingerprint, call.id }, leaf, Clock::now());
+        m_crashGuard.onLost({ fingerprint, call.id }, leaf.leaf, Clock::now());
+        checkLost(leaf);
     } else if (status == AttemptResult::Status::NotSent) {
-        for (const auto& it : m_crashGuard.onUnreached(leaf, Clock::now())) {
-            log(LogLevel::Info, "crash",
-                "request id=" + it.requestId + " fingerprint=" + std::to_string(it.fingerprint) + " leaf=" + leaf
-                    + " ended while it ran" + (m_crashGuard.isBlocked(it.fingerprint, Clock::now()) ? "; blocked" : ""));
-            m_tellCrash(it);
-        }
+        noteUnreached(leaf.leaf);
+    }
+}
+
+void RouteService::noteUnreached(const std::string& leaf)
+{
+    auto now = Clock::now();
+    for (const auto& it : m_crashGuard.onUnreached(leaf, now)) {
+        log(LogLevel::Info, "crash",
+            "request id=" + it.requestId + " fingerprint=" + std::to_string(it.fingerprint) + " leaf=" + leaf
+                + " ended while it ran" + (m_crashGuard.isBlocked(it.fingerprint, now) ? "; blocked" : ""));
+        m_tellCrash(it);
     }
 }
 
+/// Finds out whether a leaf that lost a request still takes connections.
+void RouteService::checkLost(const Announcement& leaf)
+{
+    auto now = Clock::now();
+    std::erase_if(m_checkedAt, [&](const auto& it) { return now - it.second >= lostCheckInterval; });
+    if (!m_checkedAt.try_emplace(leaf.leaf, now).second)
+        return;
+    m_upstream->probe(leaf, [this, name = leaf.leaf](bool reached) {
+        if (reached)
+            return;
+        log(LogLevel::Info, "leaf", "leaf=" + name + " is not reached after it lost a request");
+        m_policies.onProbe(name, false, Clock::now());
+        noteUnreached(name);
+    });
+}
+
 void RouteService::onCrashNotice(CrashNotice notice)
 {
     asio::post(m_strand, [this, notice = std::move(notice)] { m_crashGuard.adopt(notice, Clock::now()); });
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -115,7 +115,9 @@
     void sendToLeaf(const RouteSend&, const HttpRequest&, const UpstreamClient::Callback&);
     void sendPart(Id, const RouteSend&);
     static std::uint64_t fingerprintOf(const HttpRequest&);
-    void noteCrashes(std::uint64_t fingerprint, const RoutedCall&, const std::string& leaf, AttemptResult::Status);
+    void noteEnd(std::uint64_t fingerprint, const RoutedCall&, const Announcement& leaf, AttemptResult::Status);
+    void noteUnreached(const std::string& leaf);
+    void checkLost(const Announcement& leaf);
     void cancelAttempt(const std::string& leaf, std::uint64_t attempt);
     void finish(Id, RouteOutcome);
     void onReply(Id, std::uint64_t attempt, const Announcement& leaf, LeafReply);
@@ -136,6 +138,7 @@
     RelaySender m_sender;
     CrashTeller m_tellCrash;
     CrashGuard m_crashGuard;
+    std::unordered_map<std::string, TimePoint> m_checkedAt; // leaves that lost a request lately
     std::unordered_map<Id, std::unique_ptr<Running>> m_running;
     std::map<std::string, Gathers> m_gathers; // by first shard
     LeafConnection::Timer m_waitTimer;
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -68,13 +68,13 @@
     for (const auto& it : actions.answers)
         m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation);
     for (const auto& it : actions.sends) {
-        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt, leaf = it.leaf.leaf](LeafReply reply) {
+        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt, leaf = it.leaf](LeafReply reply) {
             auto found = m_relayed.find(id);
             if (found == m_relayed.end())
                 return;
             auto result = m_protocol.readReply(std::move(reply), found->second->call);
             result.attempt = attempt;
-            noteCrashes(found->second->fingerprint, found->second->call, leaf, result.status);
+            noteEnd(found->second->fingerprint, found->second->call, leaf, result.status);
             performRelayed(id, found->second->gather->onResult(std::move(result), Clock::now()));
         });
     }
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -1,14 +1,15 @@
 // The whole path on loopback, in one process: control members, entries and leaves that are small HTTP servers.
 //
 // Guards against: configurations that are lost, reverted or not in force; leaves that drain, leave or are in a zone
-// that is out and still get requests; entries that are ready too early; an instance that gossip has lost.
+// that is out and still get requests; entries that are ready too early; an instance that gossip has lost; a request that
+// crashes leaf after leaf.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "platform/ConfigurationCodec.h"
 #include "platform/ControlApi.h"
 #include "platform/RequestProtocol.h"
 
 #include <asio/executor_work_guard.hpp>
-#include <asio/io_context.hpp>
+#include <asio.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <httplib.h>
@@ -77,6 +78,87 @@
     std::thread m_thread;
 };
 
+/// A leaf that ends when it gets a request for /one/crash, and is back a little later at the same address.
+class CrashingLeaf {
+public:
+    explicit CrashingLeaf(std::string name)
+        : m_name(std::move(name))
+        , m_work(asio::make_work_guard(m_io))
+        , m_timer(m_io)
+    {
+        listen(0);
+        m_port = m_acceptor->local_endpoint().port();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~CrashingLeaf()
+    {
+        m_work.reset();
+        m_io.stop();
+        m_thread.join();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    int crashes() const { return m_crashes; }
+
+private:
+    using Socket = std::shared_ptr<asio::ip::tcp::socket>;
+    static constexpr milliseconds downTime { 700 };
+
+    void listen(std::uint16_t port)
+    {
+        m_acceptor.emplace(m_io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        accept();
+    }
+    void accept()
+    {
+        m_acceptor->async_accept([this](std::error_code ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            m_sockets.push_back(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+            serve(m_sockets.back());
+            accept();
+        });
+    }
+    void serve(const Socket& socket)
+    {
+        auto buf = std::make_shared<std::string>();
+        asio::async_read_until(
+            *socket, asio::dynamic_buffer(*buf), "\r\n\r\n", [this, socket, buf](std::error_code ec, std::size_t) {
+                if (ec)
+                    return;
+                if (buf->find("/one/crash") != std::string::npos) {
+                    crash();
+                    return;
+                }
+                auto id = buf->substr(buf->find("Request-Id: "));
+                asio::write(*socket,
+                    asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nServer-Stamp: stamp-" + m_name + "\r\n"
+                        + id.substr(0, id.find('\n') + 1) + "\r\nok"),
+                    ec);
+                serve(socket);
+            });
+    }
+    void crash()
+    {
+        ++m_crashes;
+        m_acceptor.reset();
+        for (const auto& it : m_sockets)
+            it->close();
+        m_sockets.clear();
+        m_timer.expires_after(downTime);
+        m_timer.async_wait([this](std::error_code) { listen(m_port); });
+    }
+
+    std::string m_name;
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    asio::steady_timer m_timer;
+    std::optional<asio::ip::tcp::acceptor> m_acceptor;
+    std::vector<Socket> m_sockets;
+    std::uint16_t m_port = 0;
+    std::atomic<int> m_crashes { 0 };
+    std::thread m_thread;
+};
+
 class System {
 public:
     System()
@@ -164,10 +246,11 @@
         auto result = client.Get("/-/ready");
         return result && result->status == 200;
     }
-    httplib::Result query(const std::string& ip, const std::string& path)
+    httplib::Result query(const std::string& ip, const std::string& path, const std::string& attempt = "")
     {
         httplib::Client client(ip, port(3));
-        return client.Get(path, { { "Host", "h.example" }, { "Request-Id", "id" + path }, { "Deadline-Ms", "2000" } });
+        return client.Get(
+            path, { { "Host", "h.example" }, { "Request-Id", "id" + path + attempt }, { "Deadline-Ms", "2000" } });
     }
 
 private:
@@ -294,3 +377,36 @@
     REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
     CHECK(eventually([&] { return system.query(entry, "/none/x")->status == 404; }, milliseconds(4000)));
 }
+
+TEST_CASE("a request that crashes its leaves is refused after three sends, at all entries, and others are served")
+{
+    CrashingLeaf first("a");
+    CrashingLeaf second("b");
+    System system;
+    system.startControl();
+    const std::string otherEntry = "127.40.2.2";
+    system.start(entry, false);
+    system.start(otherEntry, false);
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    CHECK(system.announce("a", "single", "zone1", first.address(), 1) == 200);
+    CHECK(system.announce("b", "single", "zone2", second.address(), 1) == 200);
+    REQUIRE(eventually([&] { return system.query(entry, "/one/x")->status == 200; }));
+    REQUIRE(eventually([&] { return system.query(otherEntry, "/one/x")->status == 200; }));
+    for (int send = 0; send < 3; ++send) {
+        auto crashed = system.query(send % 2 == 0 ? entry : otherEntry, "/one/crash", std::to_string(send));
+        CHECK(crashed->status != 200);
+        CHECK(eventually([&] { return system.query(entry, "/one/x")->status == 200; }));
+        CHECK(eventually([&] { return system.query(otherEntry, "/one/x")->status == 200; }));
+    }
+    auto crashes = first.crashes() + second.crashes();
+    CHECK(crashes >= 3);
+    for (int send = 3; send < 6; ++send) {
+        for (const auto& it : { entry, otherEntry }) {
+            auto refused = system.query(it, "/one/crash", std::to_string(send));
+            CHECK(refused->status == 503);
+            CHECK(refused->body.find("crash_suspect") != std::string::npos);
+        }
+    }
+    CHECK(first.crashes() + second.crashes() == crashes);
+    CHECK(system.query(entry, "/one/x")->status == 200);
+}
