--- a/tests/RouteExecutionTests.cpp
+++ b/tests/RouteExecutionTests.cpp
@@ -91,6 +91,24 @@
     CHECK(merge.take() == std::string(TopRecords::recordBytes, '\xff') + record('z') + record('z'));
 }
 
+// Guards against answers that wait for a shard all of whose leaves are known to be down.
+TEST_CASE("a gather does not wait for a shard without a leaf")
+{
+    Fixture it;
+    for (const char* leaf : { "s3-atl", "s3-sav" }) {
+        it.policies.onStart(Fixture::leafOf("s3", std::string(leaf).substr(3)), 1, milliseconds(10), at(0));
+        it.policies.onEnd(leaf, 1, AttemptEnd::Unreached, at(0));
+    }
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.sends.size() == 3);
+    RouteActions last;
+    for (const auto& send : actions.sends)
+        last = it.execution().onResult(Fixture::answered(send, 'm'), at(10));
+    REQUIRE(last.finish);
+    CHECK(last.finish->kind == RouteOutcome::Kind::Merged);
+    CHECK(last.finish->missing == 1);
+}
+
 TEST_CASE("a whole answer names each part once")
 {
     Fixture it;
