Tell other instances of a crash once, and of few crashes at a time; count suspended time

Leases, deadlines and freshness now run on CLOCK_BOOTTIME, which counts the time that a machine was suspended; on the steady clock a suspended holder of a lease took it for valid when it woke up.

--- a/coordination/Vocabulary.cpp
+++ b/coordination/Vocabulary.cpp
@@ -1,10 +1,18 @@
 #include "citronplank.h"
 
 #include <array>
+#include <ctime>
 #include <xxhash.h>
 
 namespace citronplank {
 
+Clock::time_point Clock::now() noexcept
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 namespace {
 
 constexpr std::array<ErrorAnswer, 20> answers { {
--- a/daemon/EntryService.h
+++ b/daemon/EntryService.h
@@ -10,7 +10,7 @@
 #include "query/QueryExecution.h"
 #include "transport/HttpServer.h"
 
-#include <asio/steady_timer.hpp>
+#include <asio/basic_waitable_timer.hpp>
 
 namespace citronplank {
 
@@ -80,7 +80,7 @@
         AdmissionRequest admitted;
         Responder responder;
         bool isFirstSend = false; // of a keyed request, as its caller states
-        asio::steady_timer timer;
+        asio::basic_waitable_timer<Clock> timer;
         std::unique_ptr<Execution> query;
         std::unique_ptr<KeyedRun> keyed;
         std::optional<BeginKeyed> begin; // the last one proposed; read again by proposing it again
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -28,7 +28,16 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Time. Cores take `now` as an argument and never read a clock.
 
-using Clock = std::chrono::steady_clock;
+/// Never set back, like std::chrono::steady_clock, but counts time in which the machine was suspended: a lease or a
+/// deadline runs out while its holder sleeps. Meets the named requirement TrivialClock. Thread safe.
+struct Clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<Clock>;
+    static constexpr bool is_steady = true;
+    static time_point now() noexcept;
+};
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 using std::chrono::milliseconds;
--- a/policy/CrashGuard.cpp
+++ b/policy/CrashGuard.cpp
@@ -20,8 +20,11 @@
             notices.push_back(it.notice);
     }
     std::erase_if(m_losses, [&](const Loss& it) { return it.leaf == leaf; });
-    for (const auto& it : notices)
-        adopt(it, now);
+    if (now - m_noticesSince >= seconds(1)) {
+        m_noticesSince = now;
+        m_notices = 0;
+    }
+    std::erase_if(notices, [&](const CrashNotice& it) { return !adopt(it, now) || m_notices++ >= greatestNotices; });
     return notices;
 }
 
@@ -31,7 +34,7 @@
         m_suspects.erase(fingerprint);
 }
 
-void CrashGuard::adopt(const CrashNotice& notice, TimePoint now)
+bool CrashGuard::adopt(const CrashNotice& notice, TimePoint now)
 {
     if (m_suspects.size() >= greatestSuspects && !m_suspects.contains(notice.fingerprint)) {
         m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
@@ -41,8 +44,7 @@
     if (it.until <= now)
         it.requests.clear();
     it.until = now + holdTime;
-    if (it.requests.size() < crashesToBlock)
-        it.requests.insert(notice.requestId);
+    return it.requests.size() < crashesToBlock && it.requests.insert(notice.requestId).second;
 }
 
 bool CrashGuard::isBlocked(std::uint64_t fingerprint, TimePoint now) const
--- a/policy/CrashGuard.h
+++ b/policy/CrashGuard.h
@@ -26,17 +26,19 @@
     static constexpr std::size_t crashesToBlock = 3;      // different requests; two may be companions by chance
     static constexpr milliseconds evidenceTime { 1500 };  // from a loss until the leaf is found to be down; it is back later
     static constexpr std::chrono::minutes holdTime { 10 }; // as for blocked fingerprints of keyed requests
+    static constexpr std::size_t greatestNotices = 10;    // a second and instance; each goes to all others
     static constexpr std::size_t greatestLosses = 4096;   // of the last moments; bounds memory
     static constexpr std::size_t greatestSuspects = 4096; // the oldest is dropped
 
     /// An attempt at a leaf ended without an answer and may have run.
     void onLost(CrashNotice notice, const std::string& leaf, TimePoint now);
-    /// No connection to the leaf could be had. Returns what its crash says, to be told to other instances.
+    /// No connection to the leaf could be had. Returns what its crash says that was not known, to be told to other
+    /// instances: at most `greatestNotices` in a second, because a zone that fails ends thousands of attempts at once.
     std::vector<CrashNotice> onUnreached(const std::string& leaf, TimePoint now);
     /// A leaf answered a request with the fingerprint: it crashes nothing.
     void onAnswered(std::uint64_t fingerprint);
-    /// Adopts what this or another instance found.
-    void adopt(const CrashNotice&, TimePoint now);
+    /// Adopts what this or another instance found. False: it was known.
+    bool adopt(const CrashNotice&, TimePoint now);
     bool isBlocked(std::uint64_t fingerprint, TimePoint now) const;
 
 private:
@@ -51,6 +53,8 @@
     };
 
     std::deque<Loss> m_losses; // in order of time
+    TimePoint m_noticesSince;  // when the second of m_notices began
+    std::size_t m_notices = 0; // told in it
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
 };
 
--- a/tests/CrashGuardTests.cpp
+++ b/tests/CrashGuardTests.cpp
@@ -43,10 +43,12 @@
 TEST_CASE("a gather that crashes a leaf of each shard counts once")
 {
     CrashGuard guard;
+    std::size_t notices = 0;
     for (int shard = 0; shard < 20; ++shard) {
         guard.onLost({ harmless, "id" }, "leaf" + std::to_string(shard), start);
-        guard.onUnreached("leaf" + std::to_string(shard), start + milliseconds(50));
+        notices += guard.onUnreached("leaf" + std::to_string(shard), start + milliseconds(50)).size();
     }
+    CHECK(notices == 1);
     CHECK_FALSE(guard.isBlocked(harmless, start + milliseconds(100)));
 }
 
@@ -82,6 +84,20 @@
     CHECK_THROWS_AS(decodeCrashNotice("\x93x"), Error);
 }
 
+// Each notice went to 73 peers: a crash of all leaves of a service brought entries over their memory limit.
+TEST_CASE("leaves that fail together cause few notices")
+{
+    CrashGuard guard;
+    std::size_t notices = 0;
+    for (int leaf = 0; leaf < 100; ++leaf) {
+        auto name = "leaf" + std::to_string(leaf);
+        for (std::uint64_t request = 0; request < 40; ++request)
+            guard.onLost({ 100 * request + static_cast<std::uint64_t>(leaf), std::to_string(request) }, name, start);
+        notices += guard.onUnreached(name, start + milliseconds(50)).size();
+    }
+    CHECK(notices <= CrashGuard::greatestNotices);
+}
+
 TEST_CASE("memory stays bounded")
 {
     CrashGuard guard;
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -102,7 +102,7 @@
     Handler m_handler;
     std::string m_address;
     asio::basic_socket_acceptor<asio::ip::tcp, Strand> m_acceptor;
-    asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand>
+    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Strand>
         m_retryTimer;
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_finishing { false };
@@ -158,7 +158,7 @@
 
     std::shared_ptr<Shared> m_shared;
     Socket m_socket;
-    asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand> m_timer;
+    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Strand> m_timer;
     std::uint64_t m_id;
     Phase m_phase = Phase::Idle;
     bool m_reading = false;
