Hand on, spread and acknowledge directory changes of the same moment together

Each announcement went to 73 peers as a message of its own, and each entry copied all 687 leaves for each of them (2,236 lines "leaves: known" in one second of a few logs); requests took 2 to 5 s.

Now control members send what came in 50 ms as one message, entries hand on the directory once in 50 ms and acknowledge after that.

--- a/daemon/ItemBroadcast.cpp
+++ b/daemon/ItemBroadcast.cpp
@@ -55,6 +55,24 @@
         m_sender(peer, number, it.body);
 }
 
+void ItemBroadcast::add(std::span<const DirectoryItem> items, Done done)
+{
+    m_added.insert(m_added.end(), items.begin(), items.end());
+    if (done)
+        m_addedDone.push_back(std::move(done));
+}
+
+void ItemBroadcast::flush(const std::vector<std::string>& peers, TimePoint now)
+{
+    if (m_added.empty())
+        return;
+    auto items = std::exchange(m_added, {});
+    start(items, peers, now, [all = std::exchange(m_addedDone, {})](bool known) {
+        for (const auto& it : all)
+            it(known);
+    });
+}
+
 void ItemBroadcast::onAck(const std::string& peer, std::uint64_t number)
 {
     auto found = m_running.find(number);
--- a/daemon/ItemBroadcast.h
+++ b/daemon/ItemBroadcast.h
@@ -34,6 +34,10 @@
     /// Sends `items` to `peers`. `done` runs once: with true as soon as all have them, at `confirmLimit` with true if
     /// enough have.
     void start(std::span<const DirectoryItem> items, const std::vector<std::string>& peers, TimePoint now, Done done);
+    /// Keeps items for the next `flush`, so that many changes at the same time travel together.
+    void add(std::span<const DirectoryItem> items, Done done);
+    /// Starts one broadcast of what was added since the last one.
+    void flush(const std::vector<std::string>& peers, TimePoint now);
     void onAck(const std::string& peer, std::uint64_t number);
     /// Call it every 50 ms or so. `live` are the peers that are still members.
     void onTimer(const std::set<std::string, std::less<>>& live, TimePoint now);
@@ -50,6 +54,8 @@
     static void finish(Running&, bool known);
 
     Sender m_sender;
+    std::vector<DirectoryItem> m_added;
+    std::vector<Done> m_addedDone;
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, Running> m_running;
 };
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -41,6 +41,7 @@
     , m_decode(std::move(decode))
     , m_controlHandler(std::move(controlHandler))
     , m_relayPeers(LockRank::Requests)
+    , m_directoryAcks(LockRank::Requests)
     , m_broadcastStrand(asio::make_strand(m_io))
     , m_broadcast([this](const std::string& peer, std::uint64_t number, const std::string& body) {
         sendTo(peer, MessageKind::DirectoryItems, body, number);
@@ -91,7 +92,7 @@
 
 void RoutedDaemon::start()
 {
-    every(leavesTick, [this] { pushLeaves(); });
+    every(leavesTick, [this] { onLeavesTimer(); });
     every(broadcastTick, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
     every(readinessTick, [this] { updateReadiness(); });
     every(trafficTick, [this] { logTraffic(); });
@@ -190,6 +191,16 @@
 
 void RoutedDaemon::onDirectory() { m_leavesChanged = true; }
 
+/// Hands changes of the directory on, then acknowledges them. Both are done for many changes at a time: handing on costs
+/// time for each leaf known, and hundreds of leaves start together.
+void RoutedDaemon::onLeavesTimer()
+{
+    auto acks = m_directoryAcks.with([](auto& it) { return std::exchange(it, {}); });
+    pushLeaves();
+    for (const auto& [peer, number] : acks)
+        sendTo(peer, MessageKind::DirectoryAck, {}, number);
+}
+
 void RoutedDaemon::pushLeaves()
 {
     if (!m_leavesChanged.exchange(false))
@@ -284,19 +295,18 @@
 void RoutedDaemon::broadcast(std::vector<DirectoryItem> items, std::function<void(bool)> done)
 {
     asio::post(m_broadcastStrand, [this, items = std::move(items), done = std::move(done)]() mutable {
-        std::vector<std::string> peers;
-        for (const auto& it : m_membership->livePeers())
-            peers.push_back(it.name);
-        m_broadcast.start(items, peers, Clock::now(), std::move(done));
+        m_broadcast.add(items, std::move(done));
     });
 }
 
 void RoutedDaemon::onBroadcastTimer()
 {
-    std::set<std::string, std::less<>> live;
+    std::vector<std::string> peers;
     for (const auto& it : m_membership->livePeers())
-        live.insert(it.name);
-    m_broadcast.onTimer(live, Clock::now());
+        peers.push_back(it.name);
+    auto now = Clock::now();
+    m_broadcast.onTimer({ peers.begin(), peers.end() }, now);
+    m_broadcast.flush(peers, now);
 }
 
 void RoutedDaemon::onMessage(const Envelope& envelope)
@@ -305,8 +315,7 @@
     case MessageKind::DirectoryItems:
         m_membership->applyItems(
             decodeItems(envelope.body), [this, sender = envelope.sender, number = envelope.correlation] {
-                pushLeaves();
-                sendTo(sender, MessageKind::DirectoryAck, {}, number);
+                m_directoryAcks.with([&](auto& it) { it.emplace_back(sender, number); });
             });
         return;
     case MessageKind::DirectoryAck:
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -77,6 +77,7 @@
     void answerRead(std::uint64_t index, TimePoint until, std::function<void(std::optional<StoredDocument>)> done);
     void broadcast(std::vector<DirectoryItem>, std::function<void(bool)> done);
     void onBroadcastTimer();
+    void onLeavesTimer();
     void pushLeaves();
     void updateReadiness();
     void logTraffic() const;
@@ -93,6 +94,7 @@
     std::atomic<bool> m_leavesChanged { true };
     std::atomic<std::uint64_t> m_decodedVersion { 0 };
     Guarded<RoutePolicies::PeersByZone> m_relayPeers;
+    Guarded<std::vector<std::pair<std::string, std::uint64_t>>> m_directoryAcks; // peer and number, not sent yet
     asio::strand<asio::io_context::executor_type> m_broadcastStrand;
     ItemBroadcast m_broadcast; // on its strand
     std::unique_ptr<RouteService> m_routes;
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -247,6 +247,29 @@
     CHECK_THROWS_AS(decodeItems("x"), Error);
 }
 
+// Guards against entries that are kept busy by hundreds of messages when the leaves of many shards start together.
+TEST_CASE("directory changes of the same moment travel in one message, and all are confirmed")
+{
+    std::vector<std::pair<std::string, std::uint64_t>> sent;
+    ItemBroadcast broadcast([&](const std::string& peer, std::uint64_t number, const std::string& body) {
+        CHECK(decodeItems(body).size() == 100);
+        sent.emplace_back(peer, number);
+    });
+    int confirmed = 0;
+    for (int i = 0; i < 100; ++i) {
+        std::vector<DirectoryItem> items { { "leaf/" + std::to_string(i), "x", false } };
+        broadcast.add(items, [&](bool known) { confirmed += known ? 1 : 0; });
+    }
+    CHECK(sent.empty());
+    broadcast.flush({ "a", "b" }, at(0));
+    REQUIRE(sent.size() == 2);
+    broadcast.flush({ "a", "b" }, at(10));
+    CHECK(sent.size() == 2);
+    for (const auto& [peer, number] : sent)
+        broadcast.onAck(peer, number);
+    CHECK(confirmed == 100);
+}
+
 TEST_CASE("log lines are bounded and never block")
 {
     LogBuffer buffer;
