--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr std::size_t probeReservedBytes = 300;   // budget that pings leave for acks
-constexpr std::size_t updateReservedBytes = 1200; // budget that updates leave, so that anti-entropy can go on
-constexpr std::uint32_t sendsAfterSync = 2;       // others lack it too if this member did, but most of them will not
-constexpr std::size_t suspectPings = 6;           // expected number over the whole group, for each suspicion
-constexpr std::size_t lastWordReceivers = 4;      // enough that the news of leaving survives 5% loss; they pass it on
+constexpr std::size_t probeReservedBytes = 300;    // budget that pings leave for acks
+constexpr std::size_t updateReservedBytes = 1200;  // budget that updates leave, so that anti-entropy can go on
+constexpr std::uint32_t sendsAfterSync = 2;        // others lack it too if this member did, but most of them will not
+constexpr std::size_t suspectPings = 6;            // expected number over the whole group, for each suspicion
+constexpr std::size_t lastWordReceivers = 4;       // enough that the news of leaving survives 5% loss; they pass it on
 constexpr milliseconds suspicionHoldTime { 1000 }; // for the refutation of a suspect that answers
 constexpr seconds cleanupInterval { 10 };
 constexpr milliseconds freezeGap { 1000 };
--- a/coordination/GossipProbes.cpp
+++ b/coordination/GossipProbes.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint32_t maxLocalHealth = 8; // as in Lifeguard
-constexpr int lastChecks = 3;                 // a ping and its answer are lost 1 in 10 times at a loss of 5%
+constexpr int lastChecks = 3;               // a ping and its answer are lost 1 in 10 times at a loss of 5%
 constexpr int probeAttempts = 3;            // one direct, then two with relays; see retryProbe
 
 } // namespace
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -84,8 +84,7 @@
     void onFreshnessNotice(std::string_view bytes);
     void onMembersChanged();
     void fetchFrom(const std::string& name, MessageKind);
-    bool sendCounted(
-        const std::string& name, const std::string& address, Envelope envelope, Lane lane = Lane::Control);
+    bool sendCounted(const std::string& name, const std::string& address, Envelope envelope, Lane lane = Lane::Control);
     void askControlMembers(MessageKind);
     void onConfigurationFetch(const Envelope&);
     void onDirectoryFetch(const Envelope&);
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -12,9 +12,9 @@
 constexpr double greatestWaitShare = 0.2;       // of the objective, for a place; the rest is for the leaves
 constexpr milliseconds usualStartTime { 1100 }; // until a starting instance has a configuration, with an election
 constexpr milliseconds leastStartRetryAfter { 100 };
-constexpr milliseconds crashRetryAfter { 60000 }; // longer than callers wait: another try would be refused as well
+constexpr milliseconds crashRetryAfter { 60000 };  // longer than callers wait: another try would be refused as well
 constexpr milliseconds lostCheckInterval { 1000 }; // of one leaf; each check is a connection, which costs the leaf
-constexpr milliseconds checkInterval { 100 }; // of the routes; balancers ask once a second
+constexpr milliseconds checkInterval { 100 };      // of the routes; balancers ask once a second
 
 double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
@@ -52,8 +52,8 @@
 } // namespace
 
 RouteService::RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender,
-    CrashTeller tellCrash, Counters& counters, TrafficCounters& traffic)
+    const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, CrashTeller tellCrash,
+    Counters& counters, TrafficCounters& traffic)
     : m_strand(asio::make_strand(io))
     , m_protocol(protocol)
     , m_counters(counters)
@@ -399,7 +399,8 @@
         + std::to_string(counters.retries) + " refusals=" + std::to_string(counters.refusals) + " failures="
         + std::to_string(counters.failures) + " config=" + std::to_string(m_policies.table()->configuration().version);
     if (counters.relayed > 0)
-        text += " relayed=" + std::to_string(counters.relayed) + " broken_relays=" + std::to_string(counters.brokenRelays);
+        text += " relayed=" + std::to_string(counters.relayed)
+            + " broken_relays=" + std::to_string(counters.brokenRelays);
     text += " attempts=" + std::to_string(route.attempts) + (route.idempotent ? "" : " non_idempotent");
     if (running.call.remaining)
         text += " caller_waits_ms=" + std::to_string(running.call.remaining->count());
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -30,8 +30,8 @@
 public:
     /// Precondition: `io`, `protocol`, `counters` and `traffic` outlive this object.
     RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
-        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, CrashTeller tellCrash, Counters& counters,
-        TrafficCounters& traffic);
+        const RouteProtocol& protocol, const SharedBounds& bounds, RelaySender sender, CrashTeller tellCrash,
+        Counters& counters, TrafficCounters& traffic);
     ~RouteService();
     RouteService(const RouteService&) = delete;
     RouteService& operator=(const RouteService&) = delete;
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -175,7 +175,9 @@
         peers[it.zone].push_back(it.name);
     }
     log(LogLevel::Info, "members", "senders=" + std::to_string(senders.size()));
-    m_relayPeers.with([&](RoutePolicies::PeersByZone& it) { it = RoutePolicies::usedPeers(m_settings.name, m_settings.zone, peers); });
+    m_relayPeers.with([&](RoutePolicies::PeersByZone& it) {
+        it = RoutePolicies::usedPeers(m_settings.name, m_settings.zone, peers);
+    });
     m_routes->setSenders(std::move(senders), std::move(peers));
     keepRelayLinks();
 }
@@ -191,8 +193,8 @@
 
 void RoutedDaemon::onDirectory() { m_leavesChanged = true; }
 
-/// Hands changes of the directory on, then acknowledges them. Both are done for many changes at a time: handing on costs
-/// time for each leaf known, and hundreds of leaves start together.
+/// Hands changes of the directory on, then acknowledges them. Both are done for many changes at a time: handing on
+/// costs time for each leaf known, and hundreds of leaves start together.
 void RoutedDaemon::onLeavesTimer()
 {
     auto acks = m_directoryAcks.with([](auto& it) { return std::exchange(it, {}); });
--- a/daemon/Traffic.cpp
+++ b/daemon/Traffic.cpp
@@ -35,8 +35,12 @@
     auto append = [&](std::string_view name, const ByZone& counters) {
         for (std::size_t zone = 0; zone < zoneNames.size(); ++zone) {
             if (auto value = counters.at(zone)->value(); value > 0)
-                text.append(" ").append(name).append("_").append(zoneNames.at(zone)).append("=").append(
-                    std::to_string(value));
+                text.append(" ")
+                    .append(name)
+                    .append("_")
+                    .append(zoneNames.at(zone))
+                    .append("=")
+                    .append(std::to_string(value));
         }
     };
     append("leaf", m_leaf);
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -35,7 +35,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<Clock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): required name
     static time_point now() noexcept;
 };
 using TimePoint = Clock::time_point;
--- a/policy/CrashGuard.h
+++ b/policy/CrashGuard.h
@@ -1,9 +1,10 @@
 // Requests that crash the leaves which run them.
 //
-// A caller sends such a request again and again, to any instance, and each time takes down a leaf for seconds, or one of
-// each shard. A lost connection alone is no crash: connections are reset and answers cut off for other reasons. A loss
-// counts if the leaf cannot be reached right after it. What ran beside the request on the same leaf is lost as well, so
-// a fingerprint is blocked only after the crashes of several requests, and forgotten when one of them is answered.
+// A caller sends such a request again and again, to any instance, and each time takes down a leaf for seconds, or one
+// of each shard. A lost connection alone is no crash: connections are reset and answers cut off for other reasons. A
+// loss counts if the leaf cannot be reached right after it. What ran beside the request on the same leaf is lost as
+// well, so a fingerprint is blocked only after the crashes of several requests, and forgotten when one of them is
+// answered.
 #pragma once
 
 #include "citronplank.h"
@@ -23,12 +24,14 @@
 /// Not thread safe; callers serialize calls.
 class CrashGuard {
 public:
-    static constexpr std::size_t crashesToBlock = 3;      // different requests; two may be companions by chance
-    static constexpr milliseconds evidenceTime { 1500 };  // from a loss until the leaf is found to be down; it is back later
+    static constexpr std::size_t crashesToBlock = 3; // different requests; two may be companions by chance
+    static constexpr milliseconds evidenceTime {
+        1500
+    }; // from a loss until the leaf is found to be down; it is back later
     static constexpr std::chrono::minutes holdTime { 10 }; // as for blocked fingerprints of keyed requests
-    static constexpr std::size_t greatestNotices = 10;    // a second and instance; each goes to all others
-    static constexpr std::size_t greatestLosses = 4096;   // of the last moments; bounds memory
-    static constexpr std::size_t greatestSuspects = 4096; // the oldest is dropped
+    static constexpr std::size_t greatestNotices = 10;     // a second and instance; each goes to all others
+    static constexpr std::size_t greatestLosses = 4096;    // of the last moments; bounds memory
+    static constexpr std::size_t greatestSuspects = 4096;  // the oldest is dropped
 
     /// An attempt at a leaf ended without an answer and may have run.
     void onLost(CrashNotice notice, const std::string& leaf, TimePoint now);
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -168,7 +168,8 @@
 
 void RouteExecution::scheduleResend(Part& part, TimePoint now)
 {
-    // The answer does not wait for a shard that nobody can give now; the caller of a forwarded request has nothing else.
+    // The answer does not wait for a shard that nobody can give now; the caller of a forwarded request has nothing
+    // else.
     if (part.resends >= greatestResends || (isGather() && !m_policies.hasLeaf(part.service))) {
         part.hopeless = true;
         return;
--- a/query/RouteExecutionRelays.cpp
+++ b/query/RouteExecutionRelays.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr milliseconds relayTime { 12 }; // of two messages between instances, beyond a leaf's time
-/// Of the objective, after which a peer is given up. A small or busy instance needs tens of milliseconds to send to some
-/// twenty leaves; what is left is enough to ask the leaves directly.
+/// Of the objective, after which a peer is given up. A small or busy instance needs tens of milliseconds to send to
+/// some twenty leaves; what is left is enough to ask the leaves directly.
 constexpr double relayShareOfObjective = 0.55;
 
 } // namespace
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -28,13 +28,13 @@
 constexpr std::size_t fewestGatherers = 4;     // other entries of the own zone, for groups of shards to be worth it
 constexpr std::size_t linkedGroups = 6;        // of shards; links to the entries that gather them are kept open
 constexpr std::size_t partsPerSender = 16;     // at 0.12 of a core sending and reading them takes about 10 ms
-constexpr milliseconds peerBackoff { 1000 };  // of a peer that answers no relay; leaves are asked directly meanwhile
-constexpr std::size_t fewestRelayedParts = 2; // one part costs less when it is sent directly
-constexpr double relayedPartBytes = 600;      // below it two more hops cost callers more than the bytes are worth
-constexpr double partBytesRate = 0.05;        // weight of one part in the learned size
-constexpr double fewRequests = 5;             // say nothing about what callers want
-constexpr double useDecay = 0.96;             // at each check; halves the counts in 17 checks
-constexpr std::size_t greatestTracked = 4096; // routes whose latencies are kept
+constexpr milliseconds peerBackoff { 1000 };   // of a peer that answers no relay; leaves are asked directly meanwhile
+constexpr std::size_t fewestRelayedParts = 2;  // one part costs less when it is sent directly
+constexpr double relayedPartBytes = 600;       // below it two more hops cost callers more than the bytes are worth
+constexpr double partBytesRate = 0.05;         // weight of one part in the learned size
+constexpr double fewRequests = 5;              // say nothing about what callers want
+constexpr double useDecay = 0.96;              // at each check; halves the counts in 17 checks
+constexpr std::size_t greatestTracked = 4096;  // routes whose latencies are kept
 
 } // namespace
 
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -54,16 +54,17 @@
 
     /// Entries by zone.
     using PeersByZone = std::map<std::string, std::vector<std::string>>;
-    /// The few of `peers` that an instance asks for parts. In its own zone there is one for each group of shards, and in
-    /// other zones one for each zone that asks and a second one in case the first is down: always the same, so that
+    /// The few of `peers` that an instance asks for parts. In its own zone there is one for each group of shards, and
+    /// in other zones one for each zone that asks and a second one in case the first is down: always the same, so that
     /// links stay open and each of them sees enough of its leaves to know which are slow. Thread safe.
     static PeersByZone usedPeers(const std::string& instance, const std::string& zone, const PeersByZone& peers);
     /// Other entries.
     void setPeers(const PeersByZone& peers);
     /// A peer answered a relay in time or not; one that did not is left alone for a while.
     void onPeer(const std::string& name, bool answered, TimePoint now);
-    /// Which of the services, by position, to ask of which peer: those without a leaf in the own zone and, where entries
-    /// are many and small, most of the others too, because sending all parts takes one of them longer than the leaves.
+    /// Which of the services, by position, to ask of which peer: those without a leaf in the own zone and, where
+    /// entries are many and small, most of the others too, because sending all parts takes one of them longer than the
+    /// leaves.
     struct RelayPlan {
         std::string peer;
         std::string zone;
@@ -138,12 +139,12 @@
     std::unordered_map<std::string, PercentBudget> m_budgets;     // by service
     std::unordered_map<std::string, LatencyDigest> m_latencies;   // by name of the route
     std::unordered_map<std::string, std::vector<double>>
-        m_shares;                                        // by name of the route: sent beyond the weights' part
-    std::unordered_map<std::string, double> m_partBytes; // smoothed, by name of the route
-    std::unordered_map<std::string, double> m_use;       // recent requests by name of the route
-    PeersByZone m_peers;                // those in use
-    std::vector<std::string> m_ownZone; // all entries of the own zone, this one included
-    std::size_t m_sendersElsewhere = 0; // in other zones
+        m_shares;                                                // by name of the route: sent beyond the weights' part
+    std::unordered_map<std::string, double> m_partBytes;         // smoothed, by name of the route
+    std::unordered_map<std::string, double> m_use;               // recent requests by name of the route
+    PeersByZone m_peers;                                         // those in use
+    std::vector<std::string> m_ownZone;                          // all entries of the own zone, this one included
+    std::size_t m_sendersElsewhere = 0;                          // in other zones
     std::unordered_map<std::string, TimePoint> m_peersLeftAlone; // until then
     std::size_t m_rotation = 0;                                  // spreads relays over peers and zones
     ColdStartGate m_coldGate;
--- a/tests/CrashGuardTests.cpp
+++ b/tests/CrashGuardTests.cpp
@@ -30,7 +30,8 @@
     for (int send = 0; send < 3; ++send) {
         CHECK_FALSE(guard.isBlocked(poison, now));
         auto id = std::to_string(send);
-        auto notices = crash(guard, { { poison, "p" + id }, { harmless + static_cast<std::uint64_t>(send), "h" + id } }, now);
+        auto notices
+            = crash(guard, { { poison, "p" + id }, { harmless + static_cast<std::uint64_t>(send), "h" + id } }, now);
         CHECK(notices.size() == 2);
         now += seconds(3);
     }
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -244,7 +244,8 @@
     CHECK(used.size() <= 2);
 }
 
-TEST_CASE("where entries are many, all of a zone ask the same gatherer for a group of shards, and another if it is down")
+TEST_CASE(
+    "where entries are many, all of a zone ask the same gatherer for a group of shards, and another if it is down")
 {
     constexpr std::size_t shards = 64;
     ServingConfiguration configuration;
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -1,15 +1,15 @@
 // The whole path on loopback, in one process: control members, entries and leaves that are small HTTP servers.
 //
 // Guards against: configurations that are lost, reverted or not in force; leaves that drain, leave or are in a zone
-// that is out and still get requests; entries that are ready too early; an instance that gossip has lost; a request that
-// crashes leaf after leaf.
+// that is out and still get requests; entries that are ready too early; an instance that gossip has lost; a request
+// that crashes leaf after leaf.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "platform/ConfigurationCodec.h"
 #include "platform/ControlApi.h"
 #include "platform/RequestProtocol.h"
 
-#include <asio/executor_work_guard.hpp>
 #include <asio.hpp>
+#include <asio/executor_work_guard.hpp>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <httplib.h>
--- a/transport/Compression.cpp
+++ b/transport/Compression.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr int level = 1;                 // a configuration shrinks to an eighth; higher levels take more time for little
-constexpr std::size_t lengthBytes = 4;   // of the original, little endian, in front
+constexpr int level = 1;               // a configuration shrinks to an eighth; higher levels take more time for little
+constexpr std::size_t lengthBytes = 4; // of the original, little endian, in front
 constexpr unsigned bitsPerByte = 8;
 constexpr std::size_t greatestLength = 0xFFFFFFFF;
 
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -102,8 +102,7 @@
     Handler m_handler;
     std::string m_address;
     asio::basic_socket_acceptor<asio::ip::tcp, Strand> m_acceptor;
-    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Strand>
-        m_retryTimer;
+    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Strand> m_retryTimer;
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_finishing { false };
     std::atomic<bool> m_stopped { false };
--- a/transport/Links.h
+++ b/transport/Links.h
@@ -43,9 +43,9 @@
     std::uint64_t incarnation = 0;
     milliseconds heartbeatInterval { 200 };
     milliseconds silenceLimit { 1000 }; // a lane without an answered heartbeat for this long is dialled again
-    unsigned partLaneIntervals = 1;     // heartbeat intervals between two heartbeats on a Part lane; scales its limit too
-    milliseconds idleLimit { 30000 };   // a lane without sends for this long is closed
-    int sendQueueLength = 128;          // messages per lane; small, because queued messages age without a deadline
+    unsigned partLaneIntervals = 1;   // heartbeat intervals between two heartbeats on a Part lane; scales its limit too
+    milliseconds idleLimit { 30000 }; // a lane without sends for this long is closed
+    int sendQueueLength = 128;        // messages per lane; small, because queued messages age without a deadline
     std::size_t maximumMessageBytes = std::size_t { 8 } << 20U;
     std::size_t maximumPendingMessages = 4096; // received and not yet handled; beyond it the senders are held back
 };
@@ -89,8 +89,8 @@
     /// Queues one envelope and returns at once. False means that it was not sent and never will be: the lane is down,
     /// its queue is full, the envelope is too large or its kind is reserved. True is no promise of delivery.
     bool send(const std::string& address, Lane, Envelope);
-    /// Opens the lane if it is closed, without a message, and keeps it open for another `idleLimit`. The first message on
-    /// a closed lane waits for connections in both directions.
+    /// Opens the lane if it is closed, without a message, and keeps it open for another `idleLimit`. The first message
+    /// on a closed lane waits for connections in both directions.
     void keepOpen(const std::string& address, Lane);
     LinkCounters counters() const;
 
