Test that the log leads from the id of a failed request to its cause

The test causes a partial answer, a request that may have run and a refusal, and follows docs/OPERATIONS.md from the id. Gossip: an appended refutation now keeps to the size of a datagram; nothing was seen failing.

--- a/coordination/Gossip.cpp
+++ b/coordination/Gossip.cpp
@@ -315,16 +315,17 @@
 {
     const std::size_t keepBytes = keptBytes(body);
     auto bytes = encodeGossipMessage({ m_self.name, std::move(body) });
+    const auto appendIfFits = [&](const std::string& record) {
+        if (bytes.size() + record.size() <= gossipDatagramBytes)
+            bytes += record;
+    };
     // A suspect or lost member that still answers is told at once, so that it can refute.
     const auto* record = receiver.empty() ? nullptr : m_store.find(GossipRecordKind::Member, receiver);
-    if (isSuspectOrLost(record)) {
-        const auto notice = encodeGossipRecord(*record);
-        if (bytes.size() + notice.size() <= gossipDatagramBytes)
-            bytes += notice;
-    }
+    if (isSuspectOrLost(record))
+        appendIfFits(encodeGossipRecord(*record));
     // Whoever told of a suspicion gets the refutation with the answer; spread by others it may come too late.
-    if (m_refutes && bytes.size() < gossipDatagramBytes)
-        bytes += encodeGossipRecord(*m_store.find(GossipRecordKind::Member, m_self.name), true);
+    if (m_refutes)
+        appendIfFits(encodeGossipRecord(*m_store.find(GossipRecordKind::Member, m_self.name), true));
     if (extra == Extra::Queued && bytes.size() < gossipDatagramBytes) {
         // Half of what is left keeps some of the budget for the next datagrams of a burst.
         const double spare = (m_budgetBytes - static_cast<double>(updateReservedBytes + bytes.size())) / 2;
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -2,8 +2,9 @@
 //
 // Guards against: configurations that are lost, reverted or not in force; leaves that drain, leave or are in a zone
 // that is out and still get requests; entries that are ready too early; an instance that gossip has lost; a request
-// that crashes leaf after leaf.
+// that crashes leaf after leaf; log lines that do not lead from a request's id to its cause.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "daemon/Logging.h"
 #include "platform/ConfigurationCodec.h"
 #include "platform/ControlApi.h"
 #include "platform/RequestProtocol.h"
@@ -410,3 +411,76 @@
     CHECK(first.crashes() + second.crashes() == crashes);
     CHECK(system.query(entry, "/one/x")->status == 200);
 }
+
+namespace {
+
+/// Lines logged while it exists.
+class LogCapture {
+public:
+    LogCapture()
+    {
+        startLogging(LogLevel::Info, [this](std::string_view line) {
+            const std::lock_guard lock(m_mutex);
+            m_lines.emplace_back(line);
+        });
+    }
+    ~LogCapture() { stopLogging(); }
+    LogCapture(const LogCapture&) = delete;
+    LogCapture& operator=(const LogCapture&) = delete;
+
+    /// What `grep` finds in the log.
+    std::string grep(const std::string& first, const std::string& second = "")
+    {
+        const std::lock_guard lock(m_mutex);
+        std::string found;
+        for (const auto& it : m_lines) {
+            if (it.find(first) != std::string::npos && it.find(second) != std::string::npos)
+                found += it + "\n";
+        }
+        return found;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::vector<std::string> m_lines;
+};
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+} // namespace
+
+// The steps of docs/OPERATIONS.md, on the log of failures that the test causes.
+TEST_CASE("the log leads from the id of a failed request to its cause")
+{
+    LogCapture logged;
+    CrashingLeaf crashing("c");
+    Leaves leaves;
+    System system;
+    system.startControl();
+    system.start(entry, false);
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    auto address = leaves.add("a");
+    CHECK(system.announce("a", "s1", "zone1", address, 1) == 200);
+    CHECK(system.announce("b", "s2", "zone1", address, 1) == 200); // not the leaf at that address
+    CHECK(system.announce("c", "single", "zone1", crashing.address(), 1) == 200);
+    REQUIRE(eventually([&] { return system.isReady(entry); }));
+
+    // Partial by one shard: the query line names the shard, the leaf line of the same id tells what happened there.
+    REQUIRE(system.query(entry, "/list/partial")->get_header_value("Missing-Parts") == "1");
+    CHECK(eventually([&] { return contains(logged.grep("query: request id=id/list/partial"), "missing=s2"); }));
+    auto attempt = logged.grep("leaf: attempt id=id/list/partial", "service=s2");
+    CHECK(contains(attempt, "outcome=wrong_leaf"));
+
+    // May have run, no answer: the leaf line says that it was lost, the crash line that the leaf ended.
+    CHECK(system.query(entry, "/one/crash")->status != 200);
+    CHECK(eventually([&] { return contains(logged.grep("query: request id=id/one/crash"), "outcome=error"); }));
+    CHECK(contains(logged.grep("leaf: attempt id=id/one/crash", "leaf=c"), "outcome=lost"));
+    CHECK(eventually([&] { return contains(logged.grep("crash: request id=id/one/crash"), "leaf=c ended"); }));
+
+    // Refused at the entry: nothing was sent, and the line says why and on which configuration.
+    CHECK(system.announce("c", "single", "zone1", crashing.address(), 2, "draining") == 200);
+    REQUIRE(eventually([&] { return system.query(entry, "/one/refused")->status == 503; }));
+    CHECK(eventually([&] { return contains(logged.grep("query: request id=id/one/refused"), "no_replica"); }));
+    CHECK(contains(logged.grep("query: request id=id/one/refused"), "config=3"));
+    CHECK(logged.grep("leaf: attempt id=id/one/refused").empty());
+}
