--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -24,9 +24,14 @@
 namespace {
 
 constexpr int basePort = 23000;
-constexpr int portsPerRun = 10;
-constexpr int runs = 800;
-int port(int offset) { return basePort + portsPerRun * (::getpid() % runs) + offset; }
+constexpr int portsPerSystem = 10;
+constexpr int systemsPerRun = 8; // a port of an earlier case may still be in use for a moment
+constexpr int runs = 100;
+int systemsMade = 0;
+int port(int offset)
+{
+    return basePort + portsPerSystem * (systemsPerRun * (::getpid() % runs) + systemsMade % systemsPerRun) + offset;
+}
 
 template <typename Condition>
 bool eventually(Condition condition, milliseconds limit = milliseconds(15000))
@@ -164,6 +169,7 @@
 public:
     System()
     {
+        ++systemsMade;
         std::filesystem::remove_all(m_folder);
         for (const char* ip : { "127.40.1.1", "127.40.2.1", "127.40.3.1" })
             m_control.push_back(ip);
