Answer requests whose timer runs late

Cause: a request whose only leaf was lost got no answer until its caller left (caller_gone after 5 s, timeout 1 s). Traced in the log of RoutedSystemTests beside load: the timer of a hedge ran only when the resend was due too; the resend was handled, the hedge's time stayed in the past as the next timer, equal to the expiry that the shell took for a running timer, and no timer was armed again.

Ruled out: a lost answer of the leaf (the attempt was logged as lost after 0.3 ms) and the caller's own time-out.

Change: a part that waits for a resend has no hedge; the shell remembers whether its timer runs instead of comparing with the last expiry.

The new case of RouteExecutionTests failed before.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -228,11 +228,12 @@
     auto found = m_running.find(id);
     if (found == m_running.end())
         return;
-    auto& timer = found->second->timer;
-    if (timer.expiry() == *actions.nextTimer)
+    auto& running = *found->second;
+    if (running.timerAt == actions.nextTimer)
         return;
-    timer.expires_at(*actions.nextTimer);
-    timer.async_wait([this, id](const std::error_code& ec) {
+    running.timerAt = actions.nextTimer;
+    running.timer.expires_at(*actions.nextTimer);
+    running.timer.async_wait([this, id](const std::error_code& ec) {
         if (!ec)
             onTimer(id);
     });
@@ -349,8 +350,11 @@
 
 void RouteService::onTimer(Id id)
 {
-    if (auto found = m_running.find(id); found != m_running.end())
-        perform(id, found->second->execution->onTimer(Clock::now()));
+    auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    found->second->timerAt.reset();
+    perform(id, found->second->execution->onTimer(Clock::now()));
 }
 
 void RouteService::onCallerGone(Id id)
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -70,6 +70,7 @@
         std::unique_ptr<RouteExecution> execution;
         LeafConnection::Timer timer;
         ConcurrencyLimit* limit = nullptr; // a place in it is taken
+        std::optional<TimePoint> timerAt;  // while the timer runs
     };
     /// A request that waits for a place.
     struct Waiting {
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -175,6 +175,7 @@
         return;
     }
     part.resendAt = now + resendDelay * (1U << part.resends++);
+    part.hedgeAt.reset(); // nothing is running
     part.tried.clear();
 }
 
--- a/tests/RouteExecutionTests.cpp
+++ b/tests/RouteExecutionTests.cpp
@@ -283,6 +283,24 @@
     CHECK(last.finish->kind == RouteOutcome::Kind::Merged);
 }
 
+// A busy instance ran the timer of a hedge only after the resend was due too. The hedge's time stayed in the past, the
+// timer was taken for running, and the request got no answer at all.
+TEST_CASE("a timer that runs late asks for a time that is still to come")
+{
+    Fixture it(1, 1.0);
+    it.route.targets = { { "s0", 1 } };
+    it.route.shards.clear();
+    auto actions = it.execution().start(at(0));
+    for (int i = 0; i < 2; ++i) {
+        REQUIRE(actions.sends.size() == 1);
+        actions = it.execution().onResult({ actions.sends[0].attempt, Status::NotSent, {} }, at(1));
+    }
+    CHECK(actions.sends.empty());
+    actions = it.execution().onTimer(at(80));
+    REQUIRE(actions.nextTimer);
+    CHECK(*actions.nextTimer > at(80));
+}
+
 TEST_CASE("a caller that goes ends all attempts and gets no answer")
 {
     Fixture it;
