Ask one instance for the directory at a start, not every control member

Each asked its near peer and all eight control members for the whole directory with its first introduction. Change: the introduction asks for no directory; it comes from a peer of the own zone as before, or from one control member while no such peer is known. Not measured on its own.

--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -344,8 +344,12 @@
         for (const auto& it : someControlMembers())
             fetchConfiguration(it);
     }
-    if (!m_hasDirectory && !peers.empty())
-        fetchDirectory(near != peers.end() ? near->name : peers.front().name, true);
+    if (!m_hasDirectory) {
+        auto members = someControlMembers();
+        auto other = members.empty() ? std::string() : members.front();
+        if (near != peers.end() || !other.empty())
+            fetchDirectory(near != peers.end() ? near->name : other, true);
+    }
 }
 
 /// Leaves give their notices to control members, which hand them to the instances that they know. Gossip needs seconds
@@ -360,7 +364,7 @@
         bool isKnownThere = found != introducedTo.end() && (!instance || instance->incarnation <= found->second);
         bool isUp = m_membership->isLive(it) || Clock::now() - m_startedAt < introductionTime;
         if (it != m_settings.name && !isKnownThere && isUp)
-            fetchDirectory(it, !m_hasDirectory);
+            fetchDirectory(it, false);
     }
 }
 
