Do not wait for the leaves of a zone that is cut off

Each of 22 leaves elsewhere had to be silent twice before it counted as down, half a second each time, while the waiting requests took all places: 154 refusals with overloaded and 67 answers below the coverage on this entry, which was ready all the time, so the balancer went on sending to it.

Change: when three leaves of a zone were silent at requests sent after the zone's last answer, none of its leaves is used until one answers or takes a connection; further leaves are tried each 300 ms.

The new cases of LeafSelectorTests cannot be built on the code before (zones were unknown to it).

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -84,6 +84,13 @@
 void RouteService::checkRoutes()
 {
     m_canServe = m_policies.canServe();
+    auto silent = m_policies.selector().silentZones();
+    if (silent != std::exchange(m_silentZones, silent)) {
+        std::string names;
+        for (const auto& it : silent)
+            names.append(names.empty() ? "" : ",").append(it);
+        log(LogLevel::Info, "leaf", "silent_zones=" + (names.empty() ? "none" : names));
+    }
     for (const auto& leaf : m_policies.dueProbes(Clock::now())) {
         m_upstream->probe(leaf, [this, name = leaf.leaf](bool reached) {
             m_policies.onProbe(name, reached, Clock::now());
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -141,6 +141,7 @@
     RelaySender m_sender;
     CrashTeller m_tellCrash;
     CrashGuard m_crashGuard;
+    std::set<std::string> m_silentZones;                    // as logged last
     std::unordered_map<std::string, TimePoint> m_checkedAt; // leaves that lost a request lately
     std::unordered_map<Id, std::unique_ptr<Running>> m_running;
     std::map<std::string, Gathers> m_gathers; // by first shard
--- a/policy/LeafSelector.cpp
+++ b/policy/LeafSelector.cpp
@@ -50,7 +50,7 @@
     std::optional<std::size_t> best;
     Duration bestCost {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (isDown(candidates[i]->leaf))
+        if (isDown(*candidates[i]))
             continue;
         auto cost = expected(*candidates[i], typical, now);
         if (best && cost >= bestCost)
@@ -61,11 +61,13 @@
     return best;
 }
 
-void LeafSelector::onStart(const std::string& leaf, std::uint64_t attempt, Duration typical, TimePoint now)
+void LeafSelector::onStart(const Announcement& leaf, std::uint64_t attempt, Duration typical, TimePoint now)
 {
-    auto [it, isNew] = m_leaves.try_emplace(leaf);
-    if (isNew)
+    auto [it, isNew] = m_leaves.try_emplace(leaf.leaf);
+    if (isNew) {
+        it->second.zone = leaf.zone;
         it->second.updatedAt = now;
+    }
     it->second.running.push_back({ attempt, now, typical });
 }
 
@@ -112,6 +114,7 @@
         if (++it.silentInRow == m_settings.silentAttempts)
             scheduleProbe(it, now);
         learn(it, relative, false, now);
+        noteSilence(leaf, it.zone, since, now);
         return;
     case AttemptEnd::Abandoned:
         return;
@@ -126,6 +129,47 @@
     }
     it.silentInRow = 0;
     it.failedProbes = 0;
+    if (end != AttemptEnd::Lost)
+        noteAnswer(it.zone, now);
+}
+
+void LeafSelector::noteAnswer(const std::string& zone, TimePoint now)
+{
+    auto& it = m_zones[zone];
+    it.answeredAt = now;
+    it.silent.clear();
+}
+
+/// Leaves that end together are silent too, but then others of the zone answer requests that were sent later.
+void LeafSelector::noteSilence(const std::string& leaf, const std::string& zone, TimePoint since, TimePoint now)
+{
+    auto& it = m_zones[zone];
+    if (since <= it.answeredAt)
+        return;
+    it.silent.insert(leaf);
+    if (it.silent.size() == m_settings.silentLeavesOfZone)
+        it.probeAt = now;
+}
+
+bool LeafSelector::isSilent(const std::string& zone) const
+{
+    auto found = m_zones.find(zone);
+    return found != m_zones.end() && found->second.silent.size() >= m_settings.silentLeavesOfZone;
+}
+
+/// The next leaf of a silent zone, in turn: those that were silent may have ended while the others are sound.
+std::string LeafSelector::dueZoneProbe(const std::string& zone, Zone& it, TimePoint now) const
+{
+    if (it.silent.size() < m_settings.silentLeavesOfZone || now < it.probeAt)
+        return {};
+    it.probeAt = now + m_settings.zoneProbeInterval;
+    std::vector<std::string> names;
+    for (const auto& [name, leaf] : m_leaves) {
+        if (leaf.zone == zone && !isDown(leaf))
+            names.push_back(name);
+    }
+    std::sort(names.begin(), names.end());
+    return names.empty() ? std::string() : names[it.probes++ % names.size()];
 }
 
 void LeafSelector::scheduleProbe(Observed& it, TimePoint now) const
@@ -143,6 +187,10 @@
         due.push_back(leaf);
         it.probeAt = now + m_settings.greatestBackoff;
     }
+    for (auto& [zone, it] : m_zones) {
+        if (auto leaf = dueZoneProbe(zone, it, now); !leaf.empty())
+            due.push_back(std::move(leaf));
+    }
     return due;
 }
 
@@ -155,6 +203,7 @@
     if (reached) {
         it.silentInRow = 0;
         it.failedProbes = 0;
+        noteAnswer(it.zone, now);
         return;
     }
     ++it.failedProbes;
@@ -167,10 +216,22 @@
     return found == m_leaves.end() ? 0 : static_cast<std::uint32_t>(found->second.running.size());
 }
 
+bool LeafSelector::isDown(const Announcement& leaf) const { return isDown(leaf.leaf) || isSilent(leaf.zone); }
+
 bool LeafSelector::isDown(const std::string& leaf) const
 {
     auto found = m_leaves.find(leaf);
     return found != m_leaves.end() && isDown(found->second);
 }
 
+std::set<std::string> LeafSelector::silentZones() const
+{
+    std::set<std::string> zones;
+    for (const auto& [zone, it] : m_zones) {
+        if (isSilent(zone))
+            zones.insert(zone);
+    }
+    return zones;
+}
+
 } // namespace citronplank
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -244,7 +244,7 @@
     if (found == m_leaves.end())
         return zones;
     for (const auto& it : found->second) {
-        if (isUsable(it) && now >= it.coldUntil && !m_selector.isDown(it.announcement.leaf))
+        if (isUsable(it) && now >= it.coldUntil && !m_selector.isDown(it.announcement))
             zones.push_back(it.announcement.zone);
     }
     return zones;
@@ -338,7 +338,7 @@
 {
     auto found = m_leaves.find(service);
     return found != m_leaves.end() && std::any_of(found->second.begin(), found->second.end(), [&](const Known& it) {
-        return isUsable(it) && !m_selector.isDown(it.announcement.leaf);
+        return isUsable(it) && !m_selector.isDown(it.announcement);
     });
 }
 
@@ -467,7 +467,7 @@
 
 void RoutePolicies::onStart(const Announcement& leaf, std::uint64_t attempt, Duration typical, TimePoint now)
 {
-    m_selector.onStart(leaf.leaf, attempt, typical, now);
+    m_selector.onStart(leaf, attempt, typical, now);
     m_coldGate.onSend(leaf.leaf, now);
 }
 
--- a/tests/LeafSelectorTests.cpp
+++ b/tests/LeafSelectorTests.cpp
@@ -35,7 +35,7 @@
     }
     std::uint64_t start(const Announcement& leaf)
     {
-        selector.onStart(leaf.leaf, ++lastAttempt, typical, now);
+        selector.onStart(leaf, ++lastAttempt, typical, now);
         return lastAttempt;
     }
     void answer(const Announcement& leaf, std::uint64_t attempt)
@@ -96,3 +96,59 @@
     pair.selector.onEnd("near", attempt, AttemptEnd::Failed, pair.now);
     CHECK(pair.chosen() == "far");
 }
+
+// An entry whose zone was cut off waited for each leaf of the other zones until it had been silent twice: 3 s, in which
+// its few places for requests were taken and the balancer went on sending to it.
+TEST_CASE("no leaf of a zone is used after several were silent, until one answers or can be reached")
+{
+    LeafSelector selector("atl");
+    std::vector<Announcement> sav;
+    for (int i = 0; i < 5; ++i)
+        sav.push_back(leafOf("sav-" + std::to_string(i), "sav"));
+    auto near = leafOf("near", "atl");
+    auto now = TimePoint {} + std::chrono::hours(1);
+    std::uint64_t attempt = 0;
+    auto end = [&](const Announcement& leaf, AttemptEnd how) {
+        selector.onStart(leaf, ++attempt, typical, now);
+        selector.onEnd(leaf.leaf, attempt, how, now);
+    };
+    for (std::uint64_t i = 0; i < 3; ++i)
+        selector.onStart(sav[i], 100 + i, typical, now);
+    now += typical;
+    end(sav[3], AttemptEnd::Answered);
+    now += typical;
+    end(sav[0], AttemptEnd::Silent);
+    end(sav[1], AttemptEnd::Silent);
+    CHECK(selector.silentZones().empty());
+    SUBCASE("leaves that ended together do not show that the zone is cut off")
+    {
+        for (std::uint64_t i = 0; i < 3; ++i)
+            selector.onEnd(sav[i].leaf, 100 + i, AttemptEnd::Silent, now);
+        CHECK(selector.silentZones().empty());
+    }
+    SUBCASE("an answer in between shows that the zone is reached")
+    {
+        end(sav[3], AttemptEnd::Answered);
+        end(sav[2], AttemptEnd::Silent);
+        CHECK_FALSE(selector.isDown(sav[3]));
+    }
+    SUBCASE("silent")
+    {
+        end(sav[2], AttemptEnd::Silent);
+        CHECK(selector.isDown(sav[3]));
+        CHECK(selector.isDown(sav[4])); // never used before
+        CHECK_FALSE(selector.isDown(near));
+        std::array<const Announcement*, 2> both { &sav[3], &near };
+        CHECK(selector.choose(both, typical, now) == 1);
+        // The three may have ended by themselves: the others are tried too.
+        std::set<std::string> probed;
+        for (int i = 0; i < 20; ++i, now += milliseconds(100)) {
+            for (const auto& it : selector.dueProbes(now))
+                probed.insert(it);
+        }
+        CHECK(probed.contains("sav-3"));
+        selector.onProbe("sav-3", true, now);
+        CHECK_FALSE(selector.isDown(sav[3]));
+        CHECK_FALSE(selector.isDown(sav[4]));
+    }
+}
