--- a/standins/relay/DelayLine.cpp
+++ b/standins/relay/DelayLine.cpp
@@ -22,14 +22,17 @@
 void DelayLine::wait()
 {
     m_timer.expires_at(m_pieces.front().at);
-    m_timer.async_wait([this](asio::error_code ec) {
-        if (ec)
+    // A release may end the connection that this line belongs to.
+    m_timer.async_wait([this, life = std::weak_ptr(m_life)](asio::error_code ec) {
+        if (ec || life.expired())
             return;
         const auto now = std::chrono::steady_clock::now();
         while (!m_pieces.empty() && m_pieces.front().at <= now) {
             auto piece = std::move(m_pieces.front());
             m_pieces.pop_front();
             piece.release(std::move(piece.data));
+            if (life.expired())
+                return;
         }
         if (!m_pieces.empty())
             wait();
--- a/standins/relay/Relay.h
+++ b/standins/relay/Relay.h
@@ -11,10 +11,11 @@
 
 /// Faults of one link, switched at run time.
 struct LinkFaults {
-    double delayMs = 0;    // one-way delay, in both directions
-    double jitterMs = 0;   // uniform addition to the delay; TCP data stays in order
-    double dropRate = 0;   // UDP: share of datagrams that are lost
-    bool isCut = false;    // TCP: new connections are closed at once; UDP: all datagrams are lost
+    double delayMs = 0;        // one-way delay, in both directions
+    double jitterMs = 0;       // uniform addition to the delay; TCP data stays in order
+    double dropRate = 0;       // UDP: share of datagrams that are lost
+    bool isCut = false;        // TCP: new connections are closed at once; UDP: all datagrams are lost
+    bool holdsAnswers = false; // TCP: what the target sends is not passed on until it ends; a cut in one direction
     bool isSilent = false; // TCP: connections stay open and pass nothing on until it ends; UDP: all datagrams are lost
 };
 
@@ -46,6 +47,7 @@
     void wait();
     std::deque<Piece> m_pieces;
     asio::steady_timer m_timer;
+    std::shared_ptr<int> m_life = std::make_shared<int>(0); // ends with this object
 };
 
 /// A relay from one listening address to one target.
--- a/standins/relay/TcpLink.cpp
+++ b/standins/relay/TcpLink.cpp
@@ -32,7 +32,7 @@
         bool hasEnded = false;
     };
 
-    bool isHeld() const;
+    bool isHeld(int to) const;
     void read(int from);
     void pass(int from, std::string data);
     void write(int to);
@@ -149,21 +149,23 @@
                     if (const auto pair = weak.lock())
                         pair->pass(from, std::move(data));
                 });
-            it.isPaused = !ec && self->isHeld();
+            it.isPaused = !ec && self->isHeld(1 - from);
             if (!ec && !it.isPaused)
                 self->read(from);
         });
 }
 
-bool Pair::isHeld() const { return m_isSilent || m_link.faults().isSilent; }
+bool Pair::isHeld(int to) const
+{
+    const auto& faults = m_link.faults();
+    return m_isSilent || faults.isSilent || (to == 0 && faults.holdsAnswers);
+}
 
 void Pair::resume()
 {
-    if (m_isClosed || isHeld())
-        return;
-    for (int i = 0; i < 2; ++i) {
+    for (int i = 0; i < 2 && !m_isClosed; ++i) {
         write(i);
-        if (std::exchange(m_sides[i].isPaused, false))
+        if (!isHeld(1 - i) && std::exchange(m_sides[i].isPaused, false))
             read(i);
     }
 }
@@ -180,7 +182,7 @@
 void Pair::write(int to)
 {
     auto& side = m_sides[to];
-    if (side.isWriting || side.output.empty() || isHeld())
+    if (side.isWriting || side.output.empty() || isHeld(to))
         return;
     if (side.output.front().empty())
         return endStream(to);
--- a/standins/relay/main.cpp
+++ b/standins/relay/main.cpp
@@ -49,6 +49,8 @@
             value.get_to(faults.dropRate);
         else if (name == "cut")
             value.get_to(faults.isCut);
+        else if (name == "holds_answers")
+            value.get_to(faults.holdsAnswers);
         else if (name == "silent")
             value.get_to(faults.isSilent);
         else
--- a/tests/ProcessHarness.cpp
+++ b/tests/ProcessHarness.cpp
@@ -48,8 +48,15 @@
 
 std::filesystem::path programFolder() { return std::filesystem::read_symlink("/proc/self/exe").parent_path(); }
 
-ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const std::filesystem::path& output)
-{
+ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const std::filesystem::path& output,
+    std::vector<std::string> environment)
+{
+    for (char** it = environ; *it; ++it)
+        environment.emplace_back(*it);
+    std::vector<char*> envp;
+    for (auto& it : environment)
+        envp.push_back(it.data());
+    envp.push_back(nullptr);
     std::vector<char*> argv;
     argv.reserve(arguments.size() + 1);
     for (const auto& it : arguments)
@@ -59,7 +66,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    int ec = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3); // sockets of this process would stay open in the child
+    int ec = posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), envp.data());
     posix_spawn_file_actions_destroy(&actions);
     if (ec != 0)
         throw std::runtime_error("cannot start " + arguments[0] + ": " + std::strerror(ec));
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -19,7 +19,9 @@
 /// One child process. Its output goes to a file; the destructor kills it and waits for it.
 class ChildProcess {
 public:
-    ChildProcess(const std::vector<std::string>& arguments, const std::filesystem::path& output);
+    /// `environment`: "NAME=VALUE", besides those of this process.
+    ChildProcess(const std::vector<std::string>& arguments, const std::filesystem::path& output,
+        std::vector<std::string> environment = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
