--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -297,17 +297,24 @@
 void RoutedDaemon::announce(Announcement announcement, std::function<void(bool)> done)
 {
     if (announcement.draining && !m_hasMembers)
-        return done(false);
+        return refuseNotice(announcement.leaf, done);
     m_membership->announce(announcement, std::move(done));
 }
 
 void RoutedDaemon::depart(std::string leaf, std::function<void(bool)> done)
 {
     if (!m_hasMembers)
-        return done(false);
+        return refuseNotice(leaf, done);
     m_membership->depart(std::move(leaf), std::move(done));
 }
 
+/// Confirming it would promise that all entries know of it, and this instance does not know them yet.
+void RoutedDaemon::refuseNotice(const std::string& leaf, const std::function<void(bool)>& done)
+{
+    log(LogLevel::Info, "leaves", "leaf=" + leaf + " leaves; not confirmed, no member list yet");
+    done(false);
+}
+
 void RoutedDaemon::broadcast(std::vector<DirectoryItem> items, std::function<void(bool)> done)
 {
     asio::post(m_broadcastStrand, [this, items = std::move(items), done = std::move(done)]() mutable {
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -73,6 +73,7 @@
     void announce(Announcement, std::function<void(bool)> done) override;
     void depart(std::string leaf, std::function<void(bool)> done) override;
 
+    static void refuseNotice(const std::string& leaf, const std::function<void(bool)>& done);
     void submitZone(std::string zone, bool out, std::uint64_t base, TimePoint until, std::function<void(bool)> done);
     void answerRead(std::uint64_t index, TimePoint until, std::function<void(std::optional<StoredDocument>)> done);
     void broadcast(std::vector<DirectoryItem>, std::function<void(bool)> done);
--- a/tests/ProcessHarness.cpp
+++ b/tests/ProcessHarness.cpp
@@ -54,6 +54,7 @@
     for (char** it = environ; *it; ++it)
         environment.emplace_back(*it);
     std::vector<char*> envp;
+    envp.reserve(environment.size() + 1);
     for (auto& it : environment)
         envp.push_back(it.data());
     envp.push_back(nullptr);
--- a/tests/SoakSystem.cpp
+++ b/tests/SoakSystem.cpp
@@ -141,7 +141,7 @@
         [this, &leaf](const standins::HttpMessage& request, const std::shared_ptr<standins::HttpSession>& session) {
             handle(leaf, request, session);
         },
-        [&leaf](std::shared_ptr<standins::HttpSession> session) {
+        [&leaf](const std::shared_ptr<standins::HttpSession>& session) {
             std::erase_if(leaf.sessions, [](const auto& it) { return it.expired(); });
             leaf.sessions.push_back(session);
             session->start();
@@ -170,7 +170,7 @@
     });
 }
 
-void SoakSystem::announce(SoakLeaf& leaf, std::function<void(bool)> done)
+void SoakSystem::announce(SoakLeaf& leaf, const std::function<void(bool)>& done)
 {
     nlohmann::json body { { "service", leaf.service }, { "address", leaf.announced }, { "zone", leaf.zone },
         { "version", "v1" }, { "slots", 4 }, { "state", leaf.isDraining ? "draining" : "ready" },
@@ -179,12 +179,6 @@
         [done](const standins::HttpResult& result, const std::string&) { done(result.answer.status == 200); });
 }
 
-void SoakSystem::depart(SoakLeaf& leaf, std::function<void(bool)> done)
-{
-    control("DELETE", "/-/instances/" + leaf.name, "",
-        [done](const standins::HttpResult& result, const std::string&) { done(result.answer.status == 200); });
-}
-
 void SoakSystem::control(const std::string& method, const std::string& path, const std::string& body,
     std::function<void(standins::HttpResult, const std::string& member)> done)
 {
@@ -221,7 +215,9 @@
 {
     std::string body;
     for (int i = 0; i < 3; ++i) {
-        std::mt19937_64 random(std::hash<std::string> {}(service + "/" + id + "/" + std::to_string(i)));
+        auto key = service;
+        key.append("/").append(id).append("/").append(std::to_string(i));
+        std::mt19937_64 random(std::hash<std::string> {}(key));
         for (std::size_t n = 0; n < recordBytes; ++n)
             body += static_cast<char>('!' + random() % 90);
     }
--- a/tests/SoakSystem.h
+++ b/tests/SoakSystem.h
@@ -94,8 +94,7 @@
     void startLeaf(SoakLeaf&);
     void crashLeaf(SoakLeaf&);
     /// Sends the announcement of a leaf to one control member until `done`: with true once it is acknowledged.
-    void announce(SoakLeaf&, std::function<void(bool)> done);
-    void depart(SoakLeaf&, std::function<void(bool)> done);
+    void announce(SoakLeaf&, const std::function<void(bool)>& done);
 
     // Calls to control members and callers' requests
     void control(const std::string& method, const std::string& path, const std::string& body,
