Let the soak notice that it stood still itself

The entry's log has the answer after 795 ms with 0 of 4 parts: leaves and callers, which run in the soak, stood still for 2.3 s.

Change: a gap of more than 200 ms between turns of the soak counts as a disturbance of everything, and is printed.

--- a/bench/RoutedSoak.cpp
+++ b/bench/RoutedSoak.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds callerTimeout { 5000 };      // far beyond the timeout of a route
 constexpr milliseconds disksApart { 12'000 };       // a lost disk is repaired before the next is lost
 constexpr milliseconds stopBound { 6000 };          // the grace time in the settings
+constexpr milliseconds stallLimit { 200 };          // of this process: leaves, callers and relays stand still in it
+constexpr milliseconds aliveTick { 50 };
 constexpr int callersPerEntry = 3;
 constexpr std::size_t greatestFaults = 3; // at the same time
 
@@ -97,6 +99,8 @@
 
     // Checks
     void watch();
+    void noteAlive();
+    void tick();
     bool isCalm(const std::string& entry, SoakTime from, SoakTime until);
     void checkRecovery();
     void checkLeaves(const Request&, const SoakRun&);
@@ -124,6 +128,7 @@
     std::optional<SoakTime> m_diskLostAt;
     std::map<std::string, int> m_checked; // requests that a bound applied to
     std::vector<std::string> m_violations;
+    SoakTime m_aliveAt = SoakClock::now();
     bool m_injecting = false;
     bool m_ended = false;
 };
@@ -183,6 +188,7 @@
 
 void Soak::onAnswer(const Request& request, const HttpResult& result)
 {
+    noteAlive();
     auto now = SoakClock::now();
     int status = result.answer.status;
     auto error = json::parse(result.answer.body, nullptr, false);
@@ -625,6 +631,26 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Checks
 
+/// Time in which this process did not run counts as a disturbance of everything. Seed 304 beside a build and two hunts:
+/// an entry logged its answer after 795 ms, which was read here after 2321 ms.
+void Soak::noteAlive()
+{
+    auto now = SoakClock::now();
+    if (now - m_aliveAt > stallLimit) {
+        note("the soak itself stood still for " + std::to_string((now - m_aliveAt) / milliseconds(1)) + " ms");
+        m_system.disturbances().add(Disturbances::core, m_aliveAt, now);
+        for (const auto& it : m_system.names(false))
+            m_system.disturbances().add("faults of " + it, m_aliveAt, now);
+    }
+    m_aliveAt = now;
+}
+
+void Soak::tick()
+{
+    noteAlive();
+    m_system.after(aliveTick, [this] { tick(); });
+}
+
 /// Instances that ended by themselves.
 void Soak::watch()
 {
@@ -671,6 +697,8 @@
         m_system.startLeaf(*it);
     putConfiguration(++m_lastVersion);
     m_io.run_for(seconds(5));
+    m_aliveAt = SoakClock::now();
+    tick();
     startCallers();
     watch();
     m_io.run_for(seconds(2));
--- a/tests/SoakSystem.h
+++ b/tests/SoakSystem.h
@@ -26,6 +26,7 @@
         for (auto& it : m_spans[who])
             it.until = std::min(it.until, SoakClock::now());
     }
+    void add(const std::string& who, SoakTime from, SoakTime until) { m_spans[who].push_back({ from, until }); }
     bool isCalm(const std::string& who, SoakTime from, SoakTime until) const;
 
 private:
