Name the requests of the soak by what they are

Cause: read as a newcomer, a payment was called keyed, and no request of the soak has a key. No check and no draw changes: the same paths are drawn with the same range.

--- a/bench/RoutedSoak.cpp
+++ b/bench/RoutedSoak.cpp
@@ -173,11 +173,13 @@
 {
     if (m_ended)
         return;
-    const char* path = std::array { "/list/x", "/list/x", "/list/x", "/one/x", "/pay/x" }.at(m_system.below(5));
+    // Gathered, forwarded, and forwarded without being idempotent.
+    const std::array paths { "/list/x", "/list/x", "/list/x", "/one/x", "/pay/x" };
+    const char* path = paths.at(m_system.below(paths.size()));
     Request request { caller.entry, std::to_string(m_seed) + "-" + std::to_string(++m_lastId), path, SoakClock::now() };
-    bool isKeyed = request.path == "/pay/x";
-    caller.client->request(isKeyed ? "POST" : "GET", request.path,
-        "Request-Id: " + request.id + "\r\nDeadline-Ms: 1500\r\n", isKeyed ? "amount" : "", callerTimeout,
+    bool isPayment = request.path == "/pay/x";
+    caller.client->request(isPayment ? "POST" : "GET", request.path,
+        "Request-Id: " + request.id + "\r\nDeadline-Ms: 1500\r\n", isPayment ? "amount" : "", callerTimeout,
         [this, &caller, request](const HttpResult& result) {
             onAnswer(request, result);
             constexpr milliseconds pause { 15 };
