--- a/tests/LeafSelectorTests.cpp
+++ b/tests/LeafSelectorTests.cpp
@@ -103,6 +103,7 @@
 {
     LeafSelector selector("atl");
     std::vector<Announcement> sav;
+    sav.reserve(5);
     for (int i = 0; i < 5; ++i)
         sav.push_back(leafOf("sav-" + std::to_string(i), "sav"));
     auto near = leafOf("near", "atl");
