--- a/bench/RoutedSoak.cpp
+++ b/bench/RoutedSoak.cpp
@@ -4,7 +4,7 @@
 //
 // The choice of faults follows from the seed; their effect also depends on timing. Prints the faults with their times,
 // what callers got and each violation; exits 0 if there is none. The folder of a run without violations is removed.
-// Bounds hold for instances that were left alone for `contactTime`, as on the platform.
+// Bounds hold for instances that were left alone for `contactTime`.
 #include "tests/SoakSystem.h"
 
 #include <csignal>
@@ -18,12 +18,12 @@
 
 namespace {
 
-constexpr milliseconds contactTime { 4000 };        // the platform's `contact_ms` on both sites
-constexpr milliseconds configurationBound { 3000 }; // its `config_apply_ms`
-constexpr milliseconds drainBound { 3000 };         // its `drain_ms`
+constexpr milliseconds contactTime { 4000 };        // after a fault an instance has its views again
+constexpr milliseconds configurationBound { 3000 }; // docs/design.md: in force everywhere
+constexpr milliseconds drainBound { 3000 };         // as for configurations
 constexpr milliseconds evacuationBound { 5000 };    // as for the rules file, see docs/design.md
 constexpr milliseconds lateAnswer { 500 };          // after the timeout of a route
-constexpr milliseconds recoveryBound { 15'000 };    // its `recovery_s` on both sites
+constexpr milliseconds recoveryBound { 15'000 };    // all instances may restart within it
 constexpr milliseconds callerTimeout { 5000 };      // far beyond the timeout of a route
 constexpr milliseconds disksApart { 12'000 };       // a lost disk is repaired before the next is lost
 constexpr milliseconds stopBound { 6000 };          // the grace time in the settings
@@ -149,8 +149,8 @@
 
 bool Soak::isCalm(const std::string& entry, SoakTime from, SoakTime until)
 {
-    const auto& it = m_system.disturbances();
-    return it.isCalm(entry, from, until) && it.isCalm(Disturbances::core, from, until);
+    const auto& it = m_system.disruptions();
+    return it.isCalm(entry, from, until) && it.isCalm(Disruptions::core, from, until);
 }
 
 // ---------------------------------------------------------------------------------------------------------------
@@ -266,7 +266,7 @@
     // A planned stop answers what it has passed on.
     const auto& instance = m_system.instance(request.entry);
     if (result.error == "closed" && !runs.empty() && instance.stopAskedAt
-        && m_system.disturbances().isCalm("faults of " + request.entry, request.sentAt - contactTime, SoakClock::now()))
+        && m_system.disruptions().isCalm("faults of " + request.entry, request.sentAt - contactTime, SoakClock::now()))
         violate(request.id + " " + request.path + " is cut off by the planned stop of " + request.entry);
 }
 
@@ -277,7 +277,7 @@
         return;
     // A notice that was taken by a member in touch.
     bool isBound = run.afterDrain
-        && m_system.disturbances().isCalm(Disturbances::core, run.at - *run.afterDrain - contactTime, run.at);
+        && m_system.disruptions().isCalm(Disruptions::core, run.at - *run.afterDrain - contactTime, run.at);
     m_checked["after_drain"] += isBound ? 1 : 0;
     if (isBound && *run.afterDrain > drainBound)
         violate(request.id + " reached " + run.leaf + " " + std::to_string(*run.afterDrain / milliseconds(1))
@@ -366,27 +366,27 @@
 
 SoakLeaf& Soak::pickLeaf() { return *m_system.leaves()[m_system.below(m_system.leaves().size())]; }
 
-/// Every fault on an instance disturbs it; one on a control member disturbs the core as well.
+/// Every fault on an instance disrupts it; one on a control member disrupts the core as well.
 std::function<void()> Soak::killInstance(const std::string& name, const std::function<void()>& whileDown)
 {
-    m_system.disturbances().begin("faults of " + name);
+    m_system.disruptions().begin("faults of " + name);
     m_system.kill(name);
     whileDown();
     return [this, name] {
         note("start " + name);
         m_system.start(name);
-        m_system.disturbances().end("faults of " + name);
+        m_system.disruptions().end("faults of " + name);
     };
 }
 
 std::function<void()> Soak::pauseInstance(const std::string& name)
 {
-    m_system.disturbances().begin("faults of " + name);
+    m_system.disruptions().begin("faults of " + name);
     m_system.instance(name).process->signal(SIGSTOP);
     return [this, name] {
         if (auto& process = m_system.instance(name).process)
             process->signal(SIGCONT);
-        m_system.disturbances().end("faults of " + name);
+        m_system.disruptions().end("faults of " + name);
     };
 }
 
@@ -404,10 +404,10 @@
     if (it.process->isRunning()) {
         if (SoakClock::now() - *it.stopAskedAt <= stopBound) {
             m_busy.insert(name);
-            m_system.disturbances().begin(name);
+            m_system.disruptions().begin(name);
             m_system.after(milliseconds(100), [this, name] {
                 m_busy.erase(name);
-                m_system.disturbances().end(name);
+                m_system.disruptions().end(name);
                 waitForStop(name);
             });
             return;
@@ -423,15 +423,15 @@
 
 std::function<void()> Soak::faultLink(standins::Link& link, const std::string& who, const std::function<void()>& set)
 {
-    m_system.disturbances().begin(who);
-    m_system.disturbances().begin("faults of " + who);
+    m_system.disruptions().begin(who);
+    m_system.disruptions().begin("faults of " + who);
     set();
     link.onFaultsChanged();
     return [this, &link, who] {
         link.faults() = {};
         link.onFaultsChanged();
-        m_system.disturbances().end(who);
-        m_system.disturbances().end("faults of " + who);
+        m_system.disruptions().end(who);
+        m_system.disruptions().end("faults of " + who);
     };
 }
 
@@ -512,16 +512,16 @@
                 return nullptr;
             note("  on " + name);
             m_busy.insert(name);
-            m_system.disturbances().begin(name);
+            m_system.disruptions().begin(name);
             if (control)
-                m_system.disturbances().begin(Disturbances::core);
+                m_system.disruptions().begin(Disruptions::core);
             auto end = fault(name);
             return [this, name, control, end] {
                 m_busy.erase(name);
                 end();
-                m_system.disturbances().end(name);
+                m_system.disruptions().end(name);
                 if (control)
-                    m_system.disturbances().end(Disturbances::core);
+                    m_system.disruptions().end(Disruptions::core);
             };
         };
     };
@@ -551,9 +551,9 @@
         return [] {};
     };
     auto resetCallers = [this](const std::string& name) {
-        m_system.disturbances().begin("faults of " + name);
+        m_system.disruptions().begin("faults of " + name);
         m_system.instance(name).link->reset();
-        return [this, name] { m_system.disturbances().end("faults of " + name); };
+        return [this, name] { m_system.disruptions().end("faults of " + name); };
     };
     return {
         { "kill_entry", onInstance(false, kill) },
@@ -633,16 +633,16 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Checks
 
-/// Time in which this process did not run counts as a disturbance of everything. Seed 304 beside a build and two hunts:
+/// Time in which this process did not run counts as a disruption of everything. Seed 304 beside a build and two hunts:
 /// an entry logged its answer after 795 ms, which was read here after 2321 ms.
 void Soak::noteAlive()
 {
     auto now = SoakClock::now();
     if (now - m_aliveAt > stallLimit) {
         note("the soak itself stood still for " + std::to_string((now - m_aliveAt) / milliseconds(1)) + " ms");
-        m_system.disturbances().add(Disturbances::core, m_aliveAt, now);
+        m_system.disruptions().add(Disruptions::core, m_aliveAt, now);
         for (const auto& it : m_system.names(false))
-            m_system.disturbances().add("faults of " + it, m_aliveAt, now);
+            m_system.disruptions().add("faults of " + it, m_aliveAt, now);
     }
     m_aliveAt = now;
 }
--- a/tests/SoakSystem.cpp
+++ b/tests/SoakSystem.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-bool Disturbances::isCalm(const std::string& who, SoakTime from, SoakTime until) const
+bool Disruptions::isCalm(const std::string& who, SoakTime from, SoakTime until) const
 {
     auto found = m_spans.find(who);
     return found == m_spans.end() || std::none_of(found->second.begin(), found->second.end(), [&](const Span& it) {
--- a/tests/SoakSystem.h
+++ b/tests/SoakSystem.h
@@ -15,8 +15,8 @@
 using SoakTime = SoakClock::time_point;
 using std::chrono::milliseconds;
 
-/// When instances, links and the core (under its own name) were disturbed.
-class Disturbances {
+/// When instances, links and the core (under its own name) were disrupted.
+class Disruptions {
 public:
     static constexpr const char* core = "core";
 
@@ -114,7 +114,7 @@
     static std::string proofOf(const std::string& leaf, const std::string& id) { return leaf + "/" + id; }
 
     std::map<std::string, std::vector<SoakRun>>& runs() { return m_runs; }
-    Disturbances& disturbances() { return m_disturbances; }
+    Disruptions& disruptions() { return m_disruptions; }
     std::uint64_t below(std::uint64_t n) { return m_random() % n; }
     /// Runs `task` after a delay, on `io`.
     void after(milliseconds delay, std::function<void()> task);
@@ -131,7 +131,7 @@
     std::vector<std::unique_ptr<SoakLeaf>> m_leaves;
     std::vector<std::unique_ptr<standins::HttpServer>> m_closedServers; // one may have accepted its last connection
     std::map<std::string, std::vector<SoakRun>> m_runs;                 // by request id
-    Disturbances m_disturbances;
+    Disruptions m_disruptions;
 };
 
 } // namespace citronplank::testing
