Measure the age of relay requests and the delay of timers

A heartbeat answer carries the clock of the answering daemon. The sender of a message with a time to live states in it when it was sent on the receiver's clock (PeerClock; too late by at most the best round trip, too early never). Such an envelope has two more fields; it is sent only to peers whose heartbeat answers have a clock, so builds before this one get what they know.

Peers log a relay request that they read after its entry stopped waiting, with its age; entries log a cancel that could not be sent, and what had been sent for a caller that left. A late timer of the process is logged as a stall. Histograms relay_age and timer_delay. No decision changes.

--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -224,10 +224,11 @@
     return address;
 }
 
-bool Node::sendTo(
-    const std::string& name, MessageKind kind, std::string body, std::uint64_t correlation, Channel channel)
+bool Node::sendTo(const std::string& name, MessageKind kind, std::string body, std::uint64_t correlation,
+    Channel channel, milliseconds timeToLive)
 {
     Envelope envelope;
+    envelope.timeToLive = timeToLive;
     envelope.kind = static_cast<std::uint16_t>(kind);
     envelope.body = std::move(body);
     envelope.correlation = correlation;
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -51,7 +51,7 @@
     /// Sends a message to an instance, which may be this one. Returns false if it was not sent and will not be sent
     /// later.
     bool sendTo(const std::string& name, MessageKind, std::string body, std::uint64_t correlation = 0,
-        Channel channel = Channel::Control);
+        Channel channel = Channel::Control, milliseconds timeToLive = milliseconds(0));
     /// Sends a message directly to up to `maxDirectPeers` peers, which is faster than gossip.
     void sendToPeers(MessageKind kind, const std::string& body);
     /// Runs `task` on the workers every `interval`, first after one interval; runs of one task do not overlap.
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -15,10 +15,9 @@
 constexpr milliseconds minStartRetryAfter { 100 };
 constexpr milliseconds crashRetryAfter { 60000 };  // longer than callers wait, since a retry would be refused too
 constexpr milliseconds lossProbeInterval { 1000 }; // per leaf; each probe opens a connection, which costs the leaf
+constexpr milliseconds longTimerDelay { 250 };     // is logged
 constexpr milliseconds routeCheckInterval { 100 }; // load balancers poll the readiness once a second
 
-double inMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
-
 std::string_view kindName(RouteOutcome::Kind kind)
 {
     switch (kind) {
@@ -74,6 +73,11 @@
     checkRoutes();
 }
 
+double RouteService::inMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 /// Formats a number with one decimal place.
 std::string RouteService::formatDecimal(double value)
 {
@@ -88,6 +92,7 @@
 /// `routeCheckInterval`.
 void RouteService::checkRoutes()
 {
+    recordTimerDelay();
     m_canServe = m_policies.canServe();
     auto unresponsive = m_policies.selector().unresponsiveZones();
     if (unresponsive != std::exchange(m_unresponsiveZones, unresponsive)) {
@@ -109,6 +114,18 @@
     });
 }
 
+/// The check timer is late if this process has stood still, or if its handlers have waited for each other.
+void RouteService::recordTimerDelay()
+{
+    if (m_checkTimer.expiry() == TimePoint())
+        return;
+    auto delay = std::max(Clock::now() - m_checkTimer.expiry(), Duration::zero());
+    m_counters.latency("timer_delay").record(delay);
+    if (delay >= longTimerDelay)
+        log(LogLevel::Info, "stall",
+            "The timer of this instance is late by ms=" + formatDecimal(inMilliseconds(delay)));
+}
+
 void RouteService::setTable(std::shared_ptr<const RouteTable> table)
 {
     asio::post(m_strand, [this, table = std::move(table)]() mutable { m_policies.setTable(std::move(table)); });
@@ -227,7 +244,7 @@
     for (auto attempt : actions.cancels)
         cancelAttempt(m_running.at(id)->execution->leafOf(attempt), attempt);
     for (const auto& [peer, relay] : actions.relayCancels)
-        m_sender(peer, MessageKind::RelayCancel, {}, (id << relayNumberBits) | relay);
+        cancelRelay(id, peer, relay);
     // Relays first: their path is longer.
     for (const auto& it : actions.relays)
         sendRelay(id, it);
@@ -376,7 +393,7 @@
 {
     asio::post(m_strand, [this, peer = std::move(peer)] {
         for (const auto& it : m_crashGuard.sharedNotices(Clock::now()))
-            m_sender(peer, MessageKind::Suspicion, encodeCrashNotice(it), 0);
+            m_sender(peer, MessageKind::Suspicion, encodeCrashNotice(it), 0, milliseconds(0));
     });
 }
 
@@ -398,7 +415,9 @@
     perform(id, found->second->execution->cancel());
     log(LogLevel::Info, "query",
         "request id=" + found->second->caller.id + " route=" + found->second->execution->route().name
-            + " outcome=caller_gone");
+            + " outcome=caller_gone ms=" + formatDecimal(inMilliseconds(Clock::now() - found->second->arrivedAt))
+            + " sends=" + std::to_string(found->second->execution->counters().sends)
+            + " relayed=" + std::to_string(found->second->execution->counters().relayed));
     release(found->second->limit, ObservedLoad::Busy);
     m_running.erase(id);
     --m_runningCount;
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -8,6 +8,7 @@
 #include "policy/ConcurrencyLimit.h"
 #include "policy/CrashGuard.h"
 #include "query/RelayedGather.h"
+#include "transport/Links.h"
 
 #include <atomic>
 #include <deque>
@@ -15,9 +16,10 @@
 
 namespace citronplank {
 
-/// Sends a message to another instance. Returns false if it was not sent and will not be sent later. Thread safe.
-using RelaySender
-    = std::function<bool(const std::string& peer, MessageKind, std::string body, std::uint64_t correlation)>;
+/// Sends a message to another instance. `timeToLive` as in Envelope. Returns false if it was not sent and will not be
+/// sent later. Thread safe.
+using RelaySender = std::function<bool(
+    const std::string& peer, MessageKind, std::string body, std::uint64_t correlation, milliseconds timeToLive)>;
 
 /// Sends a crash notice to all other instances.
 using CrashNotifier = std::function<void(const CrashNotice&)>;
@@ -49,7 +51,7 @@
     /// Sets the names of all entry instances, this one included, and of the others by zone.
     void setEntryInstances(std::vector<std::string> names, RoutePolicies::PeersByZone peers);
     /// Handles a relay message from another instance. Throws Error(BadRequest) if it is malformed.
-    void onRelayMessage(const std::string& sender, MessageKind, std::string_view body, std::uint64_t correlation);
+    void onRelayMessage(const Envelope&);
 
     /// Handles a notice from another instance that a request crashed a leaf.
     void onCrashNotice(std::string peer, CrashNotice);
@@ -107,6 +109,7 @@
     using Id = std::uint64_t;
 
     void checkRoutes();
+    void recordTimerDelay();
     milliseconds startRetryAfter() const;
     void handleRequest(HttpRequest, Responder, TimePoint arrivedAt);
     void startRequest(
@@ -119,7 +122,8 @@
     void refuse(const CallerInfo&, const HttpRequest&, const Responder&, RouteOutcome);
     void perform(Id, RouteActions);
     void sendRelay(Id, const RelaySend&);
-    void beginRelayed(const std::string& entry, std::uint64_t correlation, RelayedCall);
+    void cancelRelay(Id, const std::string& peer, std::uint32_t relay);
+    void beginRelayed(const Envelope&, RelayedCall);
     void cancelRelayed(const std::string& entry, std::uint64_t correlation);
     void performRelayed(Id, RelayActions);
     void sendToLeaf(const RouteSend&, const HttpRequest&, const UpstreamClient::Callback&);
@@ -135,6 +139,7 @@
     void onTimer(Id);
     void onCallerDisconnected(Id);
     void logAnswer(const RunningRequest&, const RouteOutcome&, TimePoint now);
+    static double inMilliseconds(Duration);
     static std::string formatDecimal(double value);
     void logAttempt(const RunningRequest&, const Announcement& leaf, const AttemptResult&);
 
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -1,14 +1,22 @@
 // Relays: parts of requests that this entry instance delegates to peers, and those that it runs for peers.
 #include "daemon/RouteService.h"
 
+#include "daemon/Logging.h"
+
 namespace citronplank {
 
+namespace {
+
+constexpr milliseconds unlimited { 0 }; // time to live of a message
+
+} // namespace
+
 void RouteService::sendRelay(Id id, const RelaySend& send)
 {
     const auto& request = m_running.at(id)->request;
     m_counters.counter("relays_sent_total").add();
     RelayedCall call { send.request, request.method, request.target, request.headers, request.body };
-    if (m_sender(send.peer, MessageKind::RelayRequest, encode(call), (id << relayNumberBits) | send.relay))
+    if (m_sender(send.peer, MessageKind::RelayRequest, encode(call), (id << relayNumberBits) | send.relay, send.wait))
         return;
     asio::post(m_strand, [this, id, relay = send.relay] {
         if (auto found = m_running.find(id); found != m_running.end())
@@ -16,17 +24,33 @@
     });
 }
 
-void RouteService::onRelayMessage(
-    const std::string& sender, MessageKind kind, std::string_view body, std::uint64_t correlation)
+void RouteService::cancelRelay(Id id, const std::string& peer, std::uint32_t relay)
+{
+    if (m_sender(peer, MessageKind::RelayCancel, {}, (id << relayNumberBits) | relay, unlimited))
+        return;
+    m_counters.counter("relay_cancels_unsent_total").add();
+    log(LogLevel::Info, "relay",
+        "request id=" + m_running.at(id)->caller.id + " peer=" + peer
+            + " outcome=cancel_unsent; the peer stops at the time limit of its leaves");
+}
+
+void RouteService::onRelayMessage(const Envelope& envelope)
 {
+    auto kind = static_cast<MessageKind>(envelope.kind);
     if (kind == MessageKind::RelayRequest) {
-        asio::post(m_strand, [this, sender, correlation, call = decodeRelayedCall(body)]() mutable {
-            beginRelayed(sender, correlation, std::move(call));
+        Envelope head { .sender = envelope.sender,
+            .correlation = envelope.correlation,
+            .timeToLive = envelope.timeToLive,
+            .sentAt = envelope.sentAt };
+        asio::post(m_strand, [this, head = std::move(head), call = decodeRelayedCall(envelope.body)]() mutable {
+            beginRelayed(head, std::move(call));
         });
     } else if (kind == MessageKind::RelayCancel) {
-        asio::post(m_strand, [this, sender, correlation] { cancelRelayed(sender, correlation); });
+        asio::post(m_strand, [this, sender = envelope.sender, correlation = envelope.correlation] {
+            cancelRelayed(sender, correlation);
+        });
     } else {
-        asio::post(m_strand, [this, correlation, answer = decodeRelayAnswer(body)] {
+        asio::post(m_strand, [this, correlation = envelope.correlation, answer = decodeRelayAnswer(envelope.body)] {
             auto id = correlation >> relayNumberBits;
             auto relay = static_cast<std::uint32_t>(correlation & relayNumberMask);
             if (auto found = m_running.find(id); found != m_running.end())
@@ -35,17 +59,29 @@
     }
 }
 
-void RouteService::beginRelayed(const std::string& entry, std::uint64_t correlation, RelayedCall call)
+void RouteService::beginRelayed(const Envelope& envelope, RelayedCall call)
 {
+    const auto& entry = envelope.sender;
+    auto correlation = envelope.correlation;
     auto id = ++m_lastId;
-    m_counters.counter("relays_served_total").add();
+    auto now = Clock::now();
     HttpRequest request { std::move(call.method), std::move(call.target), std::move(call.headers),
         std::move(call.body) };
     auto caller = m_protocol.readCallerInfo(request);
+    if (envelope.sentAt)
+        m_counters.latency("relay_age").record(std::max(now - *envelope.sentAt, Duration::zero()));
+    if (envelope.isExpired(now)) {
+        m_counters.counter("relays_expired_total").add();
+        log(LogLevel::Info, "relay",
+            "request id=" + caller.id + " entry=" + entry + " parts=" + std::to_string(call.relay.services.size())
+                + " age_ms=" + formatDecimal(inMilliseconds(now - *envelope.sentAt))
+                + " time_to_live_ms=" + std::to_string(envelope.timeToLive.count()) + " outcome=expired");
+    }
+    m_counters.counter("relays_served_total").add();
     auto fingerprint = fingerprintOf(request);
     auto gather
         = std::make_unique<RelayedGather>(std::move(call.relay), id * RouteExecution::attemptsPerRequest, m_policies);
-    auto actions = gather->start(Clock::now());
+    auto actions = gather->start(now);
     m_relayedIds[{ entry, correlation }] = id;
     m_relayed.emplace(id,
         std::make_unique<RelayedRequest>(RelayedRequest { entry, correlation, std::move(caller), std::move(request),
@@ -56,6 +92,7 @@
 void RouteService::cancelRelayed(const std::string& entry, std::uint64_t correlation)
 {
     auto found = m_relayedIds.find({ entry, correlation });
+    m_counters.counter(found == m_relayedIds.end() ? "relays_cancelled_late_total" : "relays_cancelled_total").add();
     if (found != m_relayedIds.end())
         performRelayed(found->second, m_relayed.at(found->second)->gather->cancel());
 }
@@ -66,7 +103,7 @@
     for (auto attempt : actions.cancels)
         cancelAttempt(relayed.gather->leafOf(attempt), attempt);
     for (const auto& it : actions.answers)
-        m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation);
+        m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation, unlimited);
     for (const auto& it : actions.sends) {
         sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt, leaf = it.leaf](LeafReply reply) {
             auto found = m_relayed.find(id);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -56,8 +56,9 @@
     if (!m_routedSettings.callerAddress.empty()) {
         m_routes = std::make_unique<RouteService>(
             m_io, m_settings.name, m_settings.zone, m_protocol, m_routedSettings.bounds,
-            [this](const std::string& peer, MessageKind kind, std::string body, std::uint64_t correlation) {
-                return sendTo(peer, kind, std::move(body), correlation, Channel::Part);
+            [this](const std::string& peer, MessageKind kind, std::string body, std::uint64_t correlation,
+                milliseconds timeToLive) {
+                return sendTo(peer, kind, std::move(body), correlation, Channel::Part, timeToLive);
             },
             [this](const CrashNotice& notice) { sendToPeers(MessageKind::Suspicion, encodeCrashNotice(notice)); },
             m_counters, m_traffic);
@@ -362,8 +363,7 @@
     case MessageKind::RelayAnswer:
     case MessageKind::RelayCancel:
         if (m_routes)
-            m_routes->onRelayMessage(
-                envelope.sender, static_cast<MessageKind>(envelope.kind), envelope.body, envelope.correlation);
+            m_routes->onRelayMessage(envelope);
         return;
     default:
         Node::onMessage(envelope);
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -52,6 +52,7 @@
     std::uint32_t relay = 0; // index within the request
     std::string peer;
     RelayRequest request;
+    milliseconds wait { 0 }; // the parts are requested elsewhere if the peer has not answered by then
 };
 
 /// Response to the caller.
--- a/query/RouteExecutionRelays.cpp
+++ b/query/RouteExecutionRelays.cpp
@@ -23,7 +23,7 @@
         hedgeDelay + relayOverhead, std::chrono::duration_cast<Duration>(m_route->objective * relayShareOfObjective));
     for (auto& plan : m_policies.planRelays(*m_route, now)) {
         auto number = static_cast<std::uint32_t>(m_relays.size());
-        RelaySend send { number, plan.peer, {} };
+        RelaySend send { number, plan.peer, {}, std::chrono::ceil<milliseconds>(wait) };
         for (auto index : plan.shardIndices) {
             auto& part = m_parts[index];
             part.relay = number;
--- a/tests/LinksTests.cpp
+++ b/tests/LinksTests.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "transport/EnvelopeCodec.h"
 #include "transport/Links.h"
+#include "transport/PeerClock.h"
 #include "transport/SocketCloser.h"
 
 #include <asio.hpp>
@@ -158,6 +159,66 @@
 
 } // namespace
 
+// Guards against an age of a message that is overstated, which would drop it though it is in time, or that is
+// understated by more than the limit.
+TEST_CASE("the clock of a peer is never estimated too low, and not too high by more than the best round trip")
+{
+    const TimePoint own { seconds(1000) };
+    const TimePoint peers { seconds(77) };
+    auto after = [](TimePoint time, int ms) { return time + milliseconds(ms); };
+    PeerClock clock;
+    CHECK_FALSE(clock.at(own));
+    clock.onHeartbeat(own);
+    clock.onAnswer(encodeClockReading(after(peers, 20)), after(own, 30)); // 20 ms to the peer, 10 ms back
+    CHECK(clock.at(after(own, 100)) == after(peers, 120));
+    // A less precise measurement does not replace a better one, but an old one.
+    clock.onHeartbeat(after(own, 200));
+    clock.onAnswer(encodeClockReading(after(peers, 210)), after(own, 300));
+    CHECK(clock.at(after(own, 300)) == after(peers, 320));
+    clock.onHeartbeat(after(own, 60000));
+    clock.onAnswer(encodeClockReading(after(peers, 60010)), after(own, 60100));
+    CHECK(clock.at(after(own, 60100)) == after(peers, 60110));
+}
+
+TEST_CASE("a heartbeat that was answered late, or without a clock, leaves the peer's clock unknown")
+{
+    const TimePoint own { seconds(1000) };
+    PeerClock slow;
+    slow.onHeartbeat(own);
+    slow.onHeartbeat(own + milliseconds(400)); // the answer may belong to the first one
+    slow.onAnswer(encodeClockReading(own), own + milliseconds(410));
+    CHECK_FALSE(slow.at(own));
+    CHECK_FALSE(slow.isSettled());
+    for (const char* reading : { "", "x", "12x", "99999999999999999999" }) {
+        PeerClock older;
+        older.onHeartbeat(own);
+        older.onAnswer(reading, own + milliseconds(1));
+        CHECK_FALSE(older.at(own));
+        CHECK(older.isUnsupported());
+    }
+}
+
+// Builds without the two fields reject an envelope that has them.
+TEST_CASE("an envelope has the fields about its age only if its sender knows the peer's clock")
+{
+    WireEnvelope wire;
+    wire.envelope.from = "10.0.0.1:7400";
+    wire.envelope.timeToLive = milliseconds(80);
+    auto without = encodeWire(wire);
+    wire.envelope.sentAt = TimePoint(seconds(5));
+    auto with = encodeWire(wire);
+    CHECK(decodeWire(without)->envelope.sentAt == std::nullopt);
+    CHECK(without.substr(1) == with.substr(1, without.size() - 1));
+    auto read = decodeWire(with);
+    REQUIRE(read);
+    CHECK(read->envelope.sentAt == wire.envelope.sentAt);
+    CHECK(read->envelope.timeToLive == milliseconds(80));
+    CHECK_FALSE(read->envelope.isExpired(TimePoint(seconds(5)) + milliseconds(79)));
+    CHECK(read->envelope.isExpired(TimePoint(seconds(5)) + milliseconds(80)));
+    wire.envelope.sentAt = TimePoint(Duration::min());
+    CHECK_FALSE(decodeWire(encodeWire(wire)));
+}
+
 // Guards against losing a field, and against accepting bytes of another format as an envelope.
 TEST_CASE("an envelope is decoded as it was encoded, and corrupt bytes are rejected")
 {
--- a/transport/EnvelopeCodec.cpp
+++ b/transport/EnvelopeCodec.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::uint32_t fieldCount = 8;
-constexpr std::size_t maxNameBytes = 256; // of `from` and of `sender`
+constexpr std::uint32_t timedFieldCount = 10; // of an envelope with a `sentAt`; sent only to peers that support it
+constexpr std::size_t maxNameBytes = 256;     // of `from` and of `sender`
 
 std::string bytesOf(const msgpack::object& field)
 {
@@ -20,7 +21,8 @@
 
 WireEnvelope wireOf(const msgpack::object& object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != fieldCount)
+    if (object.type != msgpack::type::ARRAY
+        || (object.via.array.size != fieldCount && object.via.array.size != timedFieldCount))
         throw msgpack::type_error();
     const msgpack::object* fields = object.via.array.ptr;
     WireEnvelope wire;
@@ -35,6 +37,12 @@
     wire.envelope.correlation = fields[5].as<std::uint64_t>();
     wire.envelope.kind = fields[6].as<std::uint16_t>();
     wire.envelope.body = bytesOf(fields[7]);
+    if (object.via.array.size == timedFieldCount) {
+        wire.envelope.sentAt = TimePoint(Duration(fields[8].as<Duration::rep>()));
+        if (*wire.envelope.sentAt < TimePoint())
+            throw msgpack::type_error();
+        wire.envelope.timeToLive = milliseconds(fields[9].as<std::uint32_t>());
+    }
     return wire;
 }
 
@@ -45,7 +53,7 @@
     msgpack::sbuffer buf;
     msgpack::packer<msgpack::sbuffer> packer(buf);
     const Envelope& envelope = wire.envelope;
-    packer.pack_array(fieldCount);
+    packer.pack_array(envelope.sentAt ? timedFieldCount : fieldCount);
     packer.pack(wire.epoch);
     packer.pack(static_cast<std::uint8_t>(wire.channel));
     packer.pack(envelope.from);
@@ -55,6 +63,10 @@
     packer.pack(envelope.kind);
     packer.pack_bin(static_cast<std::uint32_t>(envelope.body.size()));
     packer.pack_bin_body(envelope.body.data(), static_cast<std::uint32_t>(envelope.body.size()));
+    if (envelope.sentAt) {
+        packer.pack(envelope.sentAt->time_since_epoch().count());
+        packer.pack(static_cast<std::uint32_t>(envelope.timeToLive.count()));
+    }
     return { buf.data(), buf.size() };
 }
 
@@ -63,7 +75,7 @@
     try {
         std::size_t offset = 0;
         // An envelope has a depth of 2. The limits bound the memory that malicious input can allocate.
-        const msgpack::unpack_limit limit(fieldCount, 0, maxNameBytes, bytes.size(), 0, 2);
+        const msgpack::unpack_limit limit(timedFieldCount, 0, maxNameBytes, bytes.size(), 0, 2);
         const msgpack::object_handle handle
             = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
         if (offset != bytes.size())
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -90,8 +90,11 @@
         bool usable = false;
         if (dialer) {
             const std::lock_guard lock(m_mutex);
-            dialer->lastUse = Clock::now();
+            const TimePoint now = Clock::now();
+            dialer->lastUse = now;
             usable = dialer->state != Dialer::State::Down;
+            if (envelope.timeToLive > milliseconds::zero())
+                envelope.sentAt = dialer->peerClock.at(now);
         }
         accepted = usable && push(key, *dialer, std::move(envelope));
     }
@@ -259,7 +262,8 @@
         const std::lock_guard lock(m_mutex);
         dialer->lastPeerUse = Clock::now();
     }
-    push(key, *dialer, { .correlation = wire.epoch, .kind = heartbeatAnswerKind });
+    push(key, *dialer,
+        { .correlation = wire.epoch, .kind = heartbeatAnswerKind, .body = encodeClockReading(Clock::now()) });
 }
 
 /// Marks the channel as up, unless the answer belongs to a connection that was replaced or has ended.
@@ -271,7 +275,9 @@
         const auto it = m_dialers.find(key);
         if (it == m_dialers.end() || it->second->epoch != wire.envelope.correlation || it->second->lostPipe)
             return;
-        it->second->lastAnswer = Clock::now();
+        const TimePoint now = Clock::now();
+        it->second->lastAnswer = now;
+        it->second->peerClock.onAnswer(wire.envelope.body, now);
         if (it->second->state == Dialer::State::Up)
             return;
         it->second->state = Dialer::State::Up;
@@ -279,8 +285,12 @@
     reportState(key, true);
 }
 
-void Links::Impl::sendHeartbeat(const DialerKey& key, const Dialer& dialer, bool inUse)
+void Links::Impl::sendHeartbeat(const DialerKey& key, Dialer& dialer, bool inUse)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        dialer.peerClock.onHeartbeat(Clock::now());
+    }
     push(key, dialer, { .kind = heartbeatKind, .body = inUse ? "1" : "0" });
 }
 
@@ -329,7 +339,7 @@
     {
         const std::lock_guard lock(m_mutex);
         hasPipe = dialer->hasPipe;
-        isDue = isDue || dialer->state != Dialer::State::Up;
+        isDue = isDue || dialer->state != Dialer::State::Up || !dialer->peerClock.isSettled();
         inUse = now - dialer->lastUse < m_settings.idleTimeout;
         const bool timedOut
             = now - std::max(dialer->openedAt, dialer->lastAnswer) > intervals * m_settings.heartbeatTimeout;
--- a/transport/Links.h
+++ b/transport/Links.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace asio {
 class io_context;
@@ -32,6 +33,14 @@
     std::uint64_t correlation = 0; // correlates an answer with its request
     std::uint16_t kind = 0;        // below `firstReservedKind`
     std::string body;              // msgpack of the message
+    /// How long the message is of use to its sender; 0: without limit. The handler of the receiver checks it.
+    milliseconds timeToLive { 0 };
+    /// In a received message with a `timeToLive`: when it was sent, on this daemon's clock, or up to
+    /// PeerClock::maxRoundTrip later. Absent if the sender does not know this daemon's clock.
+    std::optional<TimePoint> sentAt {};
+
+    /// Whether a received message is older than its `timeToLive`.
+    bool isExpired(TimePoint now) const { return sentAt && now - *sentAt >= timeToLive; }
 };
 
 constexpr std::uint16_t firstReservedKind = 0xFF00; // this and higher kinds are used by the links themselves
--- a/transport/LinksImpl.h
+++ b/transport/LinksImpl.h
@@ -4,6 +4,7 @@
 
 #include "transport/EnvelopeCodec.h"
 #include "transport/Links.h"
+#include "transport/PeerClock.h"
 
 #include <array>
 #include <asio.hpp>
@@ -35,6 +36,7 @@
     TimePoint lastAnswer;
     TimePoint lastUse;     // last send by the daemon
     TimePoint lastPeerUse; // last heartbeat by which the peer reported that it uses the channel
+    PeerClock peerClock;   // of the process at the other end of this connection
 };
 
 /// Newest connection of a peer for one channel. Messages of older ones of the same incarnation are dropped.
@@ -103,7 +105,7 @@
     void discard(Dialer&);
     void redial(const DialerKey&, const std::shared_ptr<Dialer>& old);
     bool push(const DialerKey&, const Dialer&, Envelope&&);
-    void sendHeartbeat(const DialerKey&, const Dialer&, bool inUse);
+    void sendHeartbeat(const DialerKey&, Dialer&, bool inUse);
     void reportState(const DialerKey&, bool up);
     void scheduleTick();
     void tick();
