Do not start relay requests whose entry no longer waits for them

Cause: a relay request carried its time limit as a duration that began when the peer handled it, and nothing said how old it was. A peer that was behind, or a link that was opening, delayed the request and its cancel alike; the peer handles them in order, so it sent all parts of the group before it saw the cancel. Without the cancel (lost with its link) the parts ran to their deadline.

Now a relay request lives as long as its entry waits for the first answer (RelaySend::wait). Links refuse such a message until the peer's clock is known, so it never waits for a channel to open; the parts then go to leaves directly. The peer drops it once it is older, whatever happened to the cancel, and counts its age into the time limits of the leaves and of the batch.

--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -63,7 +63,6 @@
 {
     const auto& entry = envelope.sender;
     auto correlation = envelope.correlation;
-    auto id = ++m_lastId;
     auto now = Clock::now();
     HttpRequest request { std::move(call.method), std::move(call.target), std::move(call.headers),
         std::move(call.body) };
@@ -76,7 +75,15 @@
             "request id=" + caller.id + " entry=" + entry + " parts=" + std::to_string(call.relay.services.size())
                 + " age_ms=" + formatDecimal(inMilliseconds(now - *envelope.sentAt))
                 + " time_to_live_ms=" + std::to_string(envelope.timeToLive.count()) + " outcome=expired");
+        return;
     }
+    if (envelope.sentAt) {
+        // The entry instance counts these times from its send.
+        auto age = std::chrono::floor<milliseconds>(std::max(now - *envelope.sentAt, Duration::zero()));
+        call.relay.remaining = std::max(call.relay.remaining - age, milliseconds::zero());
+        call.relay.batchAfter = std::max(call.relay.batchAfter - age, milliseconds::zero());
+    }
+    auto id = ++m_lastId;
     m_counters.counter("relays_served_total").add();
     auto fingerprint = fingerprintOf(request);
     auto gather
--- a/tests/LinksTests.cpp
+++ b/tests/LinksTests.cpp
@@ -277,6 +277,25 @@
 }
 
 // Guards against keeping a connection that is open but no longer delivers anything, although a new one would work.
+TEST_CASE("a message with a time to live does not wait for its channel to open")
+{
+    const std::string address = freeAddress();
+    Node sender("sender");
+    auto send
+        = [&] { return sender.links->send(address, Channel::Part, { .kind = 3, .timeToLive = milliseconds(100) }); };
+    CHECK_FALSE(send());
+    LinkSettings settings;
+    settings.listenAddress = address;
+    Node receiver("receiver", settings);
+    REQUIRE(eventually(send));
+    REQUIRE(receiver.waitFor([&] { return !receiver.received.empty(); }));
+    const std::lock_guard lock(receiver.mutex);
+    REQUIRE(receiver.received.front().sentAt);
+    CHECK(receiver.received.front().timeToLive == milliseconds(100));
+    CHECK(*receiver.received.front().sentAt < Clock::now() + PeerClock::maxRoundTrip);
+    CHECK(receiver.received.size() == 1);
+}
+
 TEST_CASE("an unresponsive connection is reported down and replaced")
 {
     Node caller("a");
--- a/tests/RouteExecutionTests.cpp
+++ b/tests/RouteExecutionTests.cpp
@@ -404,6 +404,18 @@
     CHECK(last.finish->answer.body == record('m') + record('m') + record('m'));
 }
 
+// Guards against a peer that starts on a relay request whose answer is not used any more.
+TEST_CASE("a relay request is of use until its parts are requested elsewhere, not until the deadline")
+{
+    RelayFixture it;
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.relays.size() == 1);
+    auto wait = actions.relays[0].wait;
+    CHECK(wait > milliseconds(0));
+    CHECK(it.execution().onTimer(start + wait - milliseconds(1)).sends.empty());
+    CHECK(it.execution().onTimer(start + wait).sends.size() == 4);
+}
+
 // Guards against exceeding the shared budget because the peer, and not this instance, sent the refused part.
 TEST_CASE("a refusal that a peer reports counts towards the shared budget")
 {
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -93,8 +93,10 @@
             const TimePoint now = Clock::now();
             dialer->lastUse = now;
             usable = dialer->state != Dialer::State::Down;
-            if (envelope.timeToLive > milliseconds::zero())
+            if (envelope.timeToLive > milliseconds::zero()) {
                 envelope.sentAt = dialer->peerClock.at(now);
+                usable = usable && (envelope.sentAt || dialer->peerClock.isUnsupported());
+            }
         }
         accepted = usable && push(key, *dialer, std::move(envelope));
     }
--- a/transport/Links.h
+++ b/transport/Links.h
@@ -36,7 +36,7 @@
     /// How long the message is of use to its sender; 0: without limit. The handler of the receiver checks it.
     milliseconds timeToLive { 0 };
     /// In a received message with a `timeToLive`: when it was sent, on this daemon's clock, or up to
-    /// PeerClock::maxRoundTrip later. Absent if the sender does not know this daemon's clock.
+    /// PeerClock::maxRoundTrip later. Absent if the build of one of them does not support it.
     std::optional<TimePoint> sentAt {};
 
     /// Whether a received message is older than its `timeToLive`.
@@ -101,7 +101,7 @@
     std::string address() const;
     /// Queues one envelope without blocking. False means that it was not sent and never will be: the channel is down or
     /// cannot be opened, its queue is full, the address is malformed, the envelope is too large or its kind is
-    /// reserved. True does not guarantee delivery.
+    /// reserved, or it has a `timeToLive` and the peer's clock is not known yet. True does not guarantee delivery.
     bool send(const std::string& address, Channel, Envelope);
     /// Opens the channel if it is closed and keeps it open for another `idleTimeout`, without sending an envelope.
     /// Saves the next envelope the wait until both directions are connected. Does nothing if the address is malformed.
