Do not start requests whose caller left before they were read

Callers saw nothing; a leaf ran a request whose caller had closed the connection while the entry was behind.

Cause: HttpServer passes a request to its handler before it reads what follows. If a process was behind, the end of the connection is already in its socket; the handler sends the parts, and the close cancels them afterwards.

Now HttpServer looks ahead for the end of the connection before it calls the handler, for callers' servers only (detectsEarlyDisconnects): operators' and leaves' calls are carried out whether or not the sender waits. RouteService and EntryService do not start such a request; RouteService logs it.

--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -31,6 +31,7 @@
                                    } });
     HttpServerSettings callers;
     callers.address = settings.callerAddress;
+    callers.detectsEarlyDisconnects = true;
     m_callerServer = std::make_unique<HttpServer>(m_io, callers,
         [this](const HttpRequest& request, const Responder& responder) { m_entry->onRequest(request, responder); });
     AdminServerSettings admin;
--- a/daemon/EntryService.cpp
+++ b/daemon/EntryService.cpp
@@ -83,6 +83,8 @@
 
 void EntryService::startQuery(const HttpRequest& request, const Responder& responder)
 {
+    if (responder.isCallerDisconnected())
+        return;
     auto query = parseQuery(request.body);
     auto configuration = m_configuration.current();
     auto rules = rulesOf(*configuration, query.service, query.deadline);
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -189,6 +189,13 @@
 void RouteService::handleRequest(HttpRequest request, Responder responder, TimePoint arrivedAt)
 {
     auto caller = m_protocol.readCallerInfo(request);
+    if (responder.isCallerDisconnected()) {
+        m_counters.counter("route_callers_gone_total").add();
+        log(LogLevel::Info, "query",
+            "request id=" + caller.id + " target=" + request.target + " outcome=caller_gone; it was not started");
+        --m_runningCount;
+        return;
+    }
     const auto& table = m_policies.table();
     if (table->configuration().version == 0) {
         refuse(caller, request, responder,
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -64,6 +64,7 @@
             m_counters, m_traffic);
         HttpServerSettings callers;
         callers.address = m_routedSettings.callerAddress;
+        callers.detectsEarlyDisconnects = true;
         m_callerServer = std::make_unique<HttpServer>(m_io, callers, [this](HttpRequest request, Responder responder) {
             m_routes->onRequest(std::move(request), std::move(responder));
         });
--- /dev/null
+++ b/tests/RouteServiceTests.cpp
@@ -0,0 +1,124 @@
+// An entry instance between a caller and one leaf: HttpServer, RouteService and connections to the leaf, on one
+// io_context that the tests run step by step. Guards against work that is started for callers that have left.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "daemon/RouteService.h"
+#include "platform/RequestProtocol.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace citronplank;
+
+namespace {
+
+using asio::ip::tcp;
+
+/// Time in which bytes on the loopback interface reach the socket of their receiver.
+constexpr milliseconds arrivalTime { 50 };
+
+struct Fixture {
+    Fixture()
+    {
+        HttpServerSettings leafSettings;
+        leafSettings.address = "127.0.0.1:0";
+        leaf = std::make_unique<HttpServer>(leafIo, leafSettings, [this](const HttpRequest&, const Responder& it) {
+            ++arrivals;
+            if (isLeafSilent)
+                silenced.push_back(it);
+            else
+                it.answer({ 200, "", "ok", { { "Server-Stamp", "stamp" } } });
+        });
+        leaf->start();
+        HttpServerSettings settings;
+        settings.address = "127.0.0.1:0";
+        settings.detectsEarlyDisconnects = true;
+        server = std::make_unique<HttpServer>(io, settings, [this](HttpRequest request, Responder responder) {
+            routes.onRequest(std::move(request), std::move(responder));
+        });
+        server->start();
+        Route route;
+        route.name = "one";
+        route.host = "h.example";
+        route.pathPrefix = "/one/";
+        route.attempts = 2;
+        route.objective = milliseconds(100);
+        route.targets = { { "service" } };
+        ServingConfiguration configuration;
+        configuration.version = 1;
+        configuration.routes = { route };
+        configuration.services["service"] = { 25, 0 };
+        routes.setTable(std::make_shared<const RouteTable>(configuration));
+        std::vector<Announcement> leaves;
+        for (const char* name : { "a", "b" }) {
+            Announcement announcement;
+            announcement.leaf = name;
+            announcement.service = "service";
+            announcement.zone = "atl";
+            announcement.address = leaf->address();
+            announcement.slots = 2;
+            leaves.push_back(announcement);
+        }
+        routes.setLeaves(leaves);
+        run(milliseconds(20));
+    }
+    ~Fixture()
+    {
+        routes.stop();
+        run(milliseconds(20));
+        leafIo.stop();
+        leafThread.join();
+    }
+    void run(milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+    /// Connects a caller and sends a request. The server has not run since.
+    tcp::socket sendRequest()
+    {
+        tcp::socket caller(callerIo);
+        auto address = server->address();
+        caller.connect({ asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))) });
+        const std::string request = "GET /one/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id\r\n\r\n";
+        asio::write(caller, asio::buffer(request));
+        return caller;
+    }
+
+    std::atomic<int> arrivals { 0 }; // requests at the leaf
+    std::atomic<bool> isLeafSilent { false };
+    std::vector<Responder> silenced;
+    asio::io_context leafIo;
+    asio::executor_work_guard<asio::io_context::executor_type> leafWork { leafIo.get_executor() };
+    asio::io_context callerIo;
+    asio::io_context io;
+    std::unique_ptr<HttpServer> leaf;
+    std::unique_ptr<HttpServer> server;
+    Counters counters;
+    TrafficCounters traffic { counters };
+    platform::RequestProtocol protocol;
+    RouteService routes { io, "entry", "atl", protocol, {},
+        [](const std::string&, MessageKind, const std::string&, std::uint64_t, milliseconds) { return false; },
+        [](const CrashNotice&) {}, counters, traffic };
+    std::thread leafThread { [this] { leafIo.run(); } };
+};
+
+} // namespace
+
+TEST_CASE("a request whose caller closed the connection before it was read is not sent to a leaf")
+{
+    Fixture it;
+    auto caller = it.sendRequest();
+    caller.close();
+    std::this_thread::sleep_for(arrivalTime);
+    it.run(milliseconds(300));
+    CHECK(it.arrivals == 0);
+    CHECK(it.routes.runningCount() == 0);
+    CHECK(it.counters.counter("route_callers_gone_total").value() == 1);
+    // A caller that stays is served.
+    auto other = it.sendRequest();
+    it.run(milliseconds(300));
+    CHECK(it.arrivals == 1);
+}
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -147,6 +147,7 @@
     void readDone(const std::error_code&, std::size_t n);
     void parse();
     int headersComplete();
+    bool hasCallerClosed();
     void handle();
     void refuse(ErrorKind, std::string_view message);
     void write(const HttpResponse&, bool close);
@@ -333,6 +334,16 @@
     return 0;
 }
 
+/// Whether the caller has closed the connection and has sent nothing after the current request. The end of the
+/// connection may be known to the kernel before this server has read it.
+bool HttpServer::Connection::hasCallerClosed()
+{
+    char next = 0;
+    std::error_code ec;
+    m_socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, ec);
+    return ec == asio::error::eof || ec == asio::error::connection_reset;
+}
+
 void HttpServer::Connection::handle()
 {
     m_phase = Phase::Handling;
@@ -348,6 +359,8 @@
             });
         });
     m_responder = state;
+    if (m_shared->settings().detectsEarlyDisconnects && hasCallerClosed())
+        state->callerDisconnected();
     m_shared->count([](HttpServerCounters& counters) { ++counters.requests; });
     if (m_shared->isStopped())
         return;
