Send no hedges and retries for a caller whose disconnect is queued

Cause: when a process that stood still goes on, the end of the caller's connection and the request's timer are both due. The connection reports the end by a posted notification, so the timer is handled first and sends a hedge.

Now RouteService asks the responder before it handles a timer, a reply or an answer of a peer, and ends the request if its caller has disconnected. The end of a reply that came is still counted for its leaf.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -330,6 +330,11 @@
     auto result = m_protocol.readReply(std::move(reply), found->second->caller);
     result.attempt = attempt;
     recordAttemptEnd(found->second->fingerprint, found->second->caller, leaf, result.status);
+    if (found->second->responder.isCallerDisconnected()) {
+        m_policies.onEnd(leaf.leaf, attempt, attemptEndOf(result.status), Clock::now());
+        onCallerDisconnected(id);
+        return;
+    }
     if (result.status != AttemptResult::Status::Answered)
         logAttempt(*found->second, leaf, result);
     perform(id, found->second->execution->onResult(std::move(result), Clock::now()));
@@ -405,12 +410,25 @@
 }
 
 void RouteService::onTimer(Id id)
+{
+    auto* running = findConnected(id);
+    if (!running)
+        return;
+    running->timerAt.reset();
+    perform(id, running->execution->onTimer(Clock::now()));
+}
+
+/// Returns a running request, or null if there is none. If its caller has disconnected, but the notification is still
+/// queued, ends the request, so that it sends nothing more.
+RouteService::RunningRequest* RouteService::findConnected(Id id)
 {
     auto found = m_running.find(id);
     if (found == m_running.end())
-        return;
-    found->second->timerAt.reset();
-    perform(id, found->second->execution->onTimer(Clock::now()));
+        return nullptr;
+    if (!found->second->responder.isCallerDisconnected())
+        return found->second.get();
+    onCallerDisconnected(id);
+    return nullptr;
 }
 
 void RouteService::onCallerDisconnected(Id id)
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -137,6 +137,7 @@
     void finish(Id, RouteOutcome);
     void onReply(Id, std::uint64_t attempt, const Announcement& leaf, LeafReply);
     void onTimer(Id);
+    RunningRequest* findConnected(Id);
     void onCallerDisconnected(Id);
     void logAnswer(const RunningRequest&, const RouteOutcome&, TimePoint now);
     static double inMilliseconds(Duration);
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -19,8 +19,8 @@
     if (m_sender(send.peer, MessageKind::RelayRequest, encode(call), (id << relayNumberBits) | send.relay, send.wait))
         return;
     asio::post(m_strand, [this, id, relay = send.relay] {
-        if (auto found = m_running.find(id); found != m_running.end())
-            perform(id, found->second->execution->onRelayFailed(relay, Clock::now()));
+        if (auto* running = findConnected(id))
+            perform(id, running->execution->onRelayFailed(relay, Clock::now()));
     });
 }
 
@@ -53,8 +53,8 @@
         asio::post(m_strand, [this, correlation = envelope.correlation, answer = decodeRelayAnswer(envelope.body)] {
             auto id = correlation >> relayNumberBits;
             auto relay = static_cast<std::uint32_t>(correlation & relayNumberMask);
-            if (auto found = m_running.find(id); found != m_running.end())
-                perform(id, found->second->execution->onRelayAnswer(relay, answer, Clock::now()));
+            if (auto* running = findConnected(id))
+                perform(id, running->execution->onRelayAnswer(relay, answer, Clock::now()));
         });
     }
 }
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -122,3 +122,18 @@
     it.run(milliseconds(300));
     CHECK(it.arrivals == 1);
 }
+
+TEST_CASE("a hedge that falls due while the process stands still is not sent if the caller left meanwhile")
+{
+    Fixture it;
+    it.isLeafSilent = true;
+    auto caller = it.sendRequest();
+    std::this_thread::sleep_for(arrivalTime);
+    it.run(milliseconds(5));
+    REQUIRE(it.arrivals <= 1);
+    caller.close();
+    std::this_thread::sleep_for(milliseconds(300)); // longer than any hedge delay
+    it.run(milliseconds(300));
+    CHECK(it.arrivals == 1);
+    CHECK(it.counters.counter("route_callers_gone_total").value() == 1);
+}
