Do not send a request that was cancelled while its connection was being opened

A leaf got a request after it was cancelled, up to the grace time of a cancel (250 ms) later or, if the process stood still meanwhile, any time later.

Cause: UpstreamClient::cancel replaces the callback and starts the grace time, but the connect handler sends the request all the same.

Now the connection goes to the pool and the attempt ends as NotSent, which says nothing about the leaf (AttemptEnd::Abandoned; it was counted as lost before, as was one that found no free connection).

The test 'a cancelled request that is answered in time keeps its connection' cancelled its request before the connect had ended and so relied on the fault. It now opens the connection first; its checks are the same, and one is added.

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -91,8 +91,13 @@
     m_exchanges.at(attempt).connection = connection;
     connection->connect(pool.endpoint, m_settings.connectTimeout,
         [self = shared_from_this(), attempt, request = std::move(request)](bool ok) mutable {
-            if (!self->m_exchanges.contains(attempt))
+            auto found = self->m_exchanges.find(attempt);
+            if (found == self->m_exchanges.end())
                 return;
+            if (ok && found->second.graceTimer) {
+                self->endUnsent(attempt);
+                return;
+            }
             if (ok) {
                 self->start(attempt, std::move(request));
                 return;
@@ -100,7 +105,7 @@
             ++self->m_counters.connectFailures;
             // A leaf with other open connections is running, so this takes the failure to mean that the leaf accepts no
             // more connections.
-            auto pool = self->m_pools.find(self->m_exchanges.at(attempt).poolName);
+            auto pool = self->m_pools.find(found->second.poolName);
             bool isFull = pool != self->m_pools.end() && pool->second.open > 1;
             LeafReply reply;
             reply.end = isFull ? LeafReply::End::NoFreeConnection : LeafReply::End::NotWritten;
@@ -108,6 +113,18 @@
         });
 }
 
+/// Ends an attempt that was cancelled while its connection was being opened, and keeps the connection.
+void UpstreamClient::endUnsent(std::uint64_t attempt)
+{
+    auto node = m_exchanges.extract(attempt);
+    auto& exchange = node.mapped();
+    exchange.graceTimer->cancel();
+    keepOrClose(exchange.poolName, exchange.connection, true, m_settings.idleTimeout);
+    LeafReply reply;
+    reply.end = LeafReply::End::NotWritten;
+    exchange.callback(std::move(reply));
+}
+
 void UpstreamClient::start(std::uint64_t attempt, std::string request)
 {
     ++m_counters.exchanges;
@@ -195,7 +212,10 @@
     ++m_counters.cancelled;
     auto& exchange = found->second;
     exchange.callback = [done](const LeafReply& reply) {
-        done(reply.end == LeafReply::End::Complete ? CancelResult::Answered : CancelResult::Ended);
+        bool isUnsent = reply.end == LeafReply::End::NotWritten || reply.end == LeafReply::End::NoFreeConnection;
+        done(reply.end == LeafReply::End::Complete ? CancelResult::Answered
+                : isUnsent                         ? CancelResult::NotSent
+                                                   : CancelResult::Ended);
     };
     exchange.graceTimer = std::make_shared<LeafConnection::Timer>(m_strand);
     exchange.graceTimer->expires_after(grace);
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -50,9 +50,9 @@
     /// Precondition: `attempt` is unique among the running ones.
     void send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request, bool isHead,
         Callback callback);
-    /// How a cancelled attempt ended: with a complete response (Answered), without one (Ended), or not before the end
-    /// of its grace period (Unresponsive).
-    enum class CancelResult : std::uint8_t { Answered, Ended, Unresponsive };
+    /// How a cancelled attempt ended: before it was written (NotSent), with a complete response (Answered), without one
+    /// (Ended), or not before the end of its grace period (Unresponsive).
+    enum class CancelResult : std::uint8_t { NotSent, Answered, Ended, Unresponsive };
     /// Discards the result of an attempt. Its connection is kept if the response arrives within `grace`; otherwise it
     /// is closed, so that the leaf stops working on the request. `done` runs once with the result of the cancellation;
     /// it is not called for an unknown attempt.
@@ -94,6 +94,7 @@
     Pool& poolOf(const Announcement&);
     void connect(std::uint64_t attempt, Pool&, std::string request);
     void start(std::uint64_t attempt, std::string request);
+    void endUnsent(std::uint64_t attempt);
     void onReply(std::uint64_t attempt, LeafReply);
     void reuse(const std::string& poolName, const Connection&, const LeafReply&);
     void keepOrClose(const std::string& poolName, const Connection&, bool isReusable, Duration idleTimeout);
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -31,6 +31,21 @@
     return "error";
 }
 
+AttemptEnd attemptEndOf(UpstreamClient::CancelResult result)
+{
+    switch (result) {
+    case UpstreamClient::CancelResult::NotSent:
+        return AttemptEnd::Abandoned;
+    case UpstreamClient::CancelResult::Answered:
+        return AttemptEnd::Answered;
+    case UpstreamClient::CancelResult::Unresponsive:
+        return AttemptEnd::Unresponsive;
+    case UpstreamClient::CancelResult::Ended:
+        break;
+    }
+    return AttemptEnd::Lost;
+}
+
 /// Returns the number after which request ids start. It is taken from the wall clock, so that ids differ between
 /// incarnations of this instance and a late answer to a request of an earlier incarnation matches no request of this
 /// one. Its 40 bits leave room for the attempts or the relay number of each request in a 64-bit number.
@@ -281,9 +296,7 @@
 void RouteService::cancelAttempt(const std::string& leaf, std::uint64_t attempt)
 {
     m_upstream->cancel(attempt, cancelGracePeriod, [this, leaf, attempt](UpstreamClient::CancelResult result) {
-        auto end = result == UpstreamClient::CancelResult::Answered ? AttemptEnd::Answered
-            : result == UpstreamClient::CancelResult::Unresponsive  ? AttemptEnd::Unresponsive
-                                                                    : AttemptEnd::Lost;
+        auto end = attemptEndOf(result);
         bool wasDown = m_policies.selector().isDown(leaf);
         m_policies.onEnd(leaf, attempt, end, Clock::now());
         if (!wasDown && m_policies.selector().isDown(leaf))
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -35,6 +35,7 @@
         return it;
     }
     int connections = 0; // accepted so far
+    int requests = 0;    // whose heads were read
     bool isSilent = false;
     std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     bool closesAfterReply = false;
@@ -58,6 +59,7 @@
             *socket, asio::dynamic_buffer(*buf), "\r\n\r\n", [this, socket, buf](std::error_code ec, std::size_t) {
                 if (ec)
                     return;
+                ++requests;
                 m_openSockets.push_back(socket);
                 if (isSilent)
                     return;
@@ -152,10 +154,27 @@
     CHECK(it.exchange(1)->end == LeafReply::End::Complete);
 }
 
+TEST_CASE("a request that was cancelled while its connection was being opened is not sent")
+{
+    ClientFixture it;
+    it.client->send(
+        101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
+    std::optional<UpstreamClient::CancelResult> result;
+    it.client->cancel(101, milliseconds(500), [&](UpstreamClient::CancelResult end) { result = end; });
+    it.runFor(milliseconds(100));
+    CHECK(result == UpstreamClient::CancelResult::NotSent);
+    CHECK(it.leaf.requests == 0);
+    // The connection is kept and counts towards the limit.
+    CHECK(it.exchange(1)->end == LeafReply::End::Complete);
+    CHECK(it.leaf.connections == 1);
+}
+
 // Guards against a new connection for each cancelled request, and against an answer that is reported after the cancel.
 TEST_CASE("a cancelled request that is answered in time keeps its connection")
 {
     ClientFixture it;
+    CHECK(
+        it.exchange(1)->end == LeafReply::End::Complete); // its connection is open, so the next request is sent at once
     it.client->send(
         101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
     std::optional<UpstreamClient::CancelResult> result;
--- a/transport/HttpServer.h
+++ b/transport/HttpServer.h
@@ -49,8 +49,9 @@
     milliseconds bodyTimeout { 5000 };   // from the end of the header
     milliseconds idleTimeout { 30000 };  // between requests of one connection
     milliseconds writeTimeout { 10000 }; // for sending the whole response
-    /// Checks before each call of the handler whether the caller has closed the connection already, so that the responder
-    /// reports it as disconnected from the start. A caller that has only shut down its sending side gets no response.
+    /// Checks before each call of the handler whether the caller has closed the connection already, so that the
+    /// responder reports it as disconnected from the start. A caller that has only shut down its sending side gets no
+    /// response.
     bool detectsEarlyDisconnects = false;
 };
 
