Bound what a leaf may send in one exchange

Cause: interim responses were read without limit, and so were the chunk headers of a body whose data stays below the limit. The exchange lasted until the deadline of its request (seconds for a forwarded one), at the processor time of reading. Header lines, trailers, empty lines and bodies were bounded before (http_parser, maxAnswerBytes).

Now a head, interim responses included, may have 64 KiB, and a whole exchange twice the limit of a body in addition. A slow leaf is bounded by the deadline and the grace time of a cancel, as before; a test shows it.

A test cuts four responses, and the head of a response without a length, at each of their bytes: none counts as complete. It passed on the code before too; this fault does not exist here.

Not bounded: the sum over all exchanges (4 MiB each); the machine's link bounds it.

--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -9,7 +9,11 @@
 namespace {
 
 constexpr std::size_t maxHeaderLineBytes = 4096; // of the name and of the value of a header, each
-constexpr milliseconds writeGrace { 20 };        // how long to wait for the end of a write, see `complete`
+/// Of everything before the body, interim responses included.
+constexpr std::size_t maxHeadBytes = std::size_t { 64 } << 10U;
+/// Received bytes of one exchange per byte that a body may have. A chunked body has its chunk headers in addition.
+constexpr std::size_t maxFramingFactor = 2;
+constexpr milliseconds writeGrace { 20 }; // how long to wait for the end of a write, see `complete`
 
 template <typename Number>
 std::optional<Number> numberIn(const std::string& text)
@@ -84,6 +88,7 @@
     m_phase = Phase::Busy;
     m_done = std::move(done);
     m_reply = {};
+    m_received = 0;
     m_written = false;
     m_hasMessage = false;
     ++m_exchanges;
@@ -161,7 +166,13 @@
     }
     m_lastReceived = Clock::now();
     m_reply.anyByteReceived = true;
+    m_received += n;
+    bool isInHead = m_reply.status == 0;
     parse(n);
+    // A leaf that sends without end would otherwise keep this instance busy until the deadline of the request.
+    bool isEndless = m_received > (isInHead ? maxHeadBytes : maxHeadBytes + maxFramingFactor * m_maxAnswerBytes);
+    if (m_phase == Phase::Busy && !m_awaitsWrite && isEndless)
+        finish(LeafReply::End::Malformed);
     if (m_phase != Phase::Closed)
         read();
 }
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -92,6 +92,7 @@
     bool m_awaitsWrite = false; // the response is complete, but not the write of the request
     bool m_inHeaderValue = false;
     std::uint64_t m_exchanges = 0;
+    std::size_t m_received = 0; // bytes of the current exchange
     TimePoint m_lastReceived = Clock::now();
     http_parser m_parser {};
     std::array<char, 8192> m_buf {};
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -23,6 +23,7 @@
 public:
     explicit FakeLeaf(asio::io_context& io)
         : m_acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_dripTimer(io)
     {
         accept();
     }
@@ -39,6 +40,10 @@
     bool isSilent = false;
     std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     bool closesAfterReply = false;
+    std::string endless;       // sent after `reply` again and again until the connection ends; empty: nothing
+    bool isEnded = false;      // a connection with endless bytes was closed by the client
+    std::size_t sentBytes = 0; // of endless bytes
+    std::optional<milliseconds> dripInterval; // between single bytes that follow `reply`; absent: none follow
 
 private:
     using Socket = std::shared_ptr<asio::ip::tcp::socket>;
@@ -64,16 +69,49 @@
                 if (isSilent)
                     return;
                 asio::write(*socket, asio::buffer(reply), ec);
-                if (closesAfterReply)
+                if (!endless.empty())
+                    sendEndless(socket);
+                else if (dripInterval)
+                    drip(socket);
+                else if (closesAfterReply)
                     socket->close();
                 else
                     serve(socket);
             });
     }
+    void drip(const Socket& socket)
+    {
+        m_dripTimer.expires_after(*dripInterval);
+        m_dripTimer.async_wait([this, socket](std::error_code) {
+            std::error_code ec;
+            asio::write(*socket, asio::buffer("x", 1), ec);
+            isEnded = bool(ec);
+            if (!ec)
+                drip(socket);
+        });
+    }
+    void sendEndless(const Socket& socket)
+    {
+        asio::async_write(*socket, asio::buffer(endless), [this, socket](std::error_code ec, std::size_t n) {
+            sentBytes += n;
+            isEnded = bool(ec);
+            if (!ec)
+                sendEndless(socket);
+        });
+    }
     asio::ip::tcp::acceptor m_acceptor;
     std::vector<Socket> m_openSockets;
+    asio::steady_timer m_dripTimer;
 };
 
+std::string repeated(std::string_view text, int n)
+{
+    std::string all;
+    for (int i = 0; i < n; ++i)
+        all += text;
+    return all;
+}
+
 struct ClientFixture {
     asio::io_context io;
     FakeLeaf leaf { io };
@@ -138,6 +176,87 @@
     CHECK(it.exchange()->end == LeafReply::End::Malformed);
 }
 
+// Guards against a truncated response, at any of its bytes, that is passed on as complete.
+TEST_CASE("a response of a leaf that stops before its end is not complete, wherever it stops")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: 3e1b.07\r\n";
+    for (const std::string& whole : { head + "Content-Length: 12\r\n\r\nabcdefghijkl",
+             head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n8\r\nefghijkl\r\n0\r\n\r\n",
+             "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
+             "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 1\r\n\r\nz" }) {
+        ClientFixture it;
+        it.leaf.closesAfterReply = true;
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            it.leaf.reply = whole.substr(0, n);
+            CAPTURE(it.leaf.reply);
+            auto reply = it.exchange();
+            REQUIRE(reply);
+            CHECK(reply->end != LeafReply::End::Complete);
+        }
+        it.leaf.reply = whole;
+        CHECK(it.exchange()->end == LeafReply::End::Complete);
+    }
+    // Without a length the end of the connection ends the body, but not the head.
+    ClientFixture it;
+    it.leaf.closesAfterReply = true;
+    for (std::size_t n = 0; n < head.size() + 2; ++n) {
+        it.leaf.reply = (head + "\r\n").substr(0, n);
+        CAPTURE(it.leaf.reply);
+        CHECK(it.exchange()->end != LeafReply::End::Complete);
+    }
+}
+
+// Guards against a leaf that keeps this instance busy, or fills its memory, with bytes that are no answer.
+TEST_CASE("an exchange with a leaf that sends without end is ended and its connection closed")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases {
+        { ok, "X-Filler: " + std::string(500, 'x') + "\r\n" },                       // header lines
+        { ok + "X-Filler: ", std::string(500, 'x') },                                // one header line
+        { "", std::string(500, '\n') },                                              // empty lines before the head
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },                                     // interim responses
+        { "", "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n" },                           // interim responses with headers
+        { ok + "\r\n", std::string(5000, 'x') },                                     // a body without a length
+        { ok + "Transfer-Encoding: chunked\r\n\r\n", repeated("1\r\nx\r\n", 1000) }, // chunks
+        { ok + "Transfer-Encoding: chunked\r\n\r\n1;", std::string(500, 'x') },      // a chunk extension
+        { ok + "Transfer-Encoding: chunked\r\n\r\n", "1;" + std::string(2000, 'x') + "\r\nx\r\n" },
+        { ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: " + std::string(500, 'x') + "\r\n" }, // trailers
+        { ok + "Content-Length: 100000000000\r\n\r\n", std::string(5000, 'x') },
+    };
+    for (const auto& [begin, endless] : cases) {
+        CAPTURE(begin);
+        CAPTURE(endless.substr(0, 40));
+        ClientFixture it;
+        it.leaf.reply = begin;
+        it.leaf.endless = endless;
+        auto reply = it.exchange();
+        CHECK(reply);
+        if (!reply)
+            continue;
+        CHECK(reply->end != LeafReply::End::Complete);
+        it.runFor(milliseconds(50));
+        CHECK(it.leaf.isEnded);
+        // What the leaf has sent includes the buffers of both sockets.
+        CHECK(it.leaf.sentBytes < std::size_t { 32 } << 20U);
+    }
+}
+
+// Guards against a slow leaf whose bytes keep a connection busy after its request was cancelled.
+TEST_CASE("a leaf that sends its head byte by byte is disconnected once its request is cancelled")
+{
+    ClientFixture it;
+    it.leaf.reply = "HTTP/1.1 200 OK\r\nX: ";
+    it.client->send(
+        101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
+    it.leaf.dripInterval = milliseconds(10);
+    it.runFor(milliseconds(100));
+    std::optional<UpstreamClient::CancelResult> result;
+    it.client->cancel(101, milliseconds(100), [&](UpstreamClient::CancelResult end) { result = end; });
+    it.runFor(milliseconds(300));
+    CHECK(result == UpstreamClient::CancelResult::Unresponsive);
+    CHECK(it.leaf.isEnded);
+}
+
 // Guards against more connections than the leaf accepts, and against one that a cancelled request keeps occupied.
 TEST_CASE("connections do not exceed the limit, and a cancelled request frees its connection")
 {
