Refuse announcements whose numbers, address or names cannot be used, and skip invalid records of an import

What was found here. No process ends: malformed JSON, also 500,000 levels deep, and fields of another type were refused before, and an address that cannot be parsed is caught where it is used. But 16 of the odd announcements in the new test were accepted: ports 0, 65536 and beyond, slots of 0 and of 2^32 (cut to 0), a warm-up time that overflows the clock (the leaf then counts as warm), a start time in the far future (later leaves at the address are ignored until it expires), names with line breaks. And a starting instance refused the whole directory of a peer because of one record in it that its build does not accept: it stopped following.

--- a/backend/AnnouncementCodec.cpp
+++ b/backend/AnnouncementCodec.cpp
@@ -66,15 +66,7 @@
 std::string addressOf(const Json& object, const char* name)
 {
     std::string text = textOf(object, name);
-    const std::size_t colon = text.find(':');
-    in_addr host {};
-    unsigned port = 0;
-    const char* end = text.data() + text.size();
-    const char* digits = colon == std::string::npos ? end : text.data() + colon + 1;
-    const auto [stop, ec] = std::from_chars(digits, end, port);
-    const bool valid = colon != std::string::npos && inet_pton(AF_INET, text.substr(0, colon).c_str(), &host) == 1
-        && ec == std::errc() && stop == end && port > 0 && port <= 65535 && host.s_addr != INADDR_ANY;
-    if (!valid)
+    if (!isLeafAddress(text))
         throwInvalidField(name, "is not IP:PORT: " + text.substr(0, maxNameBytes));
     return text;
 }
@@ -115,6 +107,19 @@
 
 } // namespace
 
+bool isLeafAddress(std::string_view text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos)
+        return false;
+    in_addr host {};
+    unsigned port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data() + colon + 1, end, port);
+    return inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &host) == 1 && ec == std::errc()
+        && stop == end && port > 0 && port <= 65535 && host.s_addr != INADDR_ANY;
+}
+
 Announcement parseAnnouncement(std::string_view json)
 {
     if (json.size() > maxAnnouncementBytes)
--- a/coordination/LeafDirectory.cpp
+++ b/coordination/LeafDirectory.cpp
@@ -79,6 +79,9 @@
     if (announcement.leaf.empty() || announcement.service.empty() || announcement.zone.empty()
         || announcement.address.empty())
         throw Error(ErrorKind::BadRequest, "an announcement lacks the leaf, service, zone or address");
+    // Larger durations overflow when they are added to the time.
+    if (announcement.warmupLeft < milliseconds::zero() || announcement.warmupLeft > maxWarmup)
+        throw Error(ErrorKind::BadRequest, "leaf " + announcement.leaf + " announces an invalid warm-up time");
     if (announcement.slots == 0)
         throw Error(ErrorKind::BadRequest, "leaf " + announcement.leaf + " announces no slots");
     for (const auto& it : announcement.versions)
@@ -110,7 +113,9 @@
     try {
         // Limits what a malformed length field can make the decoder allocate.
         const msgpack::unpack_limit limit(3000, 16, maxRecordBytes, maxRecordBytes, 16, 8);
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
+        std::size_t next = offset;
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), next, nullptr, nullptr, limit);
+        offset = next; // also past a record whose content is invalid
         Record record { announcementFrom(valueAt<msgpack::object>(handle.get(), 1)),
             valueAt<std::string>(handle.get(), 0) };
         check(record.announcement);
@@ -350,10 +355,11 @@
     Output out;
     std::vector<Record> records;
     for (std::size_t offset = 0; offset < bytes.size();) {
-        auto record = decodeRecord(bytes, offset);
-        if (!record)
+        const auto begin = offset;
+        if (auto record = decodeRecord(bytes, offset))
+            records.push_back(std::move(*record));
+        else if (offset == begin)
             throw Error(ErrorKind::BadRequest, "the imported leaf directory is malformed or truncated");
-        records.push_back(std::move(*record));
     }
     bool changed = false;
     for (auto& record : records) {
--- a/coordination/LeafDirectory.h
+++ b/coordination/LeafDirectory.h
@@ -63,8 +63,8 @@
 
     /// Encodes the whole directory, for importAll() at a starting daemon.
     std::string exportAll() const;
-    /// Imports the result of exportAll() of another daemon; newer announcements already held are kept. Throws Error
-    /// (BadRequest) when the bytes are malformed.
+    /// Imports the result of exportAll() of another daemon; newer announcements already held are kept. Records that
+    /// this build refuses are left out. Throws Error (BadRequest) when the bytes are malformed.
     Output importAll(std::string_view bytes, TimePoint now);
 
 private:
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -154,6 +154,8 @@
 constexpr milliseconds announcementInterval { 500 };
 constexpr milliseconds announcementTimeout { 2000 }; // without a renewal for this long, a leaf is removed
 
+constexpr milliseconds maxWarmup = std::chrono::hours(24); // an announcement with a longer `warmupLeft` is refused
+
 /// The shards of one service at one index version. The denominator of coverage is `shardCount`.
 struct Layout {
     std::string service;
--- a/tests/LeafDirectoryTests.cpp
+++ b/tests/LeafDirectoryTests.cpp
@@ -167,6 +167,33 @@
     CHECK_THROWS_AS(LeafDirectory("c").importAll(bytes.substr(0, bytes.size() - 3), at(10)), Error);
 }
 
+// Guards against a starting daemon that learns of no leaf because of one record that another build has written.
+TEST_CASE("a record with an invalid announcement is left out of the import, and the others are kept")
+{
+    LeafDirectory source("a");
+    source.announce(announcementOf(1, 1), at(0));
+    auto other = announcementOf(1, 1);
+    other.leaf = "another";
+    other.address = "10.0.0.7:80";
+    LeafDirectory second("a");
+    second.announce(other, at(0));
+    for (const char* odd : { "\x93\x01\x02\x03", "\xc0", "\x92\xa1r\x92\xa1x\xc3" }) {
+        LeafDirectory target("b");
+        CHECK(target.importAll(source.exportAll() + odd + second.exportAll(), at(10)).changed);
+        CHECK(target.leafCount() == 2);
+    }
+}
+
+TEST_CASE("an announcement with a warm-up time that overflows the clock is refused")
+{
+    LeafDirectory directory("a");
+    for (auto warmup : { milliseconds(-1), maxWarmup + milliseconds(1), milliseconds::max(), milliseconds::min() }) {
+        auto it = announcementOf(1, 1);
+        it.warmupLeft = warmup;
+        CHECK_THROWS_AS(directory.announce(it, at(0)), Error);
+    }
+}
+
 // Guards against a delayed announcement of a leaf that has exited, after another one was started at its address.
 TEST_CASE("an address belongs to the leaf that started last")
 {
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -117,6 +117,51 @@
     CHECK_THROWS_AS(platform::decodeAnnouncement("i-1", "{\"service\":"), Error);
 }
 
+// Guards against an entry of another writer that ends the process, overflows a number or hides another leaf.
+TEST_CASE("an odd announcement is refused")
+{
+    auto refused = [](const std::string& body) {
+        CAPTURE(body.substr(0, 200));
+        CHECK_THROWS_AS(platform::decodeAnnouncement("i-1", body), Error);
+    };
+    auto with = [](const char* field, const std::string& value) {
+        auto text = announcementBody.dump();
+        auto object = announcementBody;
+        object[field] = "@";
+        text = object.dump();
+        return text.replace(text.find("\"@\""), 3, value);
+    };
+    platform::decodeAnnouncement("i-1", with("warmup_left_ms", "2500.5"));
+    for (const char* address : { "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999999999999", "10.0.0.9:",
+             "10.0.0.9", "10.0.0.9:80:80", "10.0.0.9:80x", "10.0.0.9:-1", ":80", "host:80", "0.0.0.0:80", "" })
+        refused(with("address", '"' + std::string(address) + '"'));
+    for (const char* number : { "-1", "0.5", "1e300", "18446744073709551616", "4294967296", "\"2\"", "[]", "null" })
+        refused(with("slots", number));
+    refused(with("slots", "0"));
+    for (const char* number : { "-1", "0.5", "1e300", "18446744073709551616", "\"4\"" }) {
+        refused(with("seq", number));
+        refused(with("born", number));
+    }
+    refused(with("born", "18446744073709551615")); // would take over the address for good
+    for (const char* number : { "1e300", "1e18", "9223372036854775808", "\"1\"", "[1]" })
+        refused(with("warmup_left_ms", number));
+    refused(with("state", "\"lost\""));
+    refused(with("zone", "\"\""));
+    refused(with("service", "\"" + std::string(5000, 's') + "\""));
+    refused(with("service", "\"a\\nb\"")); // would forge a line of the log
+    for (int depth : { 1000, 30000, 500000 }) {
+        refused(std::string(depth, '['));
+        refused(std::string(depth, '[') + std::string(depth, ']'));
+        refused(with("extra", std::string(depth, '[') + std::string(depth, ']')) + "}");
+        std::string nested;
+        for (int i = 0; i < depth; ++i)
+            nested += "{\"a\":";
+        refused(nested);
+    }
+    for (const char* body : { "", "null", "1", "[]", "{}", "\"x\"", "\xff\xfe", "{\"service\":" })
+        refused(body);
+}
+
 // Guards against hop-by-hop headers, or headers forged by the caller, that reach a leaf.
 TEST_CASE("a request is sent to a leaf without hop-by-hop headers and with the headers of this instance")
 {
