--- a/tests/ToolTests.cpp
+++ b/tests/ToolTests.cpp
@@ -107,6 +107,22 @@
     CHECK(run(queryArguments(server)).code == 4);
 }
 
+// Guards against a tool that is aborted by an answer of another program.
+TEST_CASE("an answer of an unexpected form is an error")
+{
+    FakeServer server;
+    for (const char* body : { "[1]", "3", "null", "\"text\"", R"({"coverage":3})" }) {
+        CAPTURE(body);
+        server.response.body = body;
+        const Run query = run(queryArguments(server));
+        CHECK(query.code == 1);
+        CHECK(contains(query.err, "unexpected form"));
+        auto asJson = queryArguments(server);
+        asJson.emplace_back("--json");
+        CHECK(run(asJson).code != 0);
+    }
+}
+
 // Guards against a refusal that a script takes for success, and against a message without the outcome.
 TEST_CASE("error responses and unreachable entry instances have their own exit codes")
 {
--- a/tool/Render.cpp
+++ b/tool/Render.cpp
@@ -79,7 +79,7 @@
 
 bool isWhole(const Json& answer)
 {
-    const auto coverage = answer.find("coverage");
+    const auto coverage = answer.find("coverage"); // the end for a value that is no object
     return coverage != answer.end() && coverage->is_object() && coverage->value("whole", false);
 }
 
--- a/tool/Tool.cpp
+++ b/tool/Tool.cpp
@@ -133,12 +133,17 @@
 {
     const Json answer = Json::parse(response.body, nullptr, false);
     const bool failed = response.status != 200;
-    if (context.options.has("json"))
-        context.out << response.body << "\n";
-    else if (failed)
-        context.err << "citronplank: " << renderErrorAnswer(answer, response.status);
-    else if (!answer.is_discarded())
-        context.out << render(answer);
+    try {
+        if (context.options.has("json"))
+            context.out << response.body << "\n";
+        else if (failed)
+            context.err << "citronplank: " << renderErrorAnswer(answer, response.status);
+        else if (!answer.is_discarded())
+            context.out << render(answer);
+    } catch (const Json::exception& error) {
+        context.err << "citronplank: the answer has an unexpected form: " << error.what() << "\n";
+        return exitErrorAnswer;
+    }
     if (answer.is_discarded() && !failed)
         context.err << "citronplank: the answer is not JSON\n";
     return failed || answer.is_discarded() ? exitErrorAnswer : exitOk;
