Set damaged content aside when a failed storage is reopened

After a failed write the control role reopens its storage once a second.

Cause: FileControlStorage::reopen let CorruptionError through, which is no Error; ControlService::reopenIfDue catches Error only, so the control thread ended the process.

Now reopen does what the start of a process does: it sets the content aside, and the member rejoins with a new disk identity. This is logged; it was not at startup either.

--- a/coordination/ControlStorage.cpp
+++ b/coordination/ControlStorage.cpp
@@ -364,8 +364,14 @@
     m_vote = {};
     m_snapshot.reset();
     m_entries.clear();
+    m_setAsideReason.clear();
     try {
-        openExisting();
+        try {
+            openExisting();
+        } catch (const CorruptionError& e) {
+            setAside(e.what());
+            create();
+        }
         if (m_disk == 0)
             throw StorageError("file identity is missing from the data folder");
         replaceFile(voteFile, frameRecord(codec::encodeValue(m_vote)));
--- a/coordination/ControlStorage.h
+++ b/coordination/ControlStorage.h
@@ -118,11 +118,12 @@
     std::string readSnapshotData() const;
 
     /// Recovers a storage on which a write or sync failed: reads the folder as at startup, then rewrites term, vote and
-    /// log, because the data read back may exist in the page cache only. Throws StorageError if that fails too; the
-    /// storage then stays unusable.
+    /// log, because the data read back may exist in the page cache only. Damaged content is set aside as at startup;
+    /// the storage then has a new disk identity. Throws StorageError if that fails too; the storage then stays
+    /// unusable.
     void reopen();
 
-    /// Why the previous content was moved to a subfolder `set-aside-N` at startup; empty if it was not.
+    /// Why the content was moved to a subfolder `set-aside-N` at startup or at the last reopen(); empty if it was not.
     const std::string& setAsideReason() const { return m_setAsideReason; }
 
 private:
--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -61,6 +61,7 @@
         , m_timer(m_io)
         , m_work(asio::make_work_guard(m_io))
     {
+        logSetAside();
         updateStatus();
     }
 
@@ -187,6 +188,14 @@
             m_storage, logSettings(m_settings), Clock::now(), areValidRules);
     }
 
+    void logSetAside() const
+    {
+        if (!m_storage.setAsideReason().empty())
+            log(LogLevel::Warning, "control",
+                "The content of the data folder was damaged and has been set aside: " + m_storage.setAsideReason()
+                    + ". This member has lost its state and rejoins as a new one.");
+    }
+
     /// Reopens the storage after a temporary failure such as a full disk. The member restarts from the stored state, as
     /// after a crash of the process.
     void reopenIfDue()
@@ -196,6 +205,7 @@
         m_failedAt = Clock::now();
         try {
             m_storage.reopen();
+            logSetAside();
             m_replica = makeReplica();
             m_failure.clear();
         } catch (const Error& error) {
--- a/tests/ControlStorageTests.cpp
+++ b/tests/ControlStorageTests.cpp
@@ -343,6 +343,43 @@
     CHECK(log.isStopped());
 }
 
+// Guards against a process that ends because the content of a disk that failed is damaged too.
+TEST_CASE("damaged content is set aside when a failed storage is reopened")
+{
+    struct FailingDisk : FileOperations {
+        bool isFailing = false;
+        long write(int descriptor, const void* data, std::size_t size) override
+        {
+            if (!isFailing)
+                return FileOperations::write(descriptor, data, size);
+            errno = EIO;
+            return -1;
+        }
+    } operations;
+    auto folder = std::filesystem::temp_directory_path() / ("citronplank-damaged-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    {
+        FileControlStorage storage(folder, operations);
+        auto disk = storage.disk();
+        storage.saveVote({ 3, { "a", 7 } });
+        operations.isFailing = true;
+        LogEntry entry { 1, 3, 1, NoOp {} };
+        CHECK_THROWS_AS(storage.append(std::span(&entry, 1)), StorageError);
+        operations.isFailing = false;
+        std::fstream vote(folder / "vote", std::ios::in | std::ios::out | std::ios::binary);
+        vote.seekp(-1, std::ios::end);
+        vote.put('\x55');
+        vote.close();
+        storage.reopen();
+        CHECK(storage.disk() != disk);
+        CHECK_FALSE(storage.setAsideReason().empty());
+        CHECK(storage.load().vote.term == 0);
+        storage.append(std::span(&entry, 1));
+        CHECK(storage.load().entries.size() == 1);
+    }
+    std::filesystem::remove_all(folder);
+}
+
 // Guards against a member that stays stopped after its disk was full for a moment, and against entries that are taken
 // for durable because they can be read back.
 TEST_CASE("a storage can be reopened once its disk has space again")
