Let callers of the soak leave, and check that nothing is sent for them half a second later

Now one idempotent request in eight is left by its caller within 80 ms, responses have 40 records, and at the end each execution is checked against the time at which its caller left. Disruptions of the entry and of the leaf's link exempt an execution; those of another entry do not.

--- a/bench/RoutedSoak.cpp
+++ b/bench/RoutedSoak.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds stopBound { 6000 };             // of a planned stop: grace-time-s of the instances
 constexpr milliseconds stallLimit { 200 };             // a longer time between two calls of checkForStall() is a stall
 constexpr milliseconds stallCheckInterval { 50 };
+constexpr milliseconds goneBound { 500 };     // from the disconnect of a caller until no more parts are sent
+constexpr milliseconds maxTimeToLeave { 80 }; // after which a caller that does not wait disconnects
+constexpr std::uint64_t leavingShare = 8;     // one idempotent request in this many is left by its caller
 constexpr int callersPerEntry = 3;
 constexpr std::size_t maxActiveFaults = 3;
 
@@ -65,6 +68,11 @@
     struct Caller {
         std::string entry;
         std::shared_ptr<standins::HttpClient> client;
+        std::string runningId; // of the request that it waits for
+    };
+    struct LeftRequest {
+        std::string entry;
+        SoakTime leftAt;
     };
     struct Fault {
         const char* name;
@@ -81,6 +89,7 @@
     // Load
     void startCallers();
     void callNext(Caller&);
+    void leaveLater(Caller&, const Request&);
     void onResponse(const Request&, const HttpResult&);
     void checkSuccess(const Request&, const standins::HttpMessage&);
     void checkExecutions(const Request&, const HttpResult&);
@@ -113,6 +122,7 @@
     void scheduleStallCheck();
     bool isUndisrupted(const std::string& entry, SoakTime from, SoakTime until);
     void checkRecovery();
+    void checkLeftRequests();
     void checkDrainAndEvacuation(const Request&, const SoakExecution&);
     void reportViolation(const std::string& text);
     void log(const std::string& text);
@@ -125,12 +135,13 @@
     SoakTime m_startedAt = SoakClock::now();
     std::vector<std::unique_ptr<Caller>> m_callers;
     std::uint64_t m_lastId = 0;
-    std::map<std::string, int> m_outcomes;    // number of responses by status and error; printed at the end
-    std::set<std::string> m_notRun;           // IDs of payments that were refused as not run
-    std::map<std::string, int> m_served;      // number of responses with status 200, by entry instance
-    std::map<int, SoakTime> m_acknowledgedAt; // by configuration version
-    int m_lastVersion = 0;                    // newest configuration version that was sent
-    std::set<std::string> m_targetsWithFault; // instances and leaves by name, and "zone" during an evacuation
+    std::map<std::string, int> m_outcomes;     // number of responses by status and error; printed at the end
+    std::set<std::string> m_notRun;            // IDs of payments that were refused as not run
+    std::map<std::string, LeftRequest> m_left; // by id
+    std::map<std::string, int> m_served;       // number of responses with status 200, by entry instance
+    std::map<int, SoakTime> m_acknowledgedAt;  // by configuration version
+    int m_lastVersion = 0;                     // newest configuration version that was sent
+    std::set<std::string> m_targetsWithFault;  // instances and leaves by name, and "zone" during an evacuation
     std::vector<Fault> m_faults;
     std::map<int, std::function<void()>> m_activeFaults; // functions that end the active faults, in order of injection
     int m_lastFault = 0;                                 // key of the last fault in `m_activeFaults`
@@ -190,9 +201,13 @@
     const char* path = paths.at(m_system.randomBelow(paths.size()));
     Request request { caller.entry, std::to_string(m_seed) + "-" + std::to_string(++m_lastId), path, SoakClock::now() };
     bool isPayment = request.path == "/pay/x";
+    caller.runningId = request.id;
+    if (!isPayment && m_system.randomBelow(leavingShare) == 0)
+        leaveLater(caller, request);
     caller.client->request(isPayment ? "POST" : "GET", request.path,
         "Request-Id: " + request.id + "\r\nDeadline-Ms: 1500\r\n", isPayment ? "amount" : "", callerTimeout,
         [this, &caller, request](const HttpResult& result) {
+            caller.runningId.clear();
             onResponse(request, result);
             constexpr milliseconds pause { 15 };
             constexpr milliseconds pauseAfterError { 120 };
@@ -200,6 +215,17 @@
         });
 }
 
+/// The caller closes its connection if it still waits for the response after a random time.
+void Soak::leaveLater(Caller& caller, const Request& request)
+{
+    m_system.runAfter(milliseconds(m_system.randomBelow(maxTimeToLeave.count())), [this, &caller, request] {
+        if (caller.runningId != request.id)
+            return;
+        m_left[request.id] = { request.entry, SoakClock::now() };
+        caller.client->close();
+    });
+}
+
 void Soak::onResponse(const Request& request, const HttpResult& result)
 {
     checkForStall();
@@ -749,6 +775,24 @@
     }
 }
 
+/// No instance sends parts of a request on after its caller has left. A peer of the entry instance may be disrupted.
+void Soak::checkLeftRequests()
+{
+    for (const auto& [id, left] : m_left) {
+        for (const auto& it : m_system.executions()[id]) {
+            const auto& disruptions = m_system.disruptions();
+            bool isBoundApplicable
+                = disruptions.isUndisrupted("faults of " + left.entry, left.leftAt - seconds(1), it.at)
+                && disruptions.isUndisrupted("link of " + it.leaf, left.leftAt - seconds(1), it.at);
+            m_boundChecks["left"] += isBoundApplicable ? 1 : 0;
+            if (isBoundApplicable && it.at > left.leftAt + goneBound)
+                reportViolation(id + " reached " + it.leaf + " "
+                    + std::to_string((it.at - left.leftAt) / milliseconds(1)) + " ms after its caller left "
+                    + left.entry);
+        }
+    }
+}
+
 /// Returns the exit code. `duration` is that of the fault injection.
 int Soak::run(seconds duration)
 {
@@ -783,6 +827,7 @@
     m_io.run_for(seconds(3));
     m_isEnding = true;
     checkRecovery();
+    checkLeftRequests();
     std::string outcomes;
     for (const auto& [name, n] : m_outcomes)
         outcomes += " " + name + "=" + std::to_string(n);
--- a/tests/SoakSystem.cpp
+++ b/tests/SoakSystem.cpp
@@ -217,7 +217,7 @@
 std::string SoakSystem::bodyOf(const std::string& service, const std::string& id)
 {
     std::string body;
-    for (int i = 0; i < 3; ++i) {
+    for (std::size_t i = 0; i < recordsPerResponse; ++i) {
         auto key = service;
         key.append("/").append(id).append("/").append(std::to_string(i));
         std::mt19937_64 random(std::hash<std::string> {}(key));
--- a/tests/SoakSystem.h
+++ b/tests/SoakSystem.h
@@ -130,8 +130,9 @@
     static std::vector<std::string> shards() { return { "s0", "s1", "s2", "s3" }; }
     static constexpr std::size_t topRecords = 4; // records in a merged response
     static constexpr milliseconds routeTimeout { 800 };
-    static constexpr double minCoverage = 0.5;     // fraction of the shards that a merged response must contain
-    static constexpr std::size_t recordBytes = 16; // a response body consists of 3 records
+    static constexpr double minCoverage = 0.5; // fraction of the shards that a merged response must contain
+    static constexpr std::size_t recordBytes = 16;
+    static constexpr std::size_t recordsPerResponse = 40; // so many that instances relay parts of other zones
     /// Response body of each leaf of a service to the request `id`.
     static std::string bodyOf(const std::string& service, const std::string& id);
     /// Value by which a leaf signs its response to a request (header Server-Stamp).
