Cancel the relay requests of an entry whose link is lost

The cancel of a relay is a message of its own, which is lost when the link or the entry is lost; the leaves then worked until the time limit of the relay, for which the caller's deadline is the bound on routes without an objective.

Now the loss of the part channel to an instance cancels the relay requests that run for it: their answers could not be sent either.

Before (RelayTests with the callback left out): the leaf's request is not ended within 15 s.

--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -53,6 +53,9 @@
     /// Handles a relay message from another instance. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const Envelope&);
 
+    /// Cancels the relay requests of an entry instance to which the link was lost, since their answers cannot be sent.
+    void onPeerLost(std::string peer);
+
     /// Handles a notice from another instance that a request crashed a leaf.
     void onCrashNotice(std::string peer, CrashNotice);
     /// Sends the crashes that this instance observed to an entry instance that was unknown or has restarted.
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -104,6 +104,23 @@
         performRelayed(found->second, m_relayed.at(found->second)->gather->cancel());
 }
 
+void RouteService::onPeerLost(std::string peer)
+{
+    asio::post(m_strand, [this, peer = std::move(peer)] {
+        std::vector<Id> lost;
+        for (const auto& [id, it] : m_relayed) {
+            if (it->entry == peer)
+                lost.push_back(id);
+        }
+        if (lost.empty())
+            return;
+        log(LogLevel::Info, "relay",
+            "entry=" + peer + " is not reachable; cancelled its relay requests=" + std::to_string(lost.size()));
+        for (auto id : lost)
+            performRelayed(id, m_relayed.at(id)->gather->cancel());
+    });
+}
+
 void RouteService::performRelayed(Id id, RelayActions actions)
 {
     auto& relayed = *m_relayed.at(id);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -197,6 +197,13 @@
     keepRelayLinksOpen();
 }
 
+/// The host of a link address is the name of the instance; see Node::addressOf.
+void RoutedDaemon::onLinkDown(const std::string& address, Channel channel)
+{
+    if (m_routes && channel == Channel::Part)
+        m_routes->onPeerLost(address.substr(0, address.find(':')));
+}
+
 void RoutedDaemon::keepRelayLinksOpen()
 {
     auto peers = m_relayPeers.with([](const RoutePolicies::PeersByZone& it) { return it; });
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -75,6 +75,7 @@
     void onMessage(const Envelope&) override;
     void onConfiguration() override;
     void onMembers() override;
+    void onLinkDown(const std::string& address, Channel) override;
     void onDirectory() override;
 
     void putConfiguration(std::string content, std::function<void(PutResult, std::string reason)> done) override;
--- a/tests/RelayTests.cpp
+++ b/tests/RelayTests.cpp
@@ -69,10 +69,17 @@
         settings.address = "127.0.0.1:0";
         leaf = std::make_unique<HttpServer>(leafWorker.io, settings, [this](const HttpRequest&, const Responder& it) {
             ++arrivals;
-            it.answer({ 200, "", std::string(TopRecords::recordBytes, 'r'), { { "Server-Stamp", "stamp" } } });
+            if (isLeafSilent)
+                silenced.push_back(it);
+            else
+                it.answer({ 200, "", std::string(TopRecords::recordBytes, 'r'), { { "Server-Stamp", "stamp" } } });
         });
         leaf->start();
         peerLinks.onReceive([this](const Envelope& envelope) { routes.onRelayMessage(envelope); });
+        peerLinks.onLinkState([this](const std::string&, Channel, bool up) {
+            if (!up)
+                routes.onPeerLost("entry");
+        });
         entryLinks.onReceive([this](const Envelope&) { ++answers; });
         peerLinks.start();
         entryLinks.start();
@@ -111,10 +118,10 @@
     }
 
     /// Sends a relay request as an entry instance that waits 60 ms for its answer.
-    bool sendRelay(std::uint64_t correlation)
+    bool sendRelay(std::uint64_t correlation, milliseconds remaining = milliseconds(500))
     {
-        RelayedCall call { { "list", milliseconds(100), { "shard" }, 5, milliseconds(500), milliseconds(30) }, "GET",
-            "/list/1", { { "Host", "h.example" }, { "Request-Id", "id" } }, "" };
+        RelayedCall call { { "list", milliseconds(100), { "shard" }, 5, remaining, milliseconds(30) }, "GET", "/list/1",
+            { { "Host", "h.example" }, { "Request-Id", "id" } }, "" };
         return send(MessageKind::RelayRequest, encode(call), correlation, milliseconds(60));
     }
     bool cancelRelay(std::uint64_t correlation) { return send(MessageKind::RelayCancel, {}, correlation, {}); }
@@ -128,6 +135,8 @@
     }
 
     std::atomic<int> arrivals { 0 }; // requests at the leaf
+    std::atomic<bool> isLeafSilent { false };
+    std::vector<Responder> silenced; // requests that a silent leaf runs
     std::atomic<int> answers { 0 };  // relay answers at the entry instance
     Worker leafWorker;
     Worker peerWorker;
@@ -171,3 +180,15 @@
     std::this_thread::sleep_for(stallTime + settleTime);
     CHECK(it.arrivals == 0);
 }
+
+TEST_CASE("a peer ends the work for an entry instance that it has lost, whose cancel cannot arrive")
+{
+    Fixture it;
+    it.isLeafSilent = true;
+    auto correlation = testedRelay;
+    REQUIRE(
+        eventually([&] { return it.arrivals > 0 || (it.sendRelay(++correlation, seconds(30)) && it.arrivals > 0); }));
+    CHECK(it.leaf->counters().callerDisconnects == 0);
+    it.entryLinks.stop();
+    CHECK(eventually([&] { return it.leaf->counters().callerDisconnects > 0; }));
+}
