Count the time that a part spends on its way towards its deadline

Cause: Part::remaining is a duration that the owner counted from the moment at which it read the part.

Now parts are sent with their remaining time as time to live. An owner answers an expired part as not run, and takes the age of the others off their remaining time. While a link opens, or towards builds without it, parts are sent as before.

--- a/daemon/PartRouter.cpp
+++ b/daemon/PartRouter.cpp
@@ -61,7 +61,10 @@
     envelope.correlation = it.part.partId;
     envelope.kind = static_cast<std::uint16_t>(MessageKind::PartRequest);
     envelope.body = encodePart(it.part);
-    if (m_callbacks.send(address, std::move(envelope)))
+    Envelope timed = envelope;
+    timed.timeToLive = it.part.remaining;
+    // The owner's clock is not known while the link opens.
+    if (m_callbacks.send(address, std::move(timed)) || m_callbacks.send(address, std::move(envelope)))
         return;
     if (m_remoteParts.with([&](auto& remote) { return remote.erase(it.part.partId); }) > 0)
         postFailure(it.part.partId, Outcome::NotRun);
@@ -89,7 +92,24 @@
     m_callbacks.send(address, std::move(envelope));
 }
 
-void PartRouter::onRequest(const Envelope& envelope) { m_parts.submit(senderOf(envelope), decodePart(envelope.body)); }
+/// The time since the send counts towards the deadline, so that a part which was delayed on its way, or in this
+/// process, does not run after its query has ended.
+void PartRouter::onRequest(const Envelope& envelope)
+{
+    auto part = decodePart(envelope.body);
+    auto now = Clock::now();
+    if (envelope.isExpired(now)) {
+        PartResult result;
+        result.partId = part.partId;
+        result.status = PartStatus::Deadline;
+        result.outcome = Outcome::NotRun;
+        answer(senderOf(envelope), result);
+        return;
+    }
+    if (envelope.sentAt)
+        part.remaining -= std::chrono::floor<milliseconds>(std::max(now - *envelope.sentAt, Duration::zero()));
+    m_parts.submit(senderOf(envelope), part);
+}
 
 void PartRouter::onCancel(const Envelope& envelope)
 {
