Match the answer of a heartbeat to its heartbeat when a peer's clock is measured

Found by reading: the answer to an earlier heartbeat, delayed for more than a heartbeat interval, could be taken for a fast answer to a later one. The estimate of the peer's clock is then too low by up to the delay, and because its round trip looks short it is kept for 30 s; relay requests would be dropped as expired although they are in time.

Now heartbeats are numbered and the answer names its number; only an answer to the last heartbeat is used. Builds without the clock ignore the number.

--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -265,7 +265,9 @@
         dialer->lastPeerUse = Clock::now();
     }
     push(key, *dialer,
-        { .correlation = wire.epoch, .kind = heartbeatAnswerKind, .body = encodeClockReading(Clock::now()) });
+        { .correlation = wire.epoch,
+            .kind = heartbeatAnswerKind,
+            .body = encodeClockReading(wire.envelope.correlation, Clock::now()) });
 }
 
 /// Marks the channel as up, unless the answer belongs to a connection that was replaced or has ended.
@@ -289,11 +291,12 @@
 
 void Links::Impl::sendHeartbeat(const DialerKey& key, Dialer& dialer, bool inUse)
 {
+    std::uint64_t number = 0;
     {
         const std::lock_guard lock(m_mutex);
-        dialer.peerClock.onHeartbeat(Clock::now());
+        number = dialer.peerClock.onHeartbeat(Clock::now());
     }
-    push(key, dialer, { .kind = heartbeatKind, .body = inUse ? "1" : "0" });
+    push(key, dialer, { .correlation = number, .kind = heartbeatKind, .body = inUse ? "1" : "0" });
 }
 
 void Links::Impl::reportState(const DialerKey& key, bool up)
--- a/transport/PeerClock.cpp
+++ b/transport/PeerClock.cpp
@@ -1,7 +1,6 @@
 #include "transport/PeerClock.h"
 
 #include <charconv>
-#include <utility>
 
 namespace citronplank {
 
@@ -10,39 +9,50 @@
 /// After this time a less precise measurement replaces the best one, because clocks drift by milliseconds a minute.
 constexpr seconds measurementLifetime { 30 };
 
-std::optional<Duration> readingIn(std::string_view text)
+struct Reading {
+    std::uint64_t heartbeat = 0;
+    Duration shown { 0 };
+};
+
+std::optional<Reading> readingIn(std::string_view text)
 {
+    Reading reading;
     std::int64_t count = 0;
     const char* end = text.data() + text.size();
-    const auto [stop, ec] = std::from_chars(text.data(), end, count);
-    if (ec != std::errc() || stop != end)
+    const auto number = std::from_chars(text.data(), end, reading.heartbeat);
+    if (number.ec != std::errc() || number.ptr == end || *number.ptr != ' ')
+        return std::nullopt;
+    const auto shown = std::from_chars(number.ptr + 1, end, count);
+    if (shown.ec != std::errc() || shown.ptr != end)
         return std::nullopt;
-    return std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(count));
+    reading.shown = std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(count));
+    return reading;
 }
 
 } // namespace
 
-std::string encodeClockReading(TimePoint now) { return std::to_string(now.time_since_epoch().count()); }
+std::string encodeClockReading(std::uint64_t heartbeat, TimePoint now)
+{
+    return std::to_string(heartbeat) + " " + std::to_string(now.time_since_epoch().count());
+}
 
-void PeerClock::onHeartbeat(TimePoint now)
+std::uint64_t PeerClock::onHeartbeat(TimePoint now)
 {
-    // An answer is attributed to the oldest heartbeat that it can belong to, so a round trip is never underestimated.
-    if (!m_heartbeatAt)
-        m_heartbeatAt = now;
+    m_heartbeatAt = now;
+    return ++m_lastHeartbeat;
 }
 
-void PeerClock::onAnswer(std::string_view reading, TimePoint now)
+void PeerClock::onAnswer(std::string_view content, TimePoint now)
 {
-    auto sentAt = std::exchange(m_heartbeatAt, std::nullopt);
-    auto shown = readingIn(reading);
-    m_isUnsupported = !shown;
-    if (!sentAt || !shown)
+    const auto reading = readingIn(content);
+    m_isUnsupported = !reading;
+    if (!reading || reading->heartbeat != m_lastHeartbeat)
         return;
-    auto roundTrip = now - *sentAt;
+    auto roundTrip = now - m_heartbeatAt;
     bool isPrecise = !m_offset || roundTrip <= m_roundTrip || now - m_measuredAt >= measurementLifetime;
     if (roundTrip > maxRoundTrip || !isPrecise)
         return;
-    m_offset = *shown + roundTrip - now.time_since_epoch();
+    m_offset = reading->shown + roundTrip - now.time_since_epoch();
     m_roundTrip = roundTrip;
     m_measuredAt = now;
 }
--- a/transport/PeerClock.h
+++ b/transport/PeerClock.h
@@ -10,8 +10,8 @@
 
 namespace citronplank {
 
-/// Text form of a clock reading, the content of a heartbeat answer. Thread safe.
-std::string encodeClockReading(TimePoint);
+/// Content of the answer to the heartbeat with this number: the number and a clock reading, as text. Thread safe.
+std::string encodeClockReading(std::uint64_t heartbeat, TimePoint);
 
 /// Not thread safe.
 class PeerClock {
@@ -19,10 +19,11 @@
     /// Only heartbeats answered within this time count, so this is the maximum error of an estimate.
     static constexpr milliseconds maxRoundTrip { 250 };
 
-    /// Records that a heartbeat is being sent.
-    void onHeartbeat(TimePoint now);
-    /// Records the content of the answer to a heartbeat. It is empty if the peer does not report its clock.
-    void onAnswer(std::string_view reading, TimePoint now);
+    /// Returns the number of a heartbeat that is being sent.
+    std::uint64_t onHeartbeat(TimePoint now);
+    /// Handles the content of the answer to a heartbeat. It is empty if the peer does not report its clock. Only an
+    /// answer to the last heartbeat is used.
+    void onAnswer(std::string_view content, TimePoint now);
     /// What the peer's clock shows now, or up to `maxRoundTrip` more, but not less. Nothing if it is unknown.
     std::optional<TimePoint> at(TimePoint now) const;
     /// Whether the peer answers heartbeats without its clock, as builds before this feature do.
@@ -31,8 +32,9 @@
     bool isSettled() const { return m_offset || m_isUnsupported; }
 
 private:
-    std::optional<TimePoint> m_heartbeatAt; // first heartbeat since the last answer
-    std::optional<Duration> m_offset;       // of the peer's clock, too large by at most m_roundTrip
+    std::uint64_t m_lastHeartbeat = 0;
+    TimePoint m_heartbeatAt;
+    std::optional<Duration> m_offset; // of the peer's clock, too large by at most m_roundTrip
     Duration m_roundTrip { 0 };
     TimePoint m_measuredAt;
     bool m_isUnsupported = false;
