--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -223,12 +223,12 @@
         { ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: " + std::string(500, 'x') + "\r\n" }, // trailers
         { ok + "Content-Length: 100000000000\r\n\r\n", std::string(5000, 'x') },
     };
-    for (const auto& [begin, endless] : cases) {
-        CAPTURE(begin);
-        CAPTURE(endless.substr(0, 40));
+    for (const auto& answer : cases) {
+        CAPTURE(answer.first);
+        CAPTURE(answer.second.substr(0, 40));
         ClientFixture it;
-        it.leaf.reply = begin;
-        it.leaf.endless = endless;
+        it.leaf.reply = answer.first;
+        it.leaf.endless = answer.second;
         auto reply = it.exchange();
         CHECK(reply);
         if (!reply)
