Keep a part channel open between the infrequent heartbeats of its user

What was seen: after the start of traffic each instance opened links again every 3 s, all at the same moments, without a line that one was down. A peer answers heartbeats on its own channel, which it does not use itself. It closed that channel once the last heartbeat was older than heartbeatTimeout (1.5 s), but on a part channel heartbeats come only every six intervals (3 s), so each heartbeat opened a connection and the next check closed it. The timeout of an unresponsive channel was multiplied by the intervals, this one was not.

Ruled out: lost connections and missed heartbeats (no 'is down' line, no redials are counted).

Now the same timeout holds for both. An unused channel that is broken is closed instead of replaced; the next heartbeat of a peer that uses it opens it.

The new test of LinksTests failed before: the answering side reported its channel up several times in 1.7 s.

--- a/tests/LinksTests.cpp
+++ b/tests/LinksTests.cpp
@@ -423,6 +423,28 @@
     CHECK(a.waitFor([&] { return a.states.size() >= 2 && !a.states.at(1).second; }));
 }
 
+// Guards against a peer that closes the channel on which it answers between two of the infrequent heartbeats, so that
+// each heartbeat opens a new connection.
+TEST_CASE("a part channel that only answers heartbeats stays open between them, and is closed once they end")
+{
+    LinkSettings settings;
+    settings.heartbeatInterval = milliseconds(50);
+    settings.heartbeatTimeout = milliseconds(150);
+    settings.partChannelIntervals = 6;
+    settings.idleTimeout = milliseconds(2000);
+    Node user("a", settings);
+    Node answerer("b", settings);
+    user.links->keepOpen(answerer.links->address(), Channel::Part);
+    REQUIRE(answerer.waitFor([&] { return !answerer.states.empty(); }));
+    std::this_thread::sleep_for(milliseconds(1700));
+    {
+        const std::lock_guard lock(answerer.mutex);
+        CHECK(answerer.states == std::vector { std::pair(Channel::Part, true) });
+    }
+    CHECK(answerer.links->counters().openChannels == 1);
+    CHECK(eventually([&] { return answerer.links->counters().openChannels == 0; }));
+}
+
 // Guards against envelopes of a replaced connection that the kernel delivers after the end of a network partition.
 TEST_CASE("envelopes of an older connection are dropped")
 {
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -331,8 +331,8 @@
         tickDialer(key, dialer, now);
 }
 
-/// Closes an unused channel, replaces a connection that ended or has become unresponsive, or sends a heartbeat that is
-/// due.
+/// Closes a channel that neither side uses, replaces a connection that ended or has become unresponsive, or sends a
+/// heartbeat that is due.
 void Links::Impl::tickDialer(const DialerKey& key, const std::shared_ptr<Dialer>& dialer, TimePoint now)
 {
     enum class Action : std::uint8_t { Heartbeat, Redial, Close } action = Action::Heartbeat;
@@ -345,17 +345,21 @@
         const std::lock_guard lock(m_mutex);
         hasPipe = dialer->hasPipe;
         isDue = isDue || dialer->state != Dialer::State::Up || !dialer->peerClock.isSettled();
+    const Duration timeout = intervals * m_settings.heartbeatTimeout;
         inUse = now - dialer->lastUse < m_settings.idleTimeout;
-        const bool timedOut
-            = now - std::max(dialer->openedAt, dialer->lastAnswer) > intervals * m_settings.heartbeatTimeout;
-        if (!inUse && now - std::max(dialer->openedAt, dialer->lastPeerUse) > m_settings.heartbeatTimeout) {
+        const bool isUsedByPeer = now - std::max(dialer->openedAt, dialer->lastPeerUse) <= timeout;
+        const bool isBroken = dialer->lostPipe || now - std::max(dialer->openedAt, dialer->lastAnswer) > timeout;
+        if (isBroken) {
+            wentDown = dialer->state != Dialer::State::Down;
+            dialer->state = Dialer::State::Down;
+        }
+        if (!inUse && (isBroken || !isUsedByPeer)) {
+            // The next heartbeat of a peer that still uses the channel opens it again.
             action = Action::Close;
             m_dialers.erase(key);
             m_keyOfId.erase(dialer->id);
-        } else if (timedOut || dialer->lostPipe) {
+        } else if (isBroken) {
             action = Action::Redial;
-            wentDown = dialer->state != Dialer::State::Down;
-            dialer->state = Dialer::State::Down;
         }
     }
     if (wentDown)
