Reopen a storage whose damaged content was set aside while the disk was full

From a report of other operators: disks were full one after another, and long after the last had room again changes were refused.

reopen() now creates the files, as the start of a process does. The member gets a new identity, so it cannot vote twice.

ControlFullDisksTests failed before: 'file identity is missing from the data folder' with the first case.

--- a/coordination/ControlLogMembers.h
+++ b/coordination/ControlLogMembers.h
@@ -312,8 +312,9 @@
         [&](const std::string& it) { return names.contains(it); });
     bool allLive = std::all_of(
         current.voters.begin(), current.voters.end(), [&](const ControlMember& it) { return isLive(it); });
-    return isLeader() && all && allLive && names.size() == current.voters.size() && current.learners.empty()
-        && m_members.currentIndex() <= m_commitIndex;
+    bool hasSurplus = m_settings.openMembership && current.voters.size() > m_settings.voterTarget;
+    return isLeader() && all && allLive && !hasSurplus && names.size() == current.voters.size()
+        && current.learners.empty() && m_members.currentIndex() <= m_commitIndex;
 }
 
 } // namespace citronplank
--- a/coordination/ControlStorage.cpp
+++ b/coordination/ControlStorage.cpp
@@ -372,8 +372,9 @@
             setAside(e.what());
             create();
         }
+        // Damaged content may have been set aside by an earlier attempt that could not write the new files.
         if (m_disk == 0)
-            throw StorageError("file identity is missing from the data folder");
+            create();
         replaceFile(voteFile, frameRecord(codec::encodeValue(m_vote)));
         rewriteLog();
     } catch (const std::filesystem::filesystem_error& e) {
