Keep a process running when a handler lets an unexpected exception through

From a report of other operators: one malformed message or unexpected error took a whole process down. The daemons caught their own Error in the handlers, but any other exception (std::bad_alloc, std::length_error, std::logic_error of a library) ended the worker thread and with it the process. A periodic task that threw was never called again.

Workers now log such an exception and go on with the other handlers; timers that start themselves again do so after an exception too. In the control role an unexpected exception stops that role, which restarts from its disk after a second, as after a failed write.

RoutedSystemTests, 'an entry instance survives an unexpected exception ...', ended with SIGABRT before. HttpServer caught all exceptions already.

--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ControlService.h"
 
+#include "daemon/Handlers.h"
 #include "daemon/Logging.h"
 #include "rules/RulesFile.h"
 
@@ -67,7 +68,7 @@
 
     void start()
     {
-        m_thread = std::thread([this] { m_io.run(); });
+        m_thread = std::thread([this] { runHandlers(m_io); });
         post([this] {
             publish();
             scheduleTick();
@@ -149,9 +150,11 @@
         m_timer.async_wait([this](const asio::error_code& ec) {
             if (ec)
                 return;
-            run([&] { return m_replica->tick(Clock::now()); });
-            reopenIfDue();
-            m_handlers.tick();
+            callGuarded("control", [this] {
+                run([&] { return m_replica->tick(Clock::now()); });
+                reopenIfDue();
+                m_handlers.tick();
+            });
             scheduleTick();
         });
     }
@@ -176,7 +179,7 @@
             return;
         try {
             perform(call());
-        } catch (const Error& error) {
+        } catch (const std::exception& error) {
             fail(error.what());
             updateStatus();
         }
@@ -208,7 +211,7 @@
             logSetAside();
             m_replica = makeReplica();
             m_failure.clear();
-        } catch (const Error& error) {
+        } catch (const std::exception& error) {
             m_failure = error.what();
         }
         for (auto& [id, handler] : std::exchange(m_answerHandlers, {}))
--- a/daemon/MembershipService.cpp
+++ b/daemon/MembershipService.cpp
@@ -1,5 +1,7 @@
 #include "daemon/MembershipService.h"
 
+#include "daemon/Handlers.h"
+
 #include <random>
 
 namespace citronplank {
@@ -49,6 +51,8 @@
             call();
         } catch (const Error&) {
             ++m_refusedInputs;
+        } catch (...) {
+            logUnexpectedException("members");
         }
     });
 }
@@ -61,7 +65,7 @@
     m_timer.async_wait([this](const asio::error_code& ec) {
         if (ec || m_stopped)
             return;
-        tick();
+        callGuarded("members", [this] { tick(); });
         scheduleTick();
     });
 }
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -1,5 +1,6 @@
 #include "daemon/Node.h"
 
+#include "daemon/Handlers.h"
 #include "daemon/Logging.h"
 #include "transport/Compression.h"
 
@@ -131,7 +132,7 @@
     if (m_control)
         m_control->start();
     for (unsigned i = 0; i < m_settings.workers; ++i)
-        m_workers.emplace_back([this] { m_io.run(); });
+        m_workers.emplace_back([this] { runHandlers(m_io); });
 }
 
 void Node::shutDownNode()
@@ -155,7 +156,7 @@
         auto self = weak.lock();
         if (ec || !self || m_isShutDown)
             return;
-        task();
+        callGuarded("timer", task);
         timer->expires_after(interval);
         timer->async_wait([self](const asio::error_code& it) { (*self)(it); });
     };
@@ -174,6 +175,8 @@
         log(LogLevel::Warning, "link", "Dropped a message from " + envelope.sender + ": " + error.what() + ".");
     }
 }
+    } catch (...) {
+        logUnexpectedException("link");
 
 void Node::dispatch(const Envelope& envelope)
 {
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -1,5 +1,6 @@
 #include "daemon/RouteService.h"
 
+#include "daemon/Handlers.h"
 #include "daemon/Logging.h"
 
 namespace citronplank {
@@ -85,7 +86,7 @@
     , m_checkTimer(m_strand)
 {
     m_policies.setBounds(bounds);
-    checkRoutes();
+    scheduleChecks();
 }
 
 double RouteService::inMilliseconds(Duration duration)
@@ -103,8 +104,18 @@
 
 RouteService::~RouteService() = default;
 
-/// Updates `canServe`, logs changes of the unresponsive zones and probes the leaves that are down. Runs every
-/// `routeCheckInterval`.
+/// Checks the routes every `routeCheckInterval`.
+void RouteService::scheduleChecks()
+{
+    callGuarded("routes", [this] { checkRoutes(); });
+    m_checkTimer.expires_after(routeCheckInterval);
+    m_checkTimer.async_wait([this](const std::error_code& ec) {
+        if (!ec)
+            scheduleChecks();
+    });
+}
+
+/// Updates `canServe`, logs changes of the unresponsive zones and probes the leaves that are down.
 void RouteService::checkRoutes()
 {
     recordTimerDelay();
@@ -122,11 +133,6 @@
             log(LogLevel::Info, "leaf", "leaf=" + name + (reached ? " is reachable again" : " is still unreachable"));
         });
     }
-    m_checkTimer.expires_after(routeCheckInterval);
-    m_checkTimer.async_wait([this](const std::error_code& ec) {
-        if (!ec)
-            checkRoutes();
-    });
 }
 
 /// The check timer is late if this process has stood still, or if its handlers have waited for each other.
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -111,6 +111,7 @@
     };
     using Id = std::uint64_t;
 
+    void scheduleChecks();
     void checkRoutes();
     void recordTimerDelay();
     milliseconds startRetryAfter() const;
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -191,7 +191,8 @@
 
     /// Starts a control member or an entry instance. Without `hasReachableSeeds`, nothing listens at the addresses of
     /// its gossip seeds. `bootstrap` as in Settings.
-    void start(const std::string& ip, bool isControl, bool hasReachableSeeds = true, bool bootstrap = true)
+    void start(const std::string& ip, bool isControl, bool hasReachableSeeds = true, bool bootstrap = true,
+        const ConfigurationDecoder& decode = platform::decodeConfiguration)
     {
         RoutedDaemonSettings settings;
         auto& node = settings.node;
@@ -218,8 +219,7 @@
         }
         settings.metricsAddress = ip + ":" + std::to_string(port(5));
         node.adminAddress = isControl ? settings.controlAddress : settings.readyAddress;
-        m_daemons[ip] = std::make_unique<RoutedDaemon>(
-            settings, m_protocol, platform::decodeConfiguration, platform::handleControlRequest);
+        m_daemons[ip] = std::make_unique<RoutedDaemon>(settings, m_protocol, decode, platform::handleControlRequest);
         m_daemons[ip]->start();
     }
     void startControl()
@@ -557,3 +557,27 @@
     CHECK(contains(logged.grep("query: request id=id/one/refused"), "config=3"));
     CHECK(logged.grep("leaf: attempt id=id/one/refused").empty());
 }
+
+// Guards against a process that ends because of an error that its authors did not expect.
+TEST_CASE(
+    "an entry instance survives an unexpected exception while it applies a configuration, and applies the next one")
+{
+    System system;
+    system.startControl();
+    system.start(entry, false, true, true, [](const std::string& text) {
+        auto configuration = platform::decodeConfiguration(text);
+        if (configuration.version == 4)
+            throw std::logic_error("unexpected");
+        return configuration;
+    });
+    auto serves = [&](const std::string& prefix) { return system.query(entry, prefix + "x")->status == 503; };
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    REQUIRE(eventually([&] { return serves("/one/"); }));
+    REQUIRE(eventually([&] { return system.put(configurationOf(4)) == 200; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK(serves("/one/"));
+    auto next = configurationOf(5);
+    next["routes"][1]["path_prefix"] = "/two/";
+    REQUIRE(eventually([&] { return system.put(next) == 200; }));
+    CHECK(eventually([&] { return serves("/two/"); }));
+}
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -313,7 +313,12 @@
     m_timer.async_wait([self = shared_from_this()](const std::error_code& ec) {
         if (ec || self->m_stopped)
             return;
-        self->tick();
+        try {
+            self->tick();
+        } catch (...) {
+            self->scheduleTick();
+            throw;
+        }
         self->scheduleTick();
     });
 }
