Refuse requests that a stopping instance cannot finish

From a report of other operators: in a planned stop, requests that came late in the grace time were passed on and cut at its end, among them requests that must not run twice. Here an instance took every request until 3.6 s of 6 s and aborted what still ran at 5.1 s, with 'outcome unknown'. Requests that waited for a slot got no answer.

StopAdmission decides now: a request is taken if its deadline or its usual latency ends before the abort; once load balancers have noticed the stop, one that must not run twice only if its deadline does. Others get 503 at once, which is true (not run), and go to another instance. Waiting requests are refused at the abort.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds crashRetryAfter { 60000 };  // longer than callers wait, since a retry would be refused too
 constexpr milliseconds lossProbeInterval { 1000 }; // per leaf; each probe opens a connection, which costs the leaf
 constexpr milliseconds longTimerDelay { 250 };     // is logged
+constexpr int usualLatencyMargin = 2;              // multiplies the latency after which a part is hedged
 constexpr milliseconds routeCheckInterval { 100 }; // load balancers poll the readiness once a second
 
 std::string_view kindName(RouteOutcome::Kind kind)
@@ -237,6 +238,10 @@
                 .retryAfter = crashRetryAfter });
         return;
     }
+    if (!takesWhileStopping(*route, caller, arrivedAt)) {
+        refuseStopping(caller, request, responder);
+        return;
+    }
     m_policies.onRequest(*route);
     if (route->shards.empty()) {
         startRequest(std::move(caller), std::move(request), std::move(responder), arrivedAt, std::move(route), nullptr);
@@ -249,10 +254,32 @@
         queue);
 }
 
+TimePoint RouteService::deadlineOf(const Route& route, const CallerInfo& caller, TimePoint arrivedAt)
+{
+    return arrivedAt + std::min(route.timeout, caller.remaining.value_or(route.timeout));
+}
+
+bool RouteService::takesWhileStopping(const Route& route, const CallerInfo& caller, TimePoint arrivedAt) const
+{
+    if (!m_stopAdmission)
+        return true;
+    auto usualLatency = std::max<Duration>(route.objective, usualLatencyMargin * m_policies.hedgeDelay(route));
+    return m_stopAdmission->takes(Clock::now(), deadlineOf(route, caller, arrivedAt), route.idempotent, usualLatency);
+}
+
+/// Other instances can serve the request at once.
+void RouteService::refuseStopping(const CallerInfo& caller, const HttpRequest& request, const Responder& responder)
+{
+    refuse(caller, request, responder,
+        { .error = ErrorKind::Stopping,
+            .reason = "this instance stops before the request would end",
+            .retryAfter = milliseconds(0) });
+}
+
 void RouteService::startRequest(CallerInfo caller, HttpRequest request, Responder responder, TimePoint arrivedAt,
     std::shared_ptr<const Route> route, ConcurrencyLimit* limit)
 {
-    auto deadline = arrivedAt + std::min(route->timeout, caller.remaining.value_or(route->timeout));
+    auto deadline = deadlineOf(*route, caller, arrivedAt);
     auto id = ++m_lastId;
     auto execution = std::make_unique<RouteExecution>(
         std::move(route), m_policies.table(), arrivedAt, deadline, id * RouteExecution::attemptsPerRequest, m_policies);
@@ -524,9 +551,18 @@
             + " ms=" + formatDecimal(inMilliseconds(Clock::now() - running.arrivedAt)));
 }
 
+void RouteService::beginStop(StopAdmission admission)
+{
+    asio::post(m_strand, [this, admission] { m_stopAdmission = admission; });
+}
+
 void RouteService::abortAll()
 {
     asio::post(m_strand, [this] {
+        for (auto& [shard, queue] : m_admissionQueues) {
+            for (const auto& it : std::exchange(queue.waiting, {}))
+                refuseStopping(it.caller, it.request, it.responder);
+        }
         std::vector<Id> ids;
         for (const auto& [id, it] : m_running)
             ids.push_back(id);
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -7,6 +7,7 @@
 #include "daemon/Traffic.h"
 #include "policy/ConcurrencyLimit.h"
 #include "policy/CrashGuard.h"
+#include "policy/StopAdmission.h"
 #include "query/RelayedGather.h"
 #include "transport/Links.h"
 
@@ -66,8 +67,10 @@
     bool canServe() const { return m_canServe; }
     /// Number of requests that are not answered yet, including those that wait for a slot of a concurrency limit.
     std::size_t runningCount() const { return m_runningCount; }
-    /// Answers all running requests with the error OutcomeUnknown, at the end of a planned stop. Requests that wait for
-    /// a slot are not answered.
+    /// Starts a planned stop: refuses the requests that `admission` does not take.
+    void beginStop(StopAdmission admission);
+    /// Answers all running requests with the error OutcomeUnknown, at the end of a planned stop, and refuses those that
+    /// wait for a slot.
     void abortAll();
     /// Closes the connections to leaves. No request is answered afterwards.
     void stop();
@@ -116,6 +119,9 @@
     void recordTimerDelay();
     milliseconds startRetryAfter() const;
     void handleRequest(HttpRequest, Responder, TimePoint arrivedAt);
+    static TimePoint deadlineOf(const Route&, const CallerInfo&, TimePoint arrivedAt);
+    bool takesWhileStopping(const Route&, const CallerInfo&, TimePoint arrivedAt) const;
+    void refuseStopping(const CallerInfo&, const HttpRequest&, const Responder&);
     void startRequest(
         CallerInfo, HttpRequest, Responder, TimePoint arrivedAt, std::shared_ptr<const Route>, ConcurrencyLimit*);
     void admit(WaitingRequest, AdmissionQueue&);
@@ -159,6 +165,7 @@
     RelaySender m_sender;
     CrashNotifier m_notifyCrash;
     CrashGuard m_crashGuard;
+    std::optional<StopAdmission> m_stopAdmission; // during a planned stop
     std::set<std::string> m_unresponsiveZones;             // as last logged
     std::unordered_map<std::string, TimePoint> m_probedAt; // last probe of leaves that recently lost a request
     std::unordered_map<Id, std::unique_ptr<RunningRequest>> m_running;
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -122,7 +122,9 @@
     if (m_control)
         m_control->transferLeadership();
     if (m_callerServer) {
-        std::this_thread::sleep_until(start + m_routedSettings.readinessPropagationTime);
+        auto noticedAt = start + m_routedSettings.readinessPropagationTime;
+        m_routes->beginStop({ noticedAt, end });
+        std::this_thread::sleep_until(noticedAt);
         m_callerServer->beginDrain();
         std::this_thread::sleep_until(end - closeReserve);
         m_callerServer->finish([] {});
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -69,6 +69,13 @@
         m_servers.push_back(std::make_unique<HttpServer>(
             m_io, settings, [this, name](const HttpRequest& request, const Responder& responder) {
                 ++m_counts[name];
+                if (request.target.find("/slow") != std::string::npos) {
+                    auto timer = std::make_shared<asio::steady_timer>(m_io, slowTime);
+                    timer->async_wait([responder, timer](const std::error_code&) {
+                        responder.answer({ 200, "", "slow", { { "Server-Stamp", "stamp" } } });
+                    });
+                    return;
+                }
                 HttpResponse answer { 200, "", std::string(16, name.back()) };
                 answer.headers = { { "Server-Stamp", "stamp-" + name },
                     { "Request-Id", std::string(request.header("Request-Id")) } };
@@ -79,6 +86,7 @@
         m_servers.back()->start();
         return m_servers.back()->address();
     }
+    static constexpr milliseconds slowTime { 2000 }; // of a request whose path contains "/slow"
     /// Number of requests that the leaf received.
     int count(const std::string& name) { return m_counts[name]; }
 
@@ -228,6 +236,12 @@
             start(it, true);
     }
     void stop(const std::string& ip) { m_daemons.erase(ip); }
+    /// Performs a planned stop, as after SIGTERM. Blocks for the grace time.
+    void stopGracefully(const std::string& ip)
+    {
+        m_daemons.at(ip)->stopGracefully();
+        stop(ip);
+    }
 
     /// Sends a configuration to the control member `ip`; returns the HTTP status.
     int put(const json& configuration, const std::string& ip = "127.40.1.1")
@@ -581,3 +595,56 @@
     REQUIRE(eventually([&] { return system.put(next) == 200; }));
     CHECK(eventually([&] { return serves("/two/"); }));
 }
+
+// Guards against requests that a stopping instance accepts and then cuts off. Those that must not run twice are never
+// cut off, whenever they arrive during the grace time and whether their connection is new.
+TEST_CASE("a planned stop cuts off no request that must not run twice, and refuses truthfully those that come too late")
+{
+    Leaves leaves;
+    System system;
+    system.startControl();
+    system.start(entry, false);
+    auto configuration = configurationOf(3);
+    configuration["routes"][1]["route_type"] = "non_idempotent";
+    configuration["routes"][1]["timeout_ms"] = 15000;
+    REQUIRE(eventually([&] { return system.put(configuration) == 200; }));
+    auto address = leaves.add("leaf");
+    REQUIRE(eventually([&] { return system.announce("leaf", "single", "zone1", address, 1) == 200; }));
+    REQUIRE(eventually([&] { return system.query(entry, "/one/x")->status == 200; }));
+    auto before = leaves.count("leaf");
+
+    struct Caller {
+        int status = 0;
+        std::thread thread;
+    };
+    constexpr int tenths = 10;
+    std::vector<Caller> callers(2 * tenths);
+    auto start = Clock::now();
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        callers[i].thread = std::thread([&, i] {
+            httplib::Client client(entry, port(3));
+            client.set_read_timeout(std::chrono::seconds(10));
+            auto headers = [](const std::string& id) {
+                return httplib::Headers { { "Host", "h.example" }, { "Request-Id", id }, { "Deadline-Ms", "15000" } };
+            };
+            bool isKept = i % 2 == 1;
+            client.set_keep_alive(isKept);
+            if (isKept)
+                client.Get("/one/open", headers("open" + std::to_string(i)));
+            std::this_thread::sleep_until(start + milliseconds(600 * static_cast<int>(i) / 2 + 100));
+            auto result = client.Post("/one/slow", headers("slow" + std::to_string(i)), "x", "text/plain");
+            callers[i].status = result ? result->status : 0;
+        });
+    }
+    std::this_thread::sleep_until(start + milliseconds(100));
+    system.stopGracefully(entry);
+    int served = 0;
+    for (auto& it : callers) {
+        it.thread.join();
+        served += it.status == 200 ? 1 : 0;
+        // 0: the connection was refused or closed before the request was read.
+        CHECK((it.status == 200 || it.status == 503 || it.status == 0));
+    }
+    CHECK(served > 0);
+    CHECK(leaves.count("leaf") - before == served + tenths); // the kept connections were opened by one request each
+}
