Forward messages for all instances by zone

What was seen at 300 instances: freshness notices, configurations and crash notices went to the first 128 peers by name, always the same ones. Changes of the directory went from each control member to each of 299 peers, which kept six times as many links open as there are instances, with two heartbeats a second in both directions.

Now a message for all crosses to each other zone once (ZoneFanout): a control member there, or in turn an entry instance for freshness notices, sends it on. A change of the directory goes to the own zone, and to the control members of the others, which acknowledge it once their zone has it; zones without a live control member get it directly. With up to 128 peers nothing changes. An idle link is closed after 5 s instead of 30. A pushed configuration is fetched only if it has not arrived 200 ms after its notice. Broadcast timers without work no longer copy the member list.

ZoneFanoutTests: 300 instances, silent forwarders, a control member that fails before it forwards.

Also: a control role that restarts after a storage failure keeps the contacts that it was given, which it needs to find its cluster if its seeds are stale. No test of it.

--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -121,7 +121,10 @@
 
     void setContacts(std::set<std::string> names)
     {
-        post([this, names = std::move(names)]() mutable { m_replica->setContacts(std::move(names)); });
+        post([this, names = std::move(names)]() mutable {
+            m_contacts = std::move(names);
+            m_replica->setContacts(m_contacts);
+        });
     }
 
     std::optional<std::vector<RuleLine>> linesAt(std::uint64_t version)
@@ -210,6 +213,7 @@
             m_storage.reopen();
             logSetAside();
             m_replica = makeReplica();
+            m_replica->setContacts(m_contacts);
             m_failure.clear();
         } catch (const std::exception& error) {
             m_failure = error.what();
@@ -279,6 +283,7 @@
     asio::steady_timer m_timer;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::thread m_thread;
+    std::set<std::string> m_contacts; // as set last; a restarted control role needs them to find its cluster
     bool m_flushScheduled = false;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_publishedVersion = 0; // passed to the handler `published` last
--- a/daemon/ItemBroadcast.h
+++ b/daemon/ItemBroadcast.h
@@ -28,8 +28,11 @@
     static constexpr seconds lifetime { 5 };
     static constexpr double minConfirmedShare = 0.5; // share of the peers that confirms a change at `confirmTimeout`
 
-    explicit ItemBroadcast(Sender sender)
+    /// Broadcasts are numbered from `firstNumber` on. Objects whose acknowledgements are not told apart otherwise need
+    /// different ranges.
+    explicit ItemBroadcast(Sender sender, std::uint64_t firstNumber = 1)
         : m_sender(std::move(sender))
+        , m_lastNumber(firstNumber - 1)
     {
     }
 
@@ -46,6 +49,8 @@
     /// Resends, confirms and ends broadcasts that are due. Must be called about every 50 ms. `live` are the peers that
     /// are members now.
     void onTimer(const std::set<std::string, std::less<>>& live, TimePoint now);
+    /// Whether there is nothing to send or to wait for.
+    bool isIdle() const { return m_broadcasts.empty() && m_pendingItems.empty(); }
 
 private:
     struct PendingBroadcast {
@@ -61,7 +66,7 @@
     Sender m_sender;
     std::vector<DirectoryItem> m_pendingItems;
     std::vector<Done> m_pendingDone;
-    std::uint64_t m_lastNumber = 0;
+    std::uint64_t m_lastNumber;
     std::map<std::uint64_t, PendingBroadcast> m_broadcasts;
 };
 
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/Handlers.h"
 #include "daemon/Logging.h"
+#include "daemon/ZoneFanout.h"
 #include "transport/Compression.h"
 
 #include <asio/post.hpp>
@@ -27,10 +28,9 @@
 constexpr milliseconds reopenInterval { 1000 };         // between attempts to reopen failed storage; each logs one line
 constexpr std::size_t maxDecodedBytes = std::size_t { 64 } << 20U; // of a decompressed message; far above any in use
 constexpr std::string_view freshnessKey = "control/freshness";
-/// Freshness and suspicion notices go directly to this many peers; only gossip reaches further ones. Gossip alone takes
-/// up to 5 s for freshness while an index rollout uses its budget, and a request resent every 100 ms can crash a third
-/// leaf before gossip has spread the first crash.
-constexpr std::size_t maxDirectPeers = 128;
+/// Idle timeout of links if `Settings::linkHeartbeat` is set. With hundreds of members, heartbeats on unused channels
+/// cost more than opening them again.
+constexpr milliseconds linkIdleTimeout { 5000 };
 
 std::uint64_t makeIncarnation()
 {
@@ -73,6 +73,7 @@
     links.partChannelIntervals = settings.partChannelIntervals;
     if (settings.linkHeartbeat) {
         links.heartbeatInterval = *settings.linkHeartbeat;
+        links.idleTimeout = linkIdleTimeout;
         links.heartbeatTimeout = missedHeartbeatLimit * *settings.linkHeartbeat;
     }
     m_links = std::make_unique<Links>(m_io, links);
@@ -173,10 +174,10 @@
         dispatch(envelope);
     } catch (const Error& error) {
         log(LogLevel::Warning, "link", "Dropped a message from " + envelope.sender + ": " + error.what() + ".");
-    }
-}
     } catch (...) {
         logUnexpectedException("link");
+    }
+}
 
 void Node::dispatch(const Envelope& envelope)
 {
@@ -193,6 +194,8 @@
         return onDirectoryAnswer(envelope);
     case MessageKind::Freshness:
         return onFreshnessNotice(envelope.body);
+    case MessageKind::Forward:
+        return onForward(envelope);
     default:
         return onMessage(envelope);
     }
@@ -268,9 +271,35 @@
 
 void Node::sendToPeers(MessageKind kind, const std::string& body)
 {
-    auto peers = m_membership->livePeers();
-    for (std::size_t i = 0; i < std::min(peers.size(), maxDirectPeers); ++i)
-        sendTo(peers[i].name, kind, body);
+    // Other messages than notices may be large and are left to the control members. An instance that missed one learns
+    // so from the next notice.
+    auto turn = kind == MessageKind::Freshness ? m_freshnessNotices.load() : 0;
+    auto plan = planFanout(m_settings.zone, m_membership->livePeers(), m_settings.maxDirectPeers, turn);
+    for (const auto& it : plan.direct)
+        sendTo(it, kind, body);
+    if (plan.forwarders.empty())
+        return;
+    auto forwarded = encodeForwardedMessage({ kind, body });
+    for (const auto& zone : plan.forwarders) {
+        for (const auto& it : zone) {
+            if (sendTo(it, MessageKind::Forward, forwarded))
+                break;
+        }
+    }
+}
+
+/// Handles the content as a message to this instance and sends it to the other peers of this zone.
+void Node::onForward(const Envelope& envelope)
+{
+    auto message = decodeForwardedMessage(envelope.body);
+    for (const auto& it : m_membership->livePeers()) {
+        if (it.zone == m_settings.zone && it.name != envelope.sender)
+            sendTo(it.name, message.kind, message.body);
+    }
+    Envelope content = envelope;
+    content.kind = static_cast<std::uint16_t>(message.kind);
+    content.body = std::move(message.body);
+    dispatch(content);
 }
 
 // ---------------------------------------------------------------------------------------------------------------
@@ -293,7 +322,7 @@
     m_configuration.recordFreshness(notice, Clock::now());
     m_controlClient->setLeader(m_settings.name);
     auto bytes = encodeFreshness(notice);
-    if (m_freshnessNotices++ % noticesPerGossipItem == 0 || m_membership->livePeers().size() > maxDirectPeers)
+    if (m_freshnessNotices++ % noticesPerGossipItem == 0)
         m_membership->publish(std::string(freshnessKey), bytes);
     sendToPeers(MessageKind::Freshness, bytes);
 }
@@ -312,8 +341,6 @@
             fetchDirectory(it, true);
     }
     m_controlClient->setLeader(notice.leader);
-    if (notice.publishedVersion > m_configuration.current()->published.version)
-        fetchMissingState();
 }
 
 /// With open membership the control members are those that gossip knows, in addition to the configured ones.
@@ -347,7 +374,10 @@
     auto sameZonePeer = std::find_if(peers.begin(), peers.end(), isInSameZone);
     auto age = m_configuration.freshnessAge(Clock::now());
     bool isStale = !age || *age > freshnessNoticeTimeout;
-    if (m_configuration.current()->published.version < notice.publishedVersion || isStale) {
+    bool isMissing = m_configuration.current()->published.version < notice.publishedVersion;
+    // The leader pushes each change, so only one that has not arrived some time after its notice is fetched.
+    bool wasMissing = m_isVersionMissing.exchange(isMissing);
+    if ((isMissing && wasMissing) || isStale) {
         if (sameZonePeer != peers.end())
             fetchConfiguration(sameZonePeer->name);
         for (const auto& it : sampleControlMembers())
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -52,7 +52,7 @@
     /// later.
     bool sendTo(const std::string& name, MessageKind, std::string body, std::uint64_t correlation = 0,
         Channel channel = Channel::Control, milliseconds timeToLive = milliseconds(0));
-    /// Sends a message directly to up to `maxDirectPeers` peers, which is faster than gossip.
+    /// Sends a message to all live peers, which is faster than gossip; see planFanout.
     void sendToPeers(MessageKind kind, const std::string& body);
     /// Runs `task` on the workers every `interval`, first after one interval; runs of one task do not overlap.
     void runEvery(milliseconds interval, std::function<void()> task);
@@ -101,8 +101,10 @@
     void onConfigurationFetch(const Envelope&);
     void onDirectoryFetch(const Envelope&);
     void onDirectoryAnswer(const Envelope&);
+    void onForward(const Envelope&);
 
-    std::uint64_t m_freshnessNotices = 0;                 // sent so far; used on the control thread only
+    std::atomic<std::uint64_t> m_freshnessNotices { 0 };  // sent so far
+    std::atomic<bool> m_isVersionMissing { false };       // at the last fetchMissingState
     Guarded<std::set<std::string>> m_knownControlMembers; // names ever seen, including failed ones
     /// Control members that know this instance, with their incarnations.
     Guarded<std::map<std::string, std::uint64_t>> m_introducedIncarnations;
--- a/daemon/PartMessages.cpp
+++ b/daemon/PartMessages.cpp
@@ -36,6 +36,20 @@
 
 } // namespace
 
+std::string encodeForwardedMessage(const ForwardedMessage& it)
+{
+    return pack(static_cast<std::uint16_t>(it.kind), it.body);
+}
+
+ForwardedMessage decodeForwardedMessage(std::string_view bytes)
+{
+    auto [kind, body] = unpack<std::tuple<std::uint16_t, std::string>>(bytes);
+    ForwardedMessage message { static_cast<MessageKind>(kind), std::move(body) };
+    if (message.kind == MessageKind::Forward || message.kind == MessageKind::DirectoryForward)
+        throw Error(ErrorKind::BadRequest, "a forwarded message cannot be forwarded again");
+    return message;
+}
+
 std::string encodePart(const Part& part)
 {
     return pack(part.queryId, part.partId, part.service, part.operation, part.leaf, packShard(part.shard),
--- a/daemon/PartMessages.h
+++ b/daemon/PartMessages.h
@@ -28,6 +28,14 @@
     RelayRequest = 14,
     RelayAnswer = 15,
     RelayCancel = 16,
+    Forward = 17,          // a ForwardedMessage, which the receiver handles and sends to the peers of its zone
+    DirectoryForward = 18, // as DirectoryItems; acknowledged once the peers of the receiver's zone have the items too
+};
+
+/// A message that is forwarded to the peers of a zone.
+struct ForwardedMessage {
+    MessageKind kind = MessageKind::Freshness;
+    std::string body;
 };
 
 /// Requests the published state newer than `sinceVersion` from a peer.
@@ -55,6 +63,9 @@
 
 /// Serialization of the structs above and of parts. `decode...` throws Error(BadRequest) on malformed input. All
 /// functions are thread safe.
+std::string encodeForwardedMessage(const ForwardedMessage&);
+/// Throws Error(BadRequest) also if the content is itself to be forwarded.
+ForwardedMessage decodeForwardedMessage(std::string_view);
 std::string encodePart(const Part&);
 Part decodePart(std::string_view);
 std::string encodePartResult(const PartResult&);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/RoutedDaemon.h"
 
 #include "daemon/Logging.h"
+#include "daemon/ZoneFanout.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -25,7 +26,8 @@
 constexpr milliseconds closeReserve { 1500 };
 constexpr milliseconds leavePropagationTime { 300 }; // for gossip to spread the leave, or for a new leader to take over
 constexpr std::size_t maxProbeConnections = 64;      // load balancers poll once a second
-constexpr const char* zoneEditAuthor = "operator";   // author of the rule lines that take zones out
+constexpr std::uint64_t firstZoneBroadcast = 1ULL << 32U; // above the numbers of this instance's own broadcasts
+constexpr const char* zoneEditAuthor = "operator";        // author of the rule lines that take zones out
 
 std::string randomId()
 {
@@ -46,8 +48,12 @@
     , m_directoryAcks(LockRank::Requests)
     , m_broadcastStrand(asio::make_strand(m_io))
     , m_broadcast([this](const std::string& peer, std::uint64_t number, const std::string& body) {
-        sendTo(peer, MessageKind::DirectoryItems, body, number);
+        auto kind = m_directoryForwarders.contains(peer) ? MessageKind::DirectoryForward : MessageKind::DirectoryItems;
+        sendTo(peer, kind, body, number);
     })
+    , m_zoneBroadcast([this](const std::string& peer, std::uint64_t number,
+                          const std::string& body) { sendTo(peer, MessageKind::DirectoryItems, body, number); },
+          firstZoneBroadcast)
 {
     m_membership->setBroadcastHandler([this](std::vector<DirectoryItem> items, std::function<void(bool)> done) {
         broadcast(std::move(items), std::move(done));
@@ -338,12 +344,67 @@
 
 void RoutedDaemon::onBroadcastTimer()
 {
-    std::vector<std::string> peers;
-    for (const auto& it : m_membership->livePeers())
-        peers.push_back(it.name);
     auto now = Clock::now();
-    m_broadcast.onTimer({ peers.begin(), peers.end() }, now);
-    m_broadcast.flush(peers, now);
+    if (!m_broadcast.isIdle()) {
+        auto live = m_membership->livePeers();
+        m_directoryForwarders.clear();
+        for (const auto& it : live) {
+            if (it.controlMember && it.zone != m_settings.zone && live.size() > m_settings.maxDirectPeers)
+                m_directoryForwarders.insert(it.name);
+        }
+        auto peers = directoryPeers(m_settings.zone, live, m_settings.maxDirectPeers);
+        m_broadcast.onTimer({ peers.begin(), peers.end() }, now);
+        m_broadcast.flush(peers, now);
+    }
+    if (!m_zoneBroadcast.isIdle()) {
+        auto entries = ownZoneEntries();
+        m_zoneBroadcast.onTimer({ entries.begin(), entries.end() }, now);
+    }
+    std::erase_if(
+        m_forwardedChanges, [&](const auto& it) { return now - it.second.startedAt >= 2 * ItemBroadcast::lifetime; });
+}
+
+std::vector<std::string> RoutedDaemon::ownZoneEntries() const
+{
+    std::vector<std::string> names;
+    for (const auto& it : m_membership->livePeers()) {
+        if (it.zone == m_settings.zone && !it.controlMember)
+            names.push_back(it.name);
+    }
+    return names;
+}
+
+/// Applies changes of the directory and forwards them to the entry instances of this zone. They are acknowledged once
+/// these have them; until then the sender repeats them. An instance that does not know its zone's instances yet cannot
+/// acknowledge anything.
+void RoutedDaemon::onDirectoryForward(const Envelope& envelope)
+{
+    ForwardedChange change { envelope.sender, envelope.incarnation, envelope.correlation };
+    asio::post(m_broadcastStrand, [this, change, items = decodeItems(envelope.body)] {
+        auto [it, isNew] = m_forwardedChanges.try_emplace(change, ForwardState { Clock::now(), false });
+        if (isNew)
+            m_membership->applyItems(items, [this, change, items] {
+                asio::post(m_broadcastStrand, [this, change, items] { forwardChange(change, items); });
+            });
+        else if (it->second.isConfirmed)
+            sendTo(std::get<0>(change), MessageKind::DirectoryAck, {}, std::get<2>(change));
+    });
+}
+
+void RoutedDaemon::forwardChange(const ForwardedChange& change, const std::vector<DirectoryItem>& items)
+{
+    if (!m_hasMemberList) {
+        m_forwardedChanges.erase(change);
+        return;
+    }
+    m_zoneBroadcast.start(items, ownZoneEntries(), Clock::now(), [this, change](bool confirmed) {
+        if (!confirmed) {
+            m_forwardedChanges.erase(change); // the next repetition starts another attempt
+            return;
+        }
+        m_forwardedChanges[change].isConfirmed = true;
+        sendTo(std::get<0>(change), MessageKind::DirectoryAck, {}, std::get<2>(change));
+    });
 }
 
 void RoutedDaemon::onMessage(const Envelope& envelope)
@@ -355,9 +416,14 @@
                 m_directoryAcks.with([&](auto& it) { it.emplace_back(sender, number); });
             });
         return;
+    case MessageKind::DirectoryForward:
+        onDirectoryForward(envelope);
+        return;
     case MessageKind::DirectoryAck:
-        asio::post(m_broadcastStrand,
-            [this, sender = envelope.sender, number = envelope.correlation] { m_broadcast.onAck(sender, number); });
+        asio::post(m_broadcastStrand, [this, sender = envelope.sender, number = envelope.correlation] {
+            m_broadcast.onAck(sender, number);
+            m_zoneBroadcast.onAck(sender, number);
+        });
         return;
     case MessageKind::Suspicion:
         if (m_routes)
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -84,11 +84,20 @@
     void announce(Announcement, std::function<void(bool)> done) override;
     void depart(std::string leaf, std::function<void(bool)> done) override;
 
+    /// A broadcast of a control member in another zone that this instance forwards: sender, its incarnation, number.
+    using ForwardedChange = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+    struct ForwardState {
+        TimePoint startedAt;
+        bool isConfirmed = false; // the entry instances of this zone have the change
+    };
     static void refuseNotice(const std::string& leaf, const std::function<void(bool)>& done);
     void submitZone(std::string zone, bool out, std::uint64_t base, TimePoint deadline, std::function<void(bool)> done);
     void answerRead(std::uint64_t index, TimePoint deadline, std::function<void(std::optional<StoredDocument>)> done);
     void broadcast(std::vector<DirectoryItem>, std::function<void(bool)> done);
     void onBroadcastTimer();
+    void onDirectoryForward(const Envelope&);
+    void forwardChange(const ForwardedChange&, const std::vector<DirectoryItem>&);
+    std::vector<std::string> ownZoneEntries() const;
     void onLeavesTimer();
     void updateRouteLeaves();
     void updateReadiness();
@@ -109,7 +118,11 @@
     /// Acknowledgements that are not sent yet: peer and broadcast number.
     Guarded<std::vector<std::pair<std::string, std::uint64_t>>> m_directoryAcks;
     asio::strand<asio::io_context::executor_type> m_broadcastStrand;
-    ItemBroadcast m_broadcast; // used on m_broadcastStrand only
+    // The members below are used on m_broadcastStrand only.
+    ItemBroadcast m_broadcast;     // of changes that leaves have sent to this instance
+    ItemBroadcast m_zoneBroadcast; // of changes that a control member of another zone has sent
+    std::set<std::string, std::less<>> m_directoryForwarders; // the peers of m_broadcast that forward changes
+    std::map<ForwardedChange, ForwardState> m_forwardedChanges;
     std::unique_ptr<RouteService> m_routes;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readyServer;
--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -34,6 +34,7 @@
     unsigned partChannelIntervals = 1;          // see LinkSettings
     std::optional<milliseconds> linkHeartbeat;  // see LinkSettings; absent: its defaults
     std::optional<milliseconds> rejoinInterval; // see GossipSettings; absent: its default
+    std::size_t maxDirectPeers = 128;           // with more live peers, messages for all are forwarded by zone
     unsigned workers = 1;
     milliseconds drainDelay { 3000 }; // time to keep serving after the stop signal, while not ready
     LogLevel logLevel = LogLevel::Info;
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -345,12 +345,12 @@
     bool wentDown = false;
     bool hasPipe = false;
     const unsigned intervals = key.second == Channel::Part ? m_settings.partChannelIntervals : 1;
+    const Duration timeout = intervals * m_settings.heartbeatTimeout;
     bool isDue = m_ticks % intervals == 0;
     {
         const std::lock_guard lock(m_mutex);
         hasPipe = dialer->hasPipe;
         isDue = isDue || dialer->state != Dialer::State::Up || !dialer->peerClock.isSettled();
-    const Duration timeout = intervals * m_settings.heartbeatTimeout;
         inUse = now - dialer->lastUse < m_settings.idleTimeout;
         const bool isUsedByPeer = now - std::max(dialer->openedAt, dialer->lastPeerUse) <= timeout;
         const bool isBroken = dialer->lostPipe || now - std::max(dialer->openedAt, dialer->lastAnswer) > timeout;
