Close a connection whose leaf answers another request

From a report of other operators: a server sent a second copy of an answer, late, on a connection that was in use again, and the next caller got an answer that was not its own. Here a response that names another request was not passed on, but its connection went back to the pool, one response behind: the next request on it got the response to the one before, was counted as lost and sent again. A success that names no request was taken for the response, even from a leaf whose other responses do.

UpstreamClient asks the protocol now which request a reply answers, also for cancelled attempts. A foreign reply counts as malformed and its connection is closed. A leaf that never names requests is used as before.

The new case of RoutedDaemonTests failed before (the copy was complete, the connection reused).

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -54,13 +54,13 @@
 }
 
 void UpstreamClient::send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request,
-    bool isHead, Callback callback)
+    bool isHead, Callback callback, OwnerCheck ownerOf)
 {
     auto& pool = poolOf(leaf);
     auto poolName = poolNameOf(leaf);
     pool.limit = limit;
     auto& exchange = m_exchanges[attempt];
-    exchange = { poolName, nullptr, std::move(callback), Clock::now(), nullptr, isHead };
+    exchange = { poolName, nullptr, std::move(callback), Clock::now(), nullptr, isHead, std::move(ownerOf) };
     while (!pool.idle.empty()) {
         auto idle = std::move(pool.idle.back());
         pool.idle.pop_back();
@@ -143,12 +143,27 @@
     auto& exchange = node.mapped();
     if (exchange.graceTimer)
         exchange.graceTimer->cancel();
+    if (isForeign(exchange, reply))
+        reply.end = LeafReply::End::Malformed;
     if (exchange.connection)
         reuse(exchange.poolName, exchange.connection, reply);
     if (exchange.callback)
         exchange.callback(std::move(reply));
 }
 
+bool UpstreamClient::isForeign(const Exchange& exchange, const LeafReply& reply)
+{
+    auto pool = m_pools.find(exchange.poolName);
+    if (reply.end != LeafReply::End::Complete || !exchange.ownerOf || pool == m_pools.end())
+        return false;
+    auto owner = exchange.ownerOf(reply);
+    if (owner == ReplyOwner::ThisRequest)
+        pool->second.namesRequests = true;
+    bool isSuccess = reply.status / 100 == 2;
+    return owner == ReplyOwner::AnotherRequest
+        || (owner == ReplyOwner::Unknown && isSuccess && pool->second.namesRequests);
+}
+
 /// Returns the connection of an ended exchange to the pool, or closes it if it cannot be reused.
 void UpstreamClient::reuse(const std::string& poolName, const Connection& connection, const LeafReply& reply)
 {
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -31,11 +31,15 @@
     std::uint64_t unresponsiveClosed = 0; // idle connections closed because another one to the leaf was unresponsive
 };
 
+/// Which request a reply answers, as far as it says so.
+enum class ReplyOwner : std::uint8_t { ThisRequest, AnotherRequest, Unknown };
+
 /// Not thread safe: every method runs on the strand given to the constructor, and so do the callbacks.
 class UpstreamClient : public std::enable_shared_from_this<UpstreamClient> {
 public:
     using Strand = LeafConnection::Strand;
     using Callback = std::function<void(LeafReply)>;
+    using OwnerCheck = std::function<ReplyOwner(const LeafReply&)>;
 
     UpstreamClient(const Strand& strand, UpstreamSettings settings)
         : m_strand(strand)
@@ -46,10 +50,12 @@
     /// Sends a request on an idle or a new connection; `limit` is the maximum number of connections to the leaf.
     /// `callback` runs once, after this call returns, unless the attempt is cancelled. If no connection is available,
     /// the end of the reply is NotWritten, or NoFreeConnection if the limit is reached or if the leaf accepts no
-    /// further connection while others to it are open. Throws Error(BadRequest) if the address is malformed.
-    /// Precondition: `attempt` is unique among the running ones.
+    /// further connection while others to it are open. A reply that answers another request, for example a second copy
+    /// of an earlier one, counts as Malformed, and so does a success that does not say which request it answers if
+    /// others of the leaf did; the response to this request may still follow, so the connection is closed. Throws
+    /// Error(BadRequest) if the address is malformed. Precondition: `attempt` is unique among the running ones.
     void send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request, bool isHead,
-        Callback callback);
+        Callback callback, OwnerCheck ownerOf = nullptr);
     /// How a cancelled attempt ended: before it was written (NotSent), with a complete response (Answered), without one
     /// (Ended), or not before the end of its grace period (Unresponsive).
     enum class CancelResult : std::uint8_t { NotSent, Answered, Ended, Unresponsive };
@@ -81,6 +87,7 @@
         std::vector<Idle> idle;                                          // the last used one is reused first
         std::uint32_t open = 0;                                          // number of idle, busy and connecting ones
         std::uint32_t limit = std::numeric_limits<std::uint32_t>::max(); // maximum of `open`
+        bool namesRequests = false;                                      // a reply said which request it answers
     };
     struct Exchange {
         std::string poolName;
@@ -89,6 +96,7 @@
         TimePoint startedAt;
         std::shared_ptr<LeafConnection::Timer> graceTimer; // set once the attempt is cancelled
         bool isHead = false;
+        OwnerCheck ownerOf; // may be empty
     };
 
     Pool& poolOf(const Announcement&);
@@ -96,6 +104,7 @@
     void start(std::uint64_t attempt, std::string request);
     void endUnsent(std::uint64_t attempt);
     void onReply(std::uint64_t attempt, LeafReply);
+    bool isForeign(const Exchange&, const LeafReply&);
     void reuse(const std::string& poolName, const Connection&, const LeafReply&);
     void keepOrClose(const std::string& poolName, const Connection&, bool isReusable, Duration idleTimeout);
     void onGraceExpired(std::uint64_t attempt, const std::function<void(CancelResult)>& done);
--- a/daemon/RouteProtocol.h
+++ b/daemon/RouteProtocol.h
@@ -1,7 +1,7 @@
 // Interface through which RouteService uses the HTTP protocol that the callers and leaves of a deployment speak.
 #pragma once
 
-#include "backend/LeafConnection.h"
+#include "backend/UpstreamClient.h"
 #include "query/RouteExecution.h"
 #include "transport/HttpServer.h"
 
@@ -21,6 +21,8 @@
     virtual CallerInfo readCallerInfo(const HttpRequest&) const = 0;
     /// Serializes a request for a leaf. Method, target, body and end-to-end headers are unchanged.
     virtual std::string renderRequest(const HttpRequest&, const Announcement& leaf, milliseconds remaining) const = 0;
+    /// Returns whether a reply that arrived for a request of that caller answers that request.
+    virtual ReplyOwner ownerOf(const LeafReply&, const CallerInfo&) const = 0;
     /// Interprets a leaf's reply to a request of that caller. Leaves `attempt` of the result at 0.
     virtual AttemptResult readReply(LeafReply, const CallerInfo&) const = 0;
     virtual HttpResponse renderOutcome(RouteOutcome, const CallerInfo&) const = 0;
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -351,8 +351,8 @@
     });
 }
 
-void RouteService::sendToLeaf(
-    const RouteSend& send, const HttpRequest& request, const UpstreamClient::Callback& callback)
+void RouteService::sendToLeaf(const RouteSend& send, const HttpRequest& request, const CallerInfo& caller,
+    const UpstreamClient::Callback& callback)
 {
     try {
         auto bytes = m_protocol.renderRequest(request, send.leaf, send.remaining);
@@ -362,7 +362,7 @@
             callback(std::move(reply));
         };
         m_upstream->send(send.attempt, send.leaf, send.connectionLimit, std::move(bytes), request.method == "HEAD",
-            std::move(counted));
+            std::move(counted), [this, caller](const LeafReply& reply) { return m_protocol.ownerOf(reply, caller); });
     } catch (const Error& error) {
         log(LogLevel::Warning, "leaf", "leaf=" + send.leaf.leaf + " request could not be sent: " + error.what());
         asio::post(m_strand, [callback] {
@@ -376,9 +376,11 @@
 void RouteService::sendPart(Id id, const RouteSend& send)
 {
     m_counters.counter(send.isExtra ? "leaf_requests_extra_total" : "leaf_requests_first_total").add();
-    sendToLeaf(send, m_running.at(id)->request, [this, id, attempt = send.attempt, leaf = send.leaf](LeafReply reply) {
-        onReply(id, attempt, leaf, std::move(reply));
-    });
+    const auto& running = *m_running.at(id);
+    sendToLeaf(
+        send, running.request, running.caller, [this, id, attempt = send.attempt, leaf = send.leaf](LeafReply reply) {
+            onReply(id, attempt, leaf, std::move(reply));
+        });
 }
 
 void RouteService::onReply(Id id, std::uint64_t attempt, const Announcement& leaf, LeafReply reply)
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -139,7 +139,7 @@
     void beginRelayed(const Envelope&, RelayedCall);
     void cancelRelayed(const std::string& entry, std::uint64_t correlation);
     void performRelayed(Id, RelayActions);
-    void sendToLeaf(const RouteSend&, const HttpRequest&, const UpstreamClient::Callback&);
+    void sendToLeaf(const RouteSend&, const HttpRequest&, const CallerInfo&, const UpstreamClient::Callback&);
     void sendPart(Id, const RouteSend&);
     static std::uint64_t fingerprintOf(const HttpRequest&);
     void recordAttemptEnd(
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -132,15 +132,16 @@
     for (const auto& it : actions.answers)
         m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation, unlimited);
     for (const auto& it : actions.sends) {
-        sendToLeaf(it, relayed.request, [this, id, attempt = it.attempt, leaf = it.leaf](LeafReply reply) {
-            auto found = m_relayed.find(id);
-            if (found == m_relayed.end())
-                return;
-            auto result = m_protocol.readReply(std::move(reply), found->second->caller);
-            result.attempt = attempt;
-            recordAttemptEnd(found->second->fingerprint, found->second->caller, leaf, result.status);
-            performRelayed(id, found->second->gather->onResult(std::move(result), Clock::now()));
-        });
+        sendToLeaf(
+            it, relayed.request, relayed.caller, [this, id, attempt = it.attempt, leaf = it.leaf](LeafReply reply) {
+                auto found = m_relayed.find(id);
+                if (found == m_relayed.end())
+                    return;
+                auto result = m_protocol.readReply(std::move(reply), found->second->caller);
+                result.attempt = attempt;
+                recordAttemptEnd(found->second->fingerprint, found->second->caller, leaf, result.status);
+                performRelayed(id, found->second->gather->onResult(std::move(result), Clock::now()));
+            });
     }
     if (actions.finished) {
         m_relayedIds.erase({ relayed.entry, relayed.correlation });
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -4,6 +4,7 @@
 #include "backend/UpstreamClient.h"
 #include "daemon/ItemBroadcast.h"
 #include "daemon/LogBuffer.h"
+#include "platform/RequestProtocol.h"
 #include "query/RouteTable.h"
 
 #include <doctest/doctest.h>
@@ -118,6 +119,7 @@
     std::shared_ptr<UpstreamClient> client
         = std::make_shared<UpstreamClient>(asio::make_strand(io), UpstreamSettings {});
     std::uint64_t lastAttempt = 0;
+    platform::RequestProtocol protocol;
 
     void runFor(milliseconds time)
     {
@@ -127,8 +129,12 @@
     std::optional<LeafReply> exchange(std::uint32_t limit = 4)
     {
         std::optional<LeafReply> got;
-        client->send(++lastAttempt, leaf.announcement(), limit, "GET / HTTP/1.1\r\n\r\n", false,
-            [&](LeafReply reply) { got = std::move(reply); });
+        client->send(
+            ++lastAttempt, leaf.announcement(), limit, "GET / HTTP/1.1\r\n\r\n", false,
+            [&](LeafReply reply) { got = std::move(reply); },
+            [this](const LeafReply& reply) {
+                return protocol.ownerOf(reply, { "id" + std::to_string(lastAttempt), std::nullopt });
+            });
         for (int i = 0; i < 200 && !got; ++i)
             runFor(milliseconds(5));
         return got;
@@ -161,6 +167,36 @@
     CHECK(it.leaf.connections == 2);
 }
 
+// Guards against a second copy of an earlier response that is taken for the response to the next request, and against a
+// connection that stays one response behind.
+TEST_CASE("a late second copy of a response answers no other request, and its connection is not used again")
+{
+    ClientFixture it;
+    auto response = [](const std::string& id) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + (id.empty() ? id : "Request-Id: " + id + "\r\n") + "\r\n"
+            + (id.empty() ? "any" : id);
+    };
+    it.leaf.reply = response("id1");
+    CHECK(it.exchange()->body == "id1");
+    SUBCASE("the copy names its request") { }
+    SUBCASE("the copy names no request, though other responses of the leaf do") { it.leaf.reply = response(""); }
+    CHECK(it.exchange()->end == LeafReply::End::Malformed);
+    CHECK(it.leaf.connections == 1);
+    it.leaf.reply = response("id3");
+    CHECK(it.exchange()->body == "id3");
+    CHECK(it.leaf.connections == 2);
+    it.leaf.reply = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    CHECK(it.exchange()->end == LeafReply::End::Complete);
+}
+
+TEST_CASE("a leaf that never names the request that it answers is used")
+{
+    ClientFixture it;
+    CHECK(it.exchange()->body == "ok");
+    CHECK(it.exchange()->body == "ok");
+    CHECK(it.leaf.connections == 1);
+}
+
 // Guards against a truncated or malformed response that is passed on as complete.
 TEST_CASE("a response without a length is complete when the leaf closes the connection, a truncated one is not")
 {
