--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -60,14 +60,6 @@
     return (ms & mask) << requestsPerMillisecondBits;
 }
 
-std::string joinNames(const std::vector<std::string>& names)
-{
-    std::string text;
-    for (const auto& it : names)
-        text += (text.empty() ? "" : ",") + it;
-    return text;
-}
-
 } // namespace
 
 RouteService::RouteService(asio::io_context& io, const std::string& instance, const std::string& zone,
@@ -104,6 +96,14 @@
     return { buf.data(), static_cast<std::size_t>(n) };
 }
 
+std::string RouteService::joinNames(const std::vector<std::string>& names)
+{
+    std::string text;
+    for (const auto& it : names)
+        text += (text.empty() ? "" : ",") + it;
+    return text;
+}
+
 RouteService::~RouteService() = default;
 
 std::set<std::string> RouteService::relayPeers() const
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -114,6 +114,7 @@
         std::uint64_t fingerprint = 0;
         std::unique_ptr<RelayedGather> gather;
         LeafConnection::Timer timer;
+        TimePoint startedAt;
     };
     using Id = std::uint64_t;
 
@@ -139,6 +140,7 @@
     void beginRelayed(const Envelope&, RelayedCall);
     void cancelRelayed(const std::string& entry, std::uint64_t correlation);
     void performRelayed(Id, RelayActions);
+    void logBatch(const RelayedRequest&, const RelayAnswer&);
     void sendToLeaf(const RouteSend&, const HttpRequest&, const CallerInfo&, const UpstreamClient::Callback&);
     void sendPart(Id, const RouteSend&);
     static std::uint64_t fingerprintOf(const HttpRequest&);
@@ -155,6 +157,7 @@
     void logAnswer(const RunningRequest&, const RouteOutcome&, TimePoint now);
     static double inMilliseconds(Duration);
     static std::string formatDecimal(double value);
+    static std::string joinNames(const std::vector<std::string>&);
     void logAttempt(const RunningRequest&, const Announcement& leaf, const AttemptResult&);
 
     Strand m_strand;
@@ -175,7 +178,8 @@
     std::unordered_map<std::string, TimePoint> m_probedAt; // last probe of leaves that recently lost a request
     std::unordered_map<Id, std::unique_ptr<RunningRequest>> m_running;
     std::map<std::string, AdmissionQueue> m_admissionQueues; // by the first gathered shard
-    LeafConnection::Timer m_waitTimer;                       // expires at the next wait deadline of a queued request
+    TimePoint m_lastBatchLogAt;
+    LeafConnection::Timer m_waitTimer; // expires at the next wait deadline of a queued request
     std::unordered_map<Id, std::unique_ptr<RelayedRequest>> m_relayed;
     std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry instance and correlation
     std::atomic<std::size_t> m_runningCount { 0 };
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -9,6 +9,7 @@
 
 constexpr milliseconds unlimited { 0 }; // time to live of a message
 constexpr milliseconds minBatchAfter { 1 };
+constexpr milliseconds batchLogInterval { 100 };
 
 } // namespace
 
@@ -95,7 +96,7 @@
     m_relayedIds[{ entry, correlation }] = id;
     m_relayed.emplace(id,
         std::make_unique<RelayedRequest>(RelayedRequest { entry, correlation, std::move(caller), std::move(request),
-            fingerprint, std::move(gather), LeafConnection::Timer(m_strand) }));
+            fingerprint, std::move(gather), LeafConnection::Timer(m_strand), now }));
     performRelayed(id, std::move(actions));
 }
 
@@ -124,13 +125,31 @@
     });
 }
 
+/// Logs a batch that lacks parts, at most once per `batchLogInterval`.
+void RouteService::logBatch(const RelayedRequest& relayed, const RelayAnswer& answer)
+{
+    auto now = Clock::now();
+    if (!answer.isBatch || answer.answered.size() == relayed.gather->partCount() || !isLogged(LogLevel::Info)
+        || now - m_lastBatchLogAt < batchLogInterval)
+        return;
+    m_lastBatchLogAt = now;
+    log(LogLevel::Info, "relay",
+        "request id=" + relayed.caller.id + " entry=" + relayed.entry + " parts="
+            + std::to_string(relayed.gather->partCount()) + " answered=" + std::to_string(answer.answered.size())
+            + " not_sent_or_failed=" + std::to_string(answer.failed.size())
+            + " ms=" + formatDecimal(inMilliseconds(now - relayed.startedAt))
+            + " waits_for=" + joinNames(relayed.gather->waitingLeaves()));
+}
+
 void RouteService::performRelayed(Id id, RelayActions actions)
 {
     auto& relayed = *m_relayed.at(id);
     for (auto attempt : actions.cancels)
         cancelAttempt(relayed.gather->leafOf(attempt), attempt);
-    for (const auto& it : actions.answers)
+    for (const auto& it : actions.answers) {
+        logBatch(relayed, it);
         m_sender(relayed.entry, MessageKind::RelayAnswer, encode(it), relayed.correlation, unlimited);
+    }
     for (const auto& it : actions.sends) {
         sendToLeaf(
             it, relayed.request, relayed.caller, [this, id, attempt = it.attempt, leaf = it.leaf](LeafReply reply) {
--- a/query/RelayedGather.h
+++ b/query/RelayedGather.h
@@ -33,6 +33,9 @@
     /// Cancels all attempts when the entry instance no longer needs the answer.
     RelayActions cancel();
 
+    std::size_t partCount() const { return m_request.services.size(); }
+    /// Returns the leaves that have not answered yet, for the log.
+    std::vector<std::string> waitingLeaves() const;
     /// Returns the leaf of an attempt. Precondition: the attempt was sent by this request.
     const std::string& leafOf(std::uint64_t attempt) const { return m_attempts.at(attempt - m_firstAttempt).leaf; }
 
