--- a/tests/SystemTests.cpp
+++ b/tests/SystemTests.cpp
@@ -3,6 +3,7 @@
 // docs/design.md.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "tests/ClusterOperations.h"
+#include "tests/KeepFailedRuns.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -15,6 +16,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+REGISTER_LISTENER("keep-failed-runs", 1, KeepFailedRuns);
+
 namespace {
 
 constexpr int portBase = 23000;                     // each test case has a cluster with its own 10 ports
