--- a/daemon/ItemBroadcast.h
+++ b/daemon/ItemBroadcast.h
@@ -28,7 +28,7 @@
     static constexpr seconds lifetime { 5 };
     static constexpr double minConfirmedShare = 0.5; // share of the peers that confirms a change at `confirmTimeout`
 
-    /// Broadcasts are numbered from `firstNumber` on. Objects whose acknowledgements are not told apart otherwise need
+    /// Broadcasts are numbered from `firstNumber` on. Objects whose acknowledgements arrive together need
     /// different ranges.
     explicit ItemBroadcast(Sender sender, std::uint64_t firstNumber = 1)
         : m_sender(std::move(sender))
--- a/tests/ControlFullDisksTests.cpp
+++ b/tests/ControlFullDisksTests.cpp
@@ -42,9 +42,7 @@
             auto& it = node(name);
             if (it.failure.empty() || nowMs() < m_reopenAt[name])
                 continue;
-            if (m_reopenAt[name] == 0) {
-                m_reopenAt[name] = nowMs() + reopenIntervalMs;
-            } else if (it.disk->failing) {
+            if (m_reopenAt[name] == 0 || it.disk->failing) {
                 m_reopenAt[name] = nowMs() + reopenIntervalMs;
             } else {
                 m_reopenAt.erase(name);
--- a/tests/LargeGatherTests.cpp
+++ b/tests/LargeGatherTests.cpp
@@ -321,10 +321,10 @@
         good += it.succeeded && *it.answeredAt - it.arrivedAt <= objective - callerTime ? 1 : 0;
         coverage += 1 - static_cast<double>(it.missing) / shardCount;
     }
-    for (const auto& [zone, counts] : inTime) {
-        CAPTURE(zone);
-        CAPTURE(counts.second);
-        CHECK(counts.first >= 0.9 * counts.second);
+    for (const auto& it : inTime) {
+        const auto& [good, all] = it.second;
+        INFO("zone " << it.first);
+        CHECK(static_cast<double>(good) >= 0.9 * static_cast<double>(all));
     }
     CHECK(coverage / judged >= 0.97);
     int arrivals = 0;
--- a/tests/ProcessHarness.cpp
+++ b/tests/ProcessHarness.cpp
@@ -135,7 +135,7 @@
 {
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
-    s_lastFolder = m_folder;
+    lastFolderOfProcess = m_folder;
     const std::vector<std::string> zones { "atl", "sav", "mac", "aug" };
     for (std::size_t zone = 0; zone < zones.size(); ++zone) {
         for (int n = 1; n <= (zones[zone] == "aug" ? 1 : 2); ++n) {
--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -82,7 +82,7 @@
     const InstanceAddresses& instance(const std::string& name) const;
     const std::filesystem::path& folder() const { return m_folder; }
     /// Folder of the cluster that this process created last; empty if there is none. Not thread safe.
-    static const std::filesystem::path& lastFolder() { return s_lastFolder; }
+    static const std::filesystem::path& lastFolder() { return lastFolderOfProcess; }
     std::filesystem::path dataFolder(const std::string& name) const { return m_folder / ("data-" + name); }
     std::filesystem::path rulesFile(const std::string& name) const { return m_folder / ("rules-" + name); }
     std::filesystem::path journal() const { return m_folder / "journal.jsonl"; }
@@ -117,7 +117,7 @@
     std::filesystem::path m_folder;
     std::vector<InstanceAddresses> m_instances;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_processes;
-    inline static std::filesystem::path s_lastFolder;
+    inline static std::filesystem::path lastFolderOfProcess;
 };
 
 } // namespace citronplank::testing
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -617,7 +617,7 @@
         int status = 0;
         std::thread thread;
     };
-    constexpr int tenths = 10;
+    constexpr std::size_t tenths = 10;
     std::vector<Caller> callers(2 * tenths);
     auto start = Clock::now();
     for (std::size_t i = 0; i < callers.size(); ++i) {
@@ -646,5 +646,6 @@
         CHECK((it.status == 200 || it.status == 503 || it.status == 0));
     }
     CHECK(served > 0);
-    CHECK(leaves.count("leaf") - before == served + tenths); // the kept connections were opened by one request each
+    CHECK(leaves.count("leaf") - before
+        == served + static_cast<int>(tenths)); // the kept connections were opened by one request each
 }
