Let gatherers use leaves of other zones again

Conclusion: a gatherer that knows a better leaf should use it; what the trial changed is worth another look for paused leaves only.

--- a/query/RelayedGather.cpp
+++ b/query/RelayedGather.cpp
@@ -31,9 +31,7 @@
         const auto& service = m_request.services[i];
         if (m_request.budget == RelayBudget::First)
             m_policies.onFirstRequest(service);
-        const auto* leaf = m_request.budget == RelayBudget::None
-            ? m_policies.pickForPeer(service, typicalLatency, now)
-            : m_policies.pickForGroup(service, typicalLatency, now);
+        const auto* leaf = m_policies.pickForPeer(service, typicalLatency, now);
         if (!leaf || (m_request.budget == RelayBudget::Extra && !m_policies.tryTakeExtra(service))) {
             m_batch.failed.push_back({ i });
             continue;
@@ -44,8 +42,7 @@
         actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(*leaf), m_request.remaining, false });
         ++m_running;
     }
-    bool isGroup = m_request.budget != RelayBudget::None;
-    if ((m_batchSent || (isGroup && m_running > 0)) && !m_batch.failed.empty())
+    if (m_batchSent && !m_batch.failed.empty())
         actions.answers.push_back({ false, {}, {}, std::exchange(m_batch.failed, {}) });
     return completeActions(std::move(actions), now);
 }
--- a/query/RouteExecutionRelays.cpp
+++ b/query/RouteExecutionRelays.cpp
@@ -175,13 +175,9 @@
         m_merge.add(answer.records);
     std::vector<std::uint32_t> retries;
     for (const auto& it : answer.failed) {
-        if (it.service >= relay.parts.size() || !isOpen(relay.parts[it.service]))
-            continue;
-        auto index = relay.parts[it.service];
-        if (failRelayed(index, number, it.hasArrived, it.mayHaveRun))
-            retries.push_back(index);
-        else if (!it.hasArrived && m_parts[index].running > 0)
-            m_parts[index].hedgeAt = m_parts[index].hedgeAt.value_or(now); // in another zone
+        if (it.service < relay.parts.size() && isOpen(relay.parts[it.service])
+            && failRelayed(relay.parts[it.service], number, it.hasArrived, it.mayHaveRun))
+            retries.push_back(relay.parts[it.service]);
     }
     bool hasOpenParts = false;
     for (auto index : relay.parts) {
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -28,8 +28,6 @@
 constexpr double ownZoneConnectionShare = 0.8; // of a leaf's connections, if instances of other zones use relays
 constexpr std::size_t peersPerZone = 2;        // one may be down
 constexpr std::size_t minGatherers = 4;        // entry instances of the own zone; with fewer, its parts are not grouped
-/// A part whose leaf is expected to need more than this many usual latencies is faster in another zone.
-constexpr int maxGroupLatencyFactor = 4;
 constexpr TimePoint ignoreBackoffs = TimePoint::max(); // in place of the current time
 constexpr std::size_t linkedZones = 2;       // zones whose gatherer of a group has an open link; the second for retries
 constexpr milliseconds peerBackoff { 1000 }; // after an unanswered relay; parts are sent directly to leaves meanwhile
@@ -129,14 +127,7 @@
 
 const Announcement* RoutePolicies::pickForPeer(const std::string& service, Duration typicalLatency, TimePoint now)
 {
-    return choose(service, {}, true, typicalLatency, now);
-}
-
-const Announcement* RoutePolicies::pickForGroup(const std::string& service, Duration typicalLatency, TimePoint now)
-{
-    const auto* leaf = choose(service, {}, true, typicalLatency, now);
-    bool isSlow = leaf && m_selector.expectedCost(*leaf, typicalLatency, now) > maxGroupLatencyFactor * typicalLatency;
-    return isSlow ? nullptr : leaf;
+    return choose(service, {}, !dividesConnectionsByZone(service), typicalLatency, now);
 }
 
 const Announcement* RoutePolicies::choose(const std::string& service, std::span<const std::string> tried,
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -51,11 +51,9 @@
     /// the usual latency of such a request. The pointer is valid until the next call of setLeaves.
     const Announcement* pick(
         const std::string& service, std::span<const std::string> tried, Duration typicalLatency, TimePoint now);
-    /// Returns the best leaf of this zone for a part requested by a peer, or null if there is none.
+    /// Returns the best leaf for a part requested by a peer. Considers only leaves of this zone, unless the connections
+    /// of the leaves are divided by zone, because the peer may then be in this zone too.
     const Announcement* pickForPeer(const std::string& service, Duration typicalLatency, TimePoint now);
-    /// Returns the best leaf of this zone for a part of a group that this instance gathers, or null if there is none or
-    /// it is stalled or slow. The entry instance then requests the part in another zone at once.
-    const Announcement* pickForGroup(const std::string& service, Duration typicalLatency, TimePoint now);
     /// Returns the names of the leaves of a service in a zone.
     std::vector<std::string> leavesIn(const std::string& service, std::string_view zone) const;
     /// Returns the maximum number of connections of this instance to a leaf. The connections of a leaf are divided
