--- a/tests/LargeGatherTests.cpp
+++ b/tests/LargeGatherTests.cpp
@@ -31,6 +31,7 @@
 constexpr microseconds relayMessageCost { 400 };
 constexpr milliseconds work { 3 };
 constexpr double workSpread = 0.35;
+constexpr int slowFactor = 11;
 constexpr milliseconds objective { 80 };
 constexpr milliseconds callerTime { 12 }; // connection setup, request and answer between caller and entry instance
 constexpr milliseconds requestInterval { 25 };
@@ -70,6 +71,7 @@
     std::string zone;
     milliseconds phase { 0 };        // of its pauses
     std::set<std::string> connected; // instances
+    int slowness = 1;                // multiplies the work
     int arrivals = 0;
 
     /// Returns when work that starts at `time` and takes `duration` ends.
@@ -119,7 +121,8 @@
 class Fleet {
 public:
     /// The leaves are in all zones, each shard's in three of them, or all in the first three zones.
-    explicit Fleet(bool spreadsLeaves)
+    /// Of `slowPercent` percent of the leaves the work takes `slowFactor` times as long.
+    explicit Fleet(bool spreadsLeaves, unsigned slowPercent = 0)
     {
         route->name = "lookup";
         route->objective = objective;
@@ -141,7 +144,8 @@
                 it.leaf = service + "-" + it.zone;
                 it.address = "10.0.0.1:80";
                 it.slots = 3;
-                leaves[it.leaf] = { it.zone, milliseconds(random() % 2400), {} };
+                leaves[it.leaf]
+                    = { it.zone, milliseconds(random() % 2400), {}, random() % 100 < slowPercent ? slowFactor : 1 };
                 announcements.push_back(std::move(it));
             }
         }
@@ -249,7 +253,7 @@
         if (leaf.connected.insert(instance.name).second)
             sentAt += connectTime + 2 * path;
         std::normal_distribution<double> spread(0, workSpread);
-        auto duration = std::chrono::duration_cast<Duration>(work * std::exp(spread(random)));
+        auto duration = std::chrono::duration_cast<Duration>(leaf.slowness * work * std::exp(spread(random)));
         auto answeredAt = leaf.endOf(sentAt + path, duration) + path;
         agenda.at(answeredAt, [this, &instance, send, done = std::move(done)] {
             auto read = instance.spend(agenda.now, leafMessageCost);
@@ -306,8 +310,14 @@
 {
     bool spreadsLeaves = false;
     SUBCASE("leaves in all zones, each shard's in three of them") { spreadsLeaves = true; }
+    unsigned slowPercent = 0;
     SUBCASE("leaves in three zones") { }
-    Fleet fleet(spreadsLeaves);
+    SUBCASE("leaves in all zones, 15 in 100 of them slow")
+    {
+        spreadsLeaves = true;
+        slowPercent = 15;
+    }
+    Fleet fleet(spreadsLeaves, slowPercent);
     fleet.play();
     std::map<std::string, std::pair<int, int>> inTime; // by zone: in time, all
     double coverage = 0;
