--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -17,7 +17,6 @@
 constexpr milliseconds crashRetryAfter { 60000 };  // longer than callers wait, since a retry would be refused too
 constexpr milliseconds lossProbeInterval { 1000 }; // per leaf; each probe opens a connection, which costs the leaf
 constexpr milliseconds longTimerDelay { 250 };     // is logged
-constexpr int usualLatencyMargin = 2;              // multiplies the latency after which a part is hedged
 constexpr milliseconds routeCheckInterval { 100 }; // load balancers poll the readiness once a second
 
 std::string_view kindName(RouteOutcome::Kind kind)
@@ -267,28 +266,6 @@
         queue);
 }
 
-TimePoint RouteService::deadlineOf(const Route& route, const CallerInfo& caller, TimePoint arrivedAt)
-{
-    return arrivedAt + std::min(route.timeout, caller.remaining.value_or(route.timeout));
-}
-
-bool RouteService::takesWhileStopping(const Route& route, const CallerInfo& caller, TimePoint arrivedAt) const
-{
-    if (!m_stopAdmission)
-        return true;
-    auto usualLatency = std::max<Duration>(route.objective, usualLatencyMargin * m_policies.hedgeDelay(route));
-    return m_stopAdmission->takes(Clock::now(), deadlineOf(route, caller, arrivedAt), route.idempotent, usualLatency);
-}
-
-/// Other instances can serve the request at once.
-void RouteService::refuseStopping(const CallerInfo& caller, const HttpRequest& request, const Responder& responder)
-{
-    refuse(caller, request, responder,
-        { .error = ErrorKind::Stopping,
-            .reason = "this instance stops before the request would end",
-            .retryAfter = milliseconds(0) });
-}
-
 void RouteService::startRequest(CallerInfo caller, HttpRequest request, Responder responder, TimePoint arrivedAt,
     std::shared_ptr<const Route> route, ConcurrencyLimit* limit)
 {
@@ -566,28 +543,6 @@
             + " ms=" + formatDecimal(inMilliseconds(Clock::now() - running.arrivedAt)));
 }
 
-void RouteService::beginStop(StopAdmission admission)
-{
-    asio::post(m_strand, [this, admission] { m_stopAdmission = admission; });
-}
-
-void RouteService::abortAll()
-{
-    asio::post(m_strand, [this] {
-        for (auto& [shard, queue] : m_admissionQueues) {
-            for (const auto& it : std::exchange(queue.waiting, {}))
-                refuseStopping(it.caller, it.request, it.responder);
-        }
-        std::vector<Id> ids;
-        for (const auto& [id, it] : m_running)
-            ids.push_back(id);
-        for (auto id : ids) {
-            perform(id, m_running.at(id)->execution->cancel());
-            finish(id, { .error = ErrorKind::OutcomeUnknown, .reason = "this instance is stopping" });
-        }
-    });
-}
-
 void RouteService::stop()
 {
     asio::post(m_strand, [this] {
