Keep the groups of routes that share their first shard apart

The groups of a gather were cached by its first shard. With two routes that gather different sets with the same first shard, the second one read beyond the groups of the first: the entry instance ended with SIGSEGV. They are cached by all shards now. Found by reading the diff; the new case of RoutePoliciesTests ended with SIGSEGV before.

--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -219,9 +219,9 @@
 {
     std::set<std::string> names;
     bool needsZonePeers = false;
-    std::set<std::string> seen; // first shards of the routes; those that gather the same shards are taken once
+    std::set<std::vector<std::string>> seen; // routes that gather the same shards are taken once
     for (const auto& route : m_table->configuration().routes) {
-        if (route.shards.empty() || !seen.insert(route.shards.front()).second)
+        if (route.shards.empty() || !seen.insert(route.shards).second)
             continue;
         if (!usesGroups(route)) {
             needsZonePeers = true;
@@ -332,7 +332,7 @@
 /// Returns the groups of the route's shards. The reference is valid until the leaves, peers or routes change.
 const GatherGroups& RoutePolicies::groupsOf(const Route& route)
 {
-    auto found = m_groups.find(route.shards.front());
+    auto found = m_groups.find(route.shards);
     if (found != m_groups.end())
         return found->second;
     std::vector<GatherGroups::Zones> zones(route.shards.size());
@@ -342,7 +342,7 @@
                 zones[i].insert(it.announcement.zone);
         }
     }
-    return m_groups.emplace(route.shards.front(), GatherGroups(zones, m_instances)).first->second;
+    return m_groups.emplace(route.shards, GatherGroups(zones, m_instances)).first->second;
 }
 
 /// Returns the zones and instances that may gather a group, in order of preference. They include this instance.
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -174,7 +174,7 @@
     std::unordered_map<std::string, double> m_requestCounts;               // recent requests, decayed, by route name
     PeersByZone m_peers;                                                   // in other zones, selected ones only
     PeersByZone m_instances;                                               // all entry instances, including this one
-    std::unordered_map<std::string, GatherGroups> m_groups;                // see groupsOf; by first shard
+    std::map<std::vector<std::string>, GatherGroups> m_groups;             // see groupsOf; by the gathered shards
     std::size_t m_otherZoneInstanceCount = 0;                              // number of entry instances in other zones
     std::unordered_map<std::string, TimePoint> m_peerBackoffs;             // end of the backoff by peer
     std::size_t m_rotation = 0;                                            // distributes relays over peers and zones
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -252,6 +252,35 @@
     CHECK(used.size() <= 2);
 }
 
+// Guards against groups of one route that are used for another.
+TEST_CASE("routes that gather different shards, the first of which is the same, have groups of their own")
+{
+    ManyInstances it;
+    Route longRoute;
+    longRoute.name = "long";
+    std::vector<Announcement> leaves;
+    for (int i = 0; i < 100; ++i) {
+        longRoute.shards.push_back("list" + std::string(i == 0 ? "" : std::to_string(i + 1)));
+        leaves.push_back(leafOf("leaf" + std::to_string(i), longRoute.shards.back(), i % 2 == 0 ? "sav" : "mac"));
+    }
+    ServingConfiguration configuration;
+    configuration.version = 2;
+    configuration.routes = { it.route, longRoute };
+    for (const auto& shard : longRoute.shards)
+        configuration.services[shard].connections = ManyInstances::leafConnections;
+    it.policies.setTable(std::make_shared<const RouteTable>(std::move(configuration)));
+    it.policies.setLeaves(leaves, start);
+    for (const auto* route : { &it.route, &longRoute, &it.route }) {
+        std::size_t parts = 0;
+        for (const auto& plan : it.policies.planRelays(*route, start)) {
+            parts += plan.shardIndices.size();
+            for (auto index : plan.shardIndices)
+                CHECK(plan.zone == (index % 2 == 0 ? "sav" : "mac"));
+        }
+        CHECK(parts == route->shards.size());
+    }
+}
+
 // Guards against one instance that sends all parts itself, which takes longer than the leaves need to respond, and
 // against relays to a peer that does not answer.
 TEST_CASE(
