Let the slow leaf of RoutedSystemTests name the request that it answers

The case 'a planned stop cuts off no request ...' failed in ./test on: its slow responses had no Request-Id while the others of the same leaf have one, so since they count as answers to another request (504, none of 8 served; it fails each time, not by load). Leaves name the request in all their responses; the stand-in does so now. The checks and bounds of the case are unchanged.

--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -71,8 +71,9 @@
                 ++m_counts[name];
                 if (request.target.find("/slow") != std::string::npos) {
                     auto timer = std::make_shared<asio::steady_timer>(m_io, slowTime);
-                    timer->async_wait([responder, timer](const std::error_code&) {
-                        responder.answer({ 200, "", "slow", { { "Server-Stamp", "stamp" } } });
+                    timer->async_wait([responder, timer, id = std::string(request.header("Request-Id"))](
+                                          const std::error_code&) {
+                        responder.answer({ 200, "", "slow", { { "Server-Stamp", "stamp" }, { "Request-Id", id } } });
                     });
                     return;
                 }
