Do not take a copy of an earlier reply for the answer to a resent request

Cause: a part that a leaf refused was sent to the same leaf again on the connection that was used last. A late second copy of the refusal arrived there and names the same request, so it was taken for the answer while the leaf ran the request.

Ruled out: a copy that arrives while the connection is idle, together with the refusal, or in place of the answer to another request; the connection is closed then, as the existing tests show.

Before and after: RouteServiceTests "a second copy of a refusal is not taken for the answer to the same request sent again" and RoutedDaemonTests "a request that was sent to a leaf before uses a connection that has carried nothing since" fail if any idle connection may be used (the request runs twice) and pass now.

Conclusion: a resend to the same leaf uses a connection that has carried nothing since the first send there. No earlier reply to the request can arrive on it, however late the leaf sends it.

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -1,5 +1,6 @@
 #include "backend/UpstreamClient.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace citronplank {
@@ -53,27 +54,22 @@
     return it->second;
 }
 
-void UpstreamClient::send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request,
-    bool isHead, Callback callback, OwnerCheck ownerOf)
+void UpstreamClient::send(
+    std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, UpstreamRequest request, Callback callback)
 {
     auto& pool = poolOf(leaf);
-    auto poolName = poolNameOf(leaf);
     pool.limit = limit;
     auto& exchange = m_exchanges[attempt];
-    exchange = { poolName, nullptr, std::move(callback), Clock::now(), nullptr, isHead, std::move(ownerOf) };
-    while (!pool.idle.empty()) {
-        auto idle = std::move(pool.idle.back());
-        pool.idle.pop_back();
-        if (!idle.connection->isOpen()) {
-            --pool.open;
-            continue;
-        }
-        exchange.connection = std::move(idle.connection);
-        start(attempt, std::move(request));
+    exchange = { poolNameOf(leaf), nullptr, std::move(callback), Clock::now(), nullptr, std::move(request) };
+    exchange.connection = takeIdle(pool, exchange.request);
+    if (exchange.connection) {
+        start(attempt);
         return;
     }
+    if (exchange.request.firstSentAt && pool.open >= limit)
+        closeOldestIdle(pool);
     if (pool.open < limit) {
-        connect(attempt, pool, std::move(request));
+        connect(attempt, pool);
         return;
     }
     asio::post(m_strand, [self = shared_from_this(), attempt] {
@@ -83,34 +79,57 @@
     });
 }
 
-void UpstreamClient::connect(std::uint64_t attempt, Pool& pool, std::string request)
+/// Removes the last used idle connection that may carry the request from the pool. Returns null if there is none.
+UpstreamClient::Connection UpstreamClient::takeIdle(Pool& pool, const UpstreamRequest& request)
+{
+    auto n = std::erase_if(pool.idle, [](const Idle& it) { return !it.connection->isOpen(); });
+    pool.open -= static_cast<std::uint32_t>(n);
+    auto found = std::find_if(pool.idle.rbegin(), pool.idle.rend(), [&](const Idle& it) {
+        return !request.firstSentAt || it.connection->exchanges() == 0 || it.since < *request.firstSentAt;
+    });
+    if (found == pool.idle.rend())
+        return nullptr;
+    auto connection = std::move(found->connection);
+    pool.idle.erase(std::next(found).base());
+    return connection;
+}
+
+void UpstreamClient::closeOldestIdle(Pool& pool)
+{
+    if (pool.idle.empty())
+        return;
+    pool.idle.front().connection->close();
+    pool.idle.erase(pool.idle.begin());
+    --pool.open;
+}
+
+void UpstreamClient::connect(std::uint64_t attempt, Pool& pool)
 {
     ++pool.open;
     ++m_counters.connectAttempts;
     auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, true);
     m_exchanges.at(attempt).connection = connection;
-    connection->connect(pool.endpoint, m_settings.connectTimeout,
-        [self = shared_from_this(), attempt, request = std::move(request)](bool ok) mutable {
-            auto found = self->m_exchanges.find(attempt);
-            if (found == self->m_exchanges.end())
-                return;
-            if (ok && found->second.graceTimer) {
-                self->endUnsent(attempt);
-                return;
-            }
-            if (ok) {
-                self->start(attempt, std::move(request));
-                return;
-            }
-            ++self->m_counters.connectFailures;
-            // A leaf with other open connections is running, so this takes the failure to mean that the leaf accepts no
-            // more connections.
-            auto pool = self->m_pools.find(found->second.poolName);
-            bool isFull = pool != self->m_pools.end() && pool->second.open > 1;
-            LeafReply reply;
-            reply.end = isFull ? LeafReply::End::NoFreeConnection : LeafReply::End::NotWritten;
-            self->onReply(attempt, std::move(reply));
-        });
+    connection->connect(pool.endpoint, m_settings.connectTimeout, [self = shared_from_this(), attempt](bool ok) {
+        auto found = self->m_exchanges.find(attempt);
+        if (found == self->m_exchanges.end())
+            return;
+        if (ok && found->second.graceTimer) {
+            self->endUnsent(attempt);
+            return;
+        }
+        if (ok) {
+            self->start(attempt);
+            return;
+        }
+        ++self->m_counters.connectFailures;
+        // A leaf with other open connections is running, so this takes the failure to mean that the leaf accepts no
+        // more connections.
+        auto pool = self->m_pools.find(found->second.poolName);
+        bool isFull = pool != self->m_pools.end() && pool->second.open > 1;
+        LeafReply reply;
+        reply.end = isFull ? LeafReply::End::NoFreeConnection : LeafReply::End::NotWritten;
+        self->onReply(attempt, std::move(reply));
+    });
 }
 
 /// Ends an attempt that was cancelled while its connection was being opened, and keeps the connection.
@@ -125,14 +144,14 @@
     exchange.callback(std::move(reply));
 }
 
-void UpstreamClient::start(std::uint64_t attempt, std::string request)
+void UpstreamClient::start(std::uint64_t attempt)
 {
     ++m_counters.exchanges;
     auto& exchange = m_exchanges.at(attempt);
     exchange.connection->exchange(
-        std::move(request),
+        std::move(exchange.request.bytes),
         [self = shared_from_this(), attempt](LeafReply reply) { self->onReply(attempt, std::move(reply)); },
-        exchange.isHead);
+        exchange.request.isHead);
 }
 
 void UpstreamClient::onReply(std::uint64_t attempt, LeafReply reply)
@@ -154,9 +173,9 @@
 bool UpstreamClient::isForeign(const Exchange& exchange, const LeafReply& reply)
 {
     auto pool = m_pools.find(exchange.poolName);
-    if (reply.end != LeafReply::End::Complete || !exchange.ownerOf || pool == m_pools.end())
+    if (reply.end != LeafReply::End::Complete || !exchange.request.ownerOf || pool == m_pools.end())
         return false;
-    auto owner = exchange.ownerOf(reply);
+    auto owner = exchange.request.ownerOf(reply);
     if (owner == ReplyOwner::ThisRequest)
         pool->second.namesRequests = true;
     bool isSuccess = reply.status / 100 == 2;
@@ -212,11 +231,8 @@
         return;
     auto& pool = found->second;
     pool.limit = limit;
-    while (pool.open > pool.limit && !pool.idle.empty()) {
-        pool.idle.front().connection->close();
-        pool.idle.erase(pool.idle.begin());
-        --pool.open;
-    }
+    while (pool.open > pool.limit && !pool.idle.empty())
+        closeOldestIdle(pool);
 }
 
 void UpstreamClient::cancel(std::uint64_t attempt, milliseconds grace, const std::function<void(CancelResult)>& done)
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -2,7 +2,7 @@
 // interpret the messages. LeafClient sends the parts of queries and keyed requests.
 //
 //   auto client = std::make_shared<UpstreamClient>(strand, UpstreamSettings {});
-//   client->send(attempt, announcement, limit, request, isHead, [](LeafReply reply) { ... });
+//   client->send(attempt, announcement, limit, { .bytes = request }, [](LeafReply reply) { ... });
 //   client->cancel(attempt, milliseconds(250), [](UpstreamClient::CancelResult result) { ... });
 #pragma once
 
@@ -34,12 +34,22 @@
 /// Which request a reply answers, as far as it says so.
 enum class ReplyOwner : std::uint8_t { ThisRequest, AnotherRequest, Unknown };
 
+/// A request as it is written to a connection.
+struct UpstreamRequest {
+    std::string bytes;
+    bool isHead = false;
+    /// When this request was first sent to the leaf; absent if it was not sent there before. It then uses a connection
+    /// that has carried nothing since: on another one, a late second copy of the earlier reply could not be told from
+    /// the reply to this send, because both name the same request.
+    std::optional<TimePoint> firstSentAt;
+    std::function<ReplyOwner(const LeafReply&)> ownerOf; // may be empty
+};
+
 /// Not thread safe: every method runs on the strand given to the constructor, and so do the callbacks.
 class UpstreamClient : public std::enable_shared_from_this<UpstreamClient> {
 public:
     using Strand = LeafConnection::Strand;
     using Callback = std::function<void(LeafReply)>;
-    using OwnerCheck = std::function<ReplyOwner(const LeafReply&)>;
 
     UpstreamClient(const Strand& strand, UpstreamSettings settings)
         : m_strand(strand)
@@ -54,8 +64,7 @@
     /// of an earlier one, counts as Malformed, and so does a success that does not say which request it answers if
     /// others of the leaf did; the response to this request may still follow, so the connection is closed. Throws
     /// Error(BadRequest) if the address is malformed. Precondition: `attempt` is unique among the running ones.
-    void send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, std::string request, bool isHead,
-        Callback callback, OwnerCheck ownerOf = nullptr);
+    void send(std::uint64_t attempt, const Announcement& leaf, std::uint32_t limit, UpstreamRequest, Callback);
     /// How a cancelled attempt ended: before it was written (NotSent), with a complete response (Answered), without one
     /// (Ended), or not before the end of its grace period (Unresponsive).
     enum class CancelResult : std::uint8_t { NotSent, Answered, Ended, Unresponsive };
@@ -95,13 +104,14 @@
         Callback callback;
         TimePoint startedAt;
         std::shared_ptr<LeafConnection::Timer> graceTimer; // set once the attempt is cancelled
-        bool isHead = false;
-        OwnerCheck ownerOf; // may be empty
+        UpstreamRequest request; // its bytes are moved to the connection when they are written
     };
 
     Pool& poolOf(const Announcement&);
-    void connect(std::uint64_t attempt, Pool&, std::string request);
-    void start(std::uint64_t attempt, std::string request);
+    static Connection takeIdle(Pool&, const UpstreamRequest&);
+    static void closeOldestIdle(Pool&);
+    void connect(std::uint64_t attempt, Pool&);
+    void start(std::uint64_t attempt);
     void endUnsent(std::uint64_t attempt);
     void onReply(std::uint64_t attempt, LeafReply);
     bool isForeign(const Exchange&, const LeafReply&);
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -338,8 +338,10 @@
             m_traffic.onLeafBytes(isOwnZone, reply.size());
             callback(std::move(reply));
         };
-        m_upstream->send(send.attempt, send.leaf, send.connectionLimit, std::move(bytes), request.method == "HEAD",
-            std::move(counted), [this, caller](const LeafReply& reply) { return m_protocol.ownerOf(reply, caller); });
+        m_upstream->send(send.attempt, send.leaf, send.connectionLimit,
+            { std::move(bytes), request.method == "HEAD", send.firstSentAt,
+                [this, caller](const LeafReply& reply) { return m_protocol.ownerOf(reply, caller); } },
+            std::move(counted));
     } catch (const Error& error) {
         log(LogLevel::Warning, "leaf", "leaf=" + send.leaf.leaf + " request could not be sent: " + error.what());
         asio::post(m_strand, [callback] {
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -166,6 +166,7 @@
     if (isExtra && !m_policies.tryTakeExtra(part.service))
         return false;
     auto number = m_firstAttempt + m_attempts.size();
+    auto sentBefore = firstSentAt(index, leaf->leaf);
     m_attempts.push_back({ index, leaf->leaf, *leaf, now });
     m_policies.onStart(*leaf, number, typicalLatency, now);
     part.tried.push_back(leaf->leaf);
@@ -173,10 +174,21 @@
     part.resendAt.reset();
     part.hedgeAt = now + m_policies.hedgeDelay(*m_route);
     ++m_counters.sends;
-    actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(*leaf), remaining, isExtra });
+    actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(*leaf), remaining, isExtra, sentBefore });
     return true;
 }
 
+/// When the part was first sent to the leaf by this instance. Only a part that is sent again after a wait may go to a
+/// leaf that it was sent to before.
+std::optional<TimePoint> RouteExecution::firstSentAt(std::uint32_t part, std::string_view leaf) const
+{
+    if (m_parts[part].resends == 0)
+        return std::nullopt;
+    auto found = std::find_if(
+        m_attempts.begin(), m_attempts.end(), [&](const Attempt& it) { return it.part == part && it.leaf == leaf; });
+    return found == m_attempts.end() ? std::nullopt : std::optional(found->sentAt);
+}
+
 /// Schedules another try for a part that could not be sent, or marks the part as exhausted.
 void RouteExecution::scheduleResend(Part& part, TimePoint now)
 {
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -42,9 +42,10 @@
 struct RouteSend {
     std::uint64_t attempt = 0;
     Announcement leaf;
-    std::uint32_t connectionLimit = 1; // maximum number of connections of this instance to the leaf
-    milliseconds remaining { 0 };      // time limit for the leaf
-    bool isExtra = false;              // a hedge or retry that was taken from the budget of extra requests
+    std::uint32_t connectionLimit = 1;    // maximum number of connections of this instance to the leaf
+    milliseconds remaining { 0 };         // time limit for the leaf
+    bool isExtra = false;                 // a hedge or retry that was taken from the budget of extra requests
+    std::optional<TimePoint> firstSentAt; // of this part to this leaf; absent if it was not sent there before
 };
 
 /// Parts requested from a peer.
@@ -164,6 +165,7 @@
     bool isGather() const { return !m_route->shards.empty(); }
     std::size_t minAnswered() const;
     milliseconds leafTimeout(TimePoint now) const;
+    std::optional<TimePoint> firstSentAt(std::uint32_t part, std::string_view leaf) const;
     bool trySend(std::uint32_t part, bool isExtra, RouteActions&, TimePoint now);
     void sendRelays(RouteActions&, TimePoint now);
     void sendRelay(
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -1,5 +1,6 @@
 // An entry instance between a caller and one leaf: HttpServer, RouteService and connections to the leaf, on one
-// io_context that the tests run step by step. Guards against work that is started for callers that have left.
+// io_context that the tests run step by step. Guards against work that is started for callers that have left, and
+// against a request that runs twice.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "daemon/RouteService.h"
 #include "platform/RequestProtocol.h"
@@ -18,8 +19,91 @@
 /// Time in which bytes on the loopback interface reach the socket of their receiver.
 constexpr milliseconds arrivalTime { 50 };
 
+/// A leaf that refuses the first request that it gets. A connection that has carried a request gets another copy of the
+/// refusal as soon as the next request arrives there. All other requests run and are answered after `workTime`.
+class CopyingLeaf {
+public:
+    CopyingLeaf()
+        : m_acceptor(m_io, { asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        accept();
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+    ~CopyingLeaf()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    int runs() const { return m_runs; }
+    int connections() const { return m_connections; }
+
+private:
+    static constexpr milliseconds workTime { 20 };
+    struct Connection {
+        explicit Connection(tcp::socket socket)
+            : socket(std::move(socket))
+            , timer(this->socket.get_executor())
+        {
+        }
+        tcp::socket socket;
+        asio::steady_timer timer;
+        std::string input;
+        int requests = 0;
+    };
+    static std::string reply(std::string_view statusLine, std::string_view header)
+    {
+        return "HTTP/1.1 " + std::string(statusLine) + "\r\nContent-Length: 0\r\nRequest-Id: id\r\n"
+            + std::string(header) + "\r\n\r\n";
+    }
+    void accept()
+    {
+        m_acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
+            if (ec)
+                return;
+            ++m_connections;
+            serve(std::make_shared<Connection>(std::move(socket)));
+            accept();
+        });
+    }
+    void serve(const std::shared_ptr<Connection>& it)
+    {
+        asio::async_read_until(
+            it->socket, asio::dynamic_buffer(it->input), "\r\n\r\n", [this, it](std::error_code ec, std::size_t n) {
+                if (ec)
+                    return;
+                it->input.erase(0, n);
+                bool isRefused = !std::exchange(m_hasRefused, true);
+                if (isRefused || ++it->requests > 1)
+                    asio::write(
+                        it->socket, asio::buffer(reply("503 Service Unavailable", "Not-Executed: queue full")), ec);
+                if (isRefused) {
+                    ++it->requests;
+                    serve(it);
+                    return;
+                }
+                ++m_runs;
+                it->timer.expires_after(workTime);
+                it->timer.async_wait([this, it](std::error_code) {
+                    std::error_code ignored;
+                    asio::write(it->socket, asio::buffer(reply("200 OK", "Server-Stamp: stamp")), ignored);
+                    serve(it);
+                });
+            });
+    }
+
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    bool m_hasRefused = false;
+    std::atomic<int> m_runs { 0 };
+    std::atomic<int> m_connections { 0 };
+    std::thread m_thread;
+};
+
 struct Fixture {
-    Fixture()
+    /// Without `leafAddress`, the leaves "a" and "b" of the service are one HttpServer of the fixture; otherwise its
+    /// only leaf is at that address, and requests must not run twice.
+    explicit Fixture(const std::string& leafAddress = {})
     {
         HttpServerSettings leafSettings;
         leafSettings.address = "127.0.0.1:0";
@@ -43,6 +127,7 @@
         route.host = "h.example";
         route.pathPrefix = "/one/";
         route.attempts = 2;
+        route.idempotent = leafAddress.empty();
         route.objective = milliseconds(100);
         route.targets = { { "service" } };
         ServingConfiguration configuration;
@@ -56,10 +141,12 @@
             announcement.leaf = name;
             announcement.service = "service";
             announcement.zone = "atl";
-            announcement.address = leaf->address();
+            announcement.address = leafAddress.empty() ? leaf->address() : leafAddress;
             announcement.slots = 2;
             leaves.push_back(announcement);
         }
+        if (!leafAddress.empty())
+            leaves.pop_back();
         routes.setLeaves(leaves);
         run(milliseconds(20));
     }
@@ -137,3 +224,20 @@
     CHECK(it.arrivals == 1);
     CHECK(it.counters.counter("route_callers_gone_total").value() == 1);
 }
+
+// Guards against a request that runs twice, or is answered "not run" though it runs, because a second copy of a refusal
+// is taken for the answer to its next attempt at the same leaf.
+TEST_CASE("a second copy of a refusal is not taken for the answer to the same request sent again")
+{
+    CopyingLeaf leaf;
+    Fixture it(leaf.address());
+    auto caller = it.sendRequest();
+    it.run(milliseconds(400));
+    std::string answer(4096, '\0');
+    caller.non_blocking(true);
+    std::error_code ec;
+    answer.resize(caller.read_some(asio::buffer(answer), ec));
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+    CHECK(leaf.runs() == 1);
+    CHECK(leaf.connections() == 2);
+}
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -118,6 +118,7 @@
     FakeLeaf leaf { io };
     std::shared_ptr<UpstreamClient> client
         = std::make_shared<UpstreamClient>(asio::make_strand(io), UpstreamSettings {});
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
     std::uint64_t lastAttempt = 0;
     platform::RequestProtocol protocol;
 
@@ -126,15 +127,14 @@
         io.restart();
         io.run_for(time);
     }
-    std::optional<LeafReply> exchange(std::uint32_t limit = 4)
+    std::optional<LeafReply> exchange(std::uint32_t limit = 4, std::optional<TimePoint> firstSentAt = std::nullopt)
     {
         std::optional<LeafReply> got;
-        client->send(
-            ++lastAttempt, leaf.announcement(), limit, "GET / HTTP/1.1\r\n\r\n", false,
-            [&](LeafReply reply) { got = std::move(reply); },
-            [this](const LeafReply& reply) {
-                return protocol.ownerOf(reply, { "id" + std::to_string(lastAttempt), std::nullopt });
-            });
+        auto ownerOf = [this](const LeafReply& reply) {
+            return protocol.ownerOf(reply, { "id" + std::to_string(lastAttempt), std::nullopt });
+        };
+        client->send(++lastAttempt, leaf.announcement(), limit, { request, false, firstSentAt, ownerOf },
+            [&](LeafReply reply) { got = std::move(reply); });
         for (int i = 0; i < 200 && !got; ++i)
             runFor(milliseconds(5));
         return got;
@@ -189,6 +189,29 @@
     CHECK(it.exchange()->end == LeafReply::End::Complete);
 }
 
+// Guards against a copy of an earlier reply to a request that is taken for the reply to a later send of that request.
+TEST_CASE("a request that was sent to a leaf before uses a connection that has carried nothing since")
+{
+    ClientFixture it;
+    auto before = Clock::now();
+    it.runFor(milliseconds(1));
+    it.exchange();
+    CHECK(it.exchange(4, Clock::now())->body == "ok"); // the connection has been idle since
+    CHECK(it.leaf.connections == 1);
+    it.exchange(4, before);
+    CHECK(it.leaf.connections == 2);
+    // At the limit, an idle connection is closed to open a new one.
+    CHECK(it.exchange(2, before)->body == "ok");
+    CHECK(it.leaf.connections == 3);
+    // A connection that was opened by a probe has carried nothing.
+    it.exchange(4);
+    it.client->probe(it.leaf.announcement(), [](bool) {});
+    it.runFor(milliseconds(20));
+    CHECK(it.leaf.connections == 4);
+    it.exchange(4, before);
+    CHECK(it.leaf.connections == 4);
+}
+
 TEST_CASE("a leaf that never names the request that it answers is used")
 {
     ClientFixture it;
@@ -282,8 +305,7 @@
 {
     ClientFixture it;
     it.leaf.reply = "HTTP/1.1 200 OK\r\nX: ";
-    it.client->send(
-        101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
+    it.client->send(101, it.leaf.announcement(), 1, { it.request }, [](const LeafReply&) { CHECK(false); });
     it.leaf.dripInterval = milliseconds(10);
     it.runFor(milliseconds(100));
     std::optional<UpstreamClient::CancelResult> result;
@@ -299,7 +321,7 @@
     ClientFixture it;
     it.leaf.isSilent = true;
     auto ignore = [](const LeafReply&) {};
-    it.client->send(101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, ignore);
+    it.client->send(101, it.leaf.announcement(), 1, { it.request }, ignore);
     CHECK(it.exchange(1)->end == LeafReply::End::NoFreeConnection);
     std::optional<UpstreamClient::CancelResult> result;
     it.client->cancel(101, milliseconds(30), [&](UpstreamClient::CancelResult end) { result = end; });
@@ -312,8 +334,7 @@
 TEST_CASE("a request that was cancelled while its connection was being opened is not sent")
 {
     ClientFixture it;
-    it.client->send(
-        101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
+    it.client->send(101, it.leaf.announcement(), 1, { it.request }, [](const LeafReply&) { CHECK(false); });
     std::optional<UpstreamClient::CancelResult> result;
     it.client->cancel(101, milliseconds(500), [&](UpstreamClient::CancelResult end) { result = end; });
     it.runFor(milliseconds(100));
@@ -330,8 +351,7 @@
     ClientFixture it;
     CHECK(
         it.exchange(1)->end == LeafReply::End::Complete); // its connection is open, so the next request is sent at once
-    it.client->send(
-        101, it.leaf.announcement(), 1, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) { CHECK(false); });
+    it.client->send(101, it.leaf.announcement(), 1, { it.request }, [](const LeafReply&) { CHECK(false); });
     std::optional<UpstreamClient::CancelResult> result;
     it.client->cancel(101, milliseconds(500), [&](UpstreamClient::CancelResult end) { result = end; });
     for (int i = 0; i < 50 && !result; ++i)
@@ -347,7 +367,7 @@
     ClientFixture it;
     it.leaf.isSilent = true;
     for (std::uint64_t i = 101; i <= 103; ++i)
-        it.client->send(i, it.leaf.announcement(), 4, "GET / HTTP/1.1\r\n\r\n", false, [](const LeafReply&) {});
+        it.client->send(i, it.leaf.announcement(), 4, { it.request }, [](const LeafReply&) {});
     it.runFor(milliseconds(50));
     CHECK(it.leaf.connections == 3);
     it.client->setLimit(it.leaf.announcement(), 1);
@@ -378,7 +398,7 @@
     unreachable.address = "nowhere";
     it.client->probe(unreachable, [&](bool ok) { reached = ok; });
     CHECK(reached == false);
-    CHECK_THROWS_AS(it.client->send(9, unreachable, 1, "", false, nullptr), Error);
+    CHECK_THROWS_AS(it.client->send(9, unreachable, 1, {}, nullptr), Error);
 }
 
 // ---------------------------------------------------------------------------------------------------------------
