Carry out an order for a zone only while its caller waits

Cause: a control member that was suspended read an order from its socket whose caller had moved on to another member and had ordered the opposite since.

Ruled out: the control log, which refused the edit, and the entry instances, which applied what was published.

A later order of the same operator follows the check and so makes the edit outdated. Requests of leaves and operators whose caller left before they were read are not carried out either.

--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -5,7 +5,6 @@
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <random>
 
 namespace citronplank {
 
@@ -27,13 +26,6 @@
 constexpr milliseconds leavePropagationTime { 300 }; // for gossip to spread the leave, or for a new leader to take over
 constexpr std::size_t maxProbeConnections = 64;      // load balancers poll once a second
 constexpr std::uint64_t firstZoneBroadcast = 1ULL << 32U; // above the numbers of this instance's own broadcasts
-constexpr const char* zoneEditAuthor = "operator";        // author of the rule lines that take zones out
-
-std::string randomId()
-{
-    std::random_device random;
-    return std::to_string((std::uint64_t { random() } << 32U) | random());
-}
 
 } // namespace
 
@@ -44,6 +36,12 @@
     , m_protocol(protocol)
     , m_decodeConfiguration(std::move(decode))
     , m_controlHandler(std::move(controlHandler))
+    , m_zoneOrders(
+          m_settings.name,
+          [this](EditRules edit, ControlClient::Handler handler) {
+              m_controlClient->submit(std::move(edit), proposalTimeout, std::move(handler), Clock::now());
+          },
+          [this] { return m_configuration.current()->published.rulesVersion; })
     , m_knownEntries(LockRank::Requests)
     , m_directoryAcks(LockRank::Requests)
     , m_broadcastStrand(asio::make_strand(m_io))
@@ -91,9 +89,10 @@
     if (!m_routedSettings.controlAddress.empty()) {
         HttpServerSettings control;
         control.address = m_routedSettings.controlAddress;
+        control.detectsEarlyDisconnects = true;
         m_controlServer = std::make_unique<HttpServer>(
             m_io, control, [this](const HttpRequest& request, const Responder& responder) {
-                m_controlHandler(request, responder, *this);
+                handleControlRequest(request, responder);
             });
     }
 }
@@ -507,40 +506,22 @@
     });
 }
 
-void RoutedDaemon::setZoneOut(std::string zone, bool out, std::function<void(bool)> done)
+void RoutedDaemon::setZoneOut(ZoneOrder order, std::function<void(bool)> done)
 {
-    submitZone(std::move(zone), out, m_configuration.current()->published.rulesVersion, Clock::now() + proposalTimeout,
-        std::move(done));
+    m_zoneOrders.submit(std::move(order), std::move(done), Clock::now());
 }
 
-/// Taking a zone out of service adds a line to the rules. If another edit changed the line meanwhile, the edit
-/// conflicts; since the newest request of an operator wins, it is submitted again based on that version.
-void RoutedDaemon::submitZone(
-    std::string zone, bool out, std::uint64_t base, TimePoint deadline, std::function<void(bool)> done)
+/// Handles a request of an operator or a leaf, unless its caller has left already: it then has asked another member,
+/// and may have asked for something else since, so that the request is out of date.
+void RoutedDaemon::handleControlRequest(const HttpRequest& request, const Responder& responder)
 {
-    EditRules edit;
-    edit.submissionId = m_settings.name + "/" + randomId();
-    edit.author = zoneEditAuthor;
-    edit.baseVersion = base;
-    auto key = "zone " + zone;
-    RuleLine line { key, "out", std::string(zoneEditAuthor) + ": zone taken out" };
-    edit.changes.push_back({ key, out ? std::optional(line) : std::nullopt });
-    m_controlClient->submit(
-        std::move(edit), proposalTimeout,
-        [this, zone = std::move(zone), out, deadline, done = std::move(done)](const SubmitResult& result) mutable {
-            const auto* edited = std::get_if<EditResult>(&result.result);
-            bool committed = result.status == ProposeStatus::Committed && edited;
-            if (committed && edited->status != EditStatus::Accepted && edited->status != EditStatus::Invalid
-                && Clock::now() < deadline) {
-                submitZone(std::move(zone), out, edited->version, deadline, std::move(done));
-                return;
-            }
-            bool accepted = committed && edited->status == EditStatus::Accepted;
-            log(LogLevel::Info, "rules",
-                "zone=" + zone + (out ? " out" : " in") + (accepted ? " accepted" : " refused or not confirmed"));
-            done(accepted);
-        },
-        Clock::now());
+    if (!responder.isCallerDisconnected()) {
+        m_controlHandler(request, responder, *this);
+        return;
+    }
+    m_counters.counter("control_callers_gone_total").add();
+    log(LogLevel::Info, "control",
+        "request " + request.method + " " + request.target + " outcome=caller_gone; it was not carried out");
 }
 
 } // namespace citronplank
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -8,6 +8,7 @@
 #include "daemon/LogBuffer.h"
 #include "daemon/Node.h"
 #include "daemon/RouteService.h"
+#include "daemon/ZoneOrders.h"
 
 namespace citronplank {
 
@@ -25,9 +26,9 @@
     /// Passes the newest stored configuration to `done`, with version 0 if none was ever stored, or nothing if this
     /// member cannot confirm which one is the newest.
     virtual void readConfiguration(std::function<void(std::optional<StoredDocument>)> done) = 0;
-    /// Takes a zone out of service, or puts it back if `out` is false. `done` gets true if the change is accepted, and
-    /// false if it is refused or not confirmed in time; in the latter case it may still take effect.
-    virtual void setZoneOut(std::string zone, bool out, std::function<void(bool)> done) = 0;
+    /// Takes a zone out of service, or puts it back. `done` gets true if the change is in force, and false if it is
+    /// refused or not confirmed in time; see ZoneOrders.
+    virtual void setZoneOut(ZoneOrder, std::function<void(bool)> done) = 0;
     /// Handle the announcement of a leaf, or the notice of one that leaves. `done` gets whether the peers have
     /// confirmed it; see MembershipService.
     virtual void announce(Announcement, std::function<void(bool)> done) = 0;
@@ -80,7 +81,7 @@
 
     void putConfiguration(std::string content, std::function<void(PutResult, std::string reason)> done) override;
     void readConfiguration(std::function<void(std::optional<StoredDocument>)> done) override;
-    void setZoneOut(std::string zone, bool out, std::function<void(bool)> done) override;
+    void setZoneOut(ZoneOrder, std::function<void(bool)> done) override;
     void announce(Announcement, std::function<void(bool)> done) override;
     void depart(std::string leaf, std::function<void(bool)> done) override;
 
@@ -91,7 +92,7 @@
         bool isConfirmed = false; // the entry instances of this zone have the change
     };
     static void refuseNotice(const std::string& leaf, const std::function<void(bool)>& done);
-    void submitZone(std::string zone, bool out, std::uint64_t base, TimePoint deadline, std::function<void(bool)> done);
+    void handleControlRequest(const HttpRequest&, const Responder&);
     void answerRead(std::uint64_t index, TimePoint deadline, std::function<void(std::optional<StoredDocument>)> done);
     void broadcast(std::vector<DirectoryItem>, std::function<void(bool)> done);
     void onBroadcastTimer();
@@ -110,6 +111,7 @@
     const RouteProtocol& m_protocol;
     ConfigurationDecoder m_decodeConfiguration;
     ControlHandler m_controlHandler;
+    ZoneOrders m_zoneOrders;
     std::atomic<bool> m_ready { false };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leavesChanged { true };
--- a/tests/HttpServerTests.cpp
+++ b/tests/HttpServerTests.cpp
@@ -271,6 +271,37 @@
 }
 
 // Guards against a planned stop that aborts a running request or never completes because of idle connections.
+// Guards against a decision that relies on a caller whose end of the connection is not read yet.
+TEST_CASE("a check of the caller looks at the socket")
+{
+    asio::io_context io; // runs only where the test says so, like a process that is suspended meanwhile
+    std::optional<Responder> waiting;
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:0";
+    HttpServer server(io, settings, [&](const HttpRequest&, const Responder& it) { waiting = it; });
+    server.start();
+    asio::io_context callerIo;
+    asio::ip::tcp::socket caller(callerIo);
+    auto address = server.address();
+    caller.connect({ asio::ip::make_address("127.0.0.1"),
+        static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))) });
+    asio::write(caller, asio::buffer(std::string_view("GET /wait HTTP/1.1\r\n\r\n")));
+    while (!waiting)
+        io.run_one();
+    std::optional<bool> isWaiting;
+    auto check = [&] {
+        isWaiting.reset();
+        waiting->checkCaller([&](bool it) { isWaiting = it; });
+        while (!isWaiting)
+            io.run_one();
+        return *isWaiting;
+    };
+    CHECK(check());
+    caller.close();
+    CHECK_FALSE(check());
+    waiting.reset();
+}
+
 TEST_CASE("finish answers open requests with close and ends idle connections")
 {
     Server server;
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -432,6 +432,53 @@
     CHECK(eventually([&] { return system.query(entry, "/none/x")->status == 404; }, milliseconds(4000)));
 }
 
+// Guards against requests of operators and leaves that a control member reads late, after their callers have asked
+// another member and then for something else.
+TEST_CASE("a control member that was suspended does not carry out the requests of callers that have left meanwhile")
+{
+    Leaves leaves;
+    System system;
+    std::atomic<bool> isSuspended { false };
+    const std::string suspended = "127.40.3.1";
+    system.start("127.40.1.1", true);
+    system.start("127.40.2.1", true);
+    system.start(suspended, true, true, true, [&](const std::string& text) {
+        while (isSuspended) // keeps the only worker thread of the member
+            std::this_thread::sleep_for(milliseconds(10));
+        return platform::decodeConfiguration(text);
+    });
+    system.start(entry, false);
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    auto a = leaves.add("a");
+    auto b = leaves.add("b");
+    REQUIRE(eventually([&] { return system.announce("a", "single", "zone1", a, 1) == 200; }));
+    REQUIRE(eventually([&] { return system.announce("b", "single", "zone2", b, 1) == 200; }));
+    REQUIRE(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'a'); }));
+    auto orderZone1Out = [&](const std::string& ip) {
+        return system.call(ip, [](httplib::Client& it) { return it.Post("/-/evacuation/zone1", "", ""); }) == 200;
+    };
+    REQUIRE(eventually([&] { return orderZone1Out("127.40.1.1"); }));
+
+    isSuspended = true;
+    std::thread blocking([&] { system.put(configurationOf(3), suspended); });
+    std::this_thread::sleep_for(milliseconds(200));
+    asio::io_context io;
+    for (const char* line : { "DELETE /-/evacuation/zone1", "DELETE /-/instances/b" }) {
+        asio::ip::tcp::socket caller(io);
+        caller.connect({ asio::ip::make_address(suspended), static_cast<std::uint16_t>(port(2)) });
+        asio::write(caller, asio::buffer(line + std::string(" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")));
+    }
+    // Some orders fail while another leader is elected; operators repeat them.
+    REQUIRE(eventually([&] {
+        return system.call("127.40.2.1", [](httplib::Client& it) { return it.Delete("/-/evacuation/zone1"); }) == 200;
+    }));
+    REQUIRE(eventually([&] { return orderZone1Out("127.40.1.1"); }));
+    isSuspended = false;
+    blocking.join();
+    std::this_thread::sleep_for(milliseconds(1500));
+    CHECK(system.query(entry, "/one/y")->body == std::string(16, 'b'));
+}
+
 // Gossip needs seconds to spread a restarted instance to 74 members. Guards against an instance that misses the notice
 // of a draining leaf during this time.
 TEST_CASE("an entry instance that is unknown to gossip learns of a draining leaf before the notice is confirmed")
--- a/transport/HttpResponse.cpp
+++ b/transport/HttpResponse.cpp
@@ -39,4 +39,6 @@
 
 bool Responder::isCallerDisconnected() const { return m_state->isDisconnected(); }
 
+void Responder::checkCaller(std::function<void(bool)> done) const { m_state->checkCaller(std::move(done)); }
+
 } // namespace citronplank
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -350,13 +350,18 @@
     m_timer.cancel();
     m_closeAfterResponse = http_should_keep_alive(&m_parser) == 0;
     auto state = std::make_shared<Responder::State>(
-        strand(), [weak = weak_from_this(), strand = strand()](HttpResponse answer) {
+        strand(),
+        [weak = weak_from_this(), strand = strand()](HttpResponse answer) {
             asio::post(strand, [weak, answer = std::move(answer)] {
                 const auto self = weak.lock();
                 if (self && self->m_phase == Phase::Handling)
                     self->write(
                         answer, answer.closesConnection || self->m_closeAfterResponse || self->m_shared->isDraining());
             });
+        },
+        [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self && self->m_phase == Phase::Handling && !self->hasCallerClosed();
         });
     m_responder = state;
     if (m_shared->settings().detectsEarlyDisconnects && hasCallerClosed())
--- a/transport/HttpServer.h
+++ b/transport/HttpServer.h
@@ -75,8 +75,12 @@
     /// Sets a callback that runs once on the server's io_context if the caller disconnects before the response. It is
     /// posted immediately if the caller has already disconnected. Replaces an earlier callback.
     void onCallerDisconnected(std::function<void()>) const;
-    /// Whether the caller's connection has ended.
+    /// Whether the caller's connection has ended, as far as this server has read its input.
     bool isCallerDisconnected() const;
+    /// Looks at the socket and passes to `done` whether the caller still waits for the response. Unlike
+    /// `isCallerDisconnected`, it also notices an end of the connection that this server has not read yet, for example
+    /// because the process was suspended. `done` runs once on the server's io_context.
+    void checkCaller(std::function<void(bool isWaiting)> done) const;
 
 private:
     friend class HttpServer;
--- a/transport/ResponderState.h
+++ b/transport/ResponderState.h
@@ -12,11 +12,14 @@
 public:
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Send = std::function<void(HttpResponse)>;
+    using Check = std::function<bool()>;
 
-    /// `send` is called at most once, without holding the lock. Callbacks are posted to `strand`.
-    State(Strand strand, Send send)
+    /// `send` is called at most once, without holding the lock. `isCallerWaiting` is called on `strand`, to which
+    /// callbacks are posted.
+    State(Strand strand, Send send, Check isCallerWaiting)
         : m_strand(std::move(strand))
         , m_send(std::move(send))
+        , m_isCallerWaiting(std::move(isCallerWaiting))
     {
     }
     ~State()
@@ -56,6 +59,10 @@
             asio::post(m_strand, std::move(m_onDisconnected));
         m_onDisconnected = nullptr;
     }
+    void checkCaller(std::function<void(bool)> done)
+    {
+        asio::post(m_strand, [isWaiting = m_isCallerWaiting, done = std::move(done)] { done(isWaiting()); });
+    }
     bool isDisconnected()
     {
         const std::lock_guard lock(m_mutex);
@@ -66,6 +73,7 @@
     std::mutex m_mutex;
     Strand m_strand;
     Send m_send;
+    Check m_isCallerWaiting;
     bool m_answered = false;
     bool m_disconnected = false;
     std::function<void()> m_onDisconnected;
