Bound the memory of all replies that are received at a time

Reported by operators of another system: a faulty leaf sent bytes that were no answer without end; the instance that had called it ran out of memory, and the requests of its other callers ended with it.

Ruled out: one exchange alone (RoutedDaemonTests "an exchange with a leaf that sends without end"), and gatherers that forward what they got, since they merge each part first.

Before and after: RoutedDaemonTests "many exchanges with leaves that send without end do not add up to more memory than the client may use" measured 252 MB and failed; it stays below its bound of 40 MB now, and a short answer is received meanwhile.

Conclusion: ReplyMemory bounds the sum. Each reply has 16 kB of its own, so leaves with short answers are not impeded. The number of headers is bounded too.

--- a/backend/LeafClient.cpp
+++ b/backend/LeafClient.cpp
@@ -35,6 +35,7 @@
     Impl(asio::io_context& io, LeafClientSettings settings)
         : m_io(io)
         , m_settings(settings)
+        , m_replyMemory(std::make_shared<ReplyMemory>(settings.maxReplyBytes))
     {
     }
 
@@ -57,6 +58,7 @@
 
     asio::io_context& m_io;
     LeafClientSettings m_settings;
+    std::shared_ptr<ReplyMemory> m_replyMemory;
     LeafPoolCounters m_poolCounters;
 
     std::mutex m_mutex; // guards the members below; never held across I/O or a callback
@@ -182,7 +184,7 @@
         if (entry && entry->endpoint() == endpoint)
             return entry;
         old = std::move(entry); // the leaf has moved to another address
-        entry = std::make_shared<LeafPool>(asio::make_strand(m_io), endpoint, m_settings, m_poolCounters,
+        entry = std::make_shared<LeafPool>(asio::make_strand(m_io), endpoint, m_settings, m_replyMemory, m_poolCounters,
             [self = shared_from_this()](
                 LeafExchange& exchange, PartResult result) { self->finish(exchange, std::move(result)); });
         pool = entry;
--- a/backend/LeafClient.h
+++ b/backend/LeafClient.h
@@ -38,6 +38,7 @@
     milliseconds idleTimeout { 60000 }; // an idle connection is closed after this time
     /// Maximum size of a body; below the 8 MB limit of messages between daemons.
     std::size_t maxAnswerBytes = std::size_t { 7 } << 20U;
+    std::size_t maxReplyBytes = std::size_t { 64 } << 20U; // of all replies that are being received, see ReplyMemory
 };
 
 struct LeafClientCounters {
--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t maxHeaderLineBytes = 4096; // of the name and of the value of a header, each
+constexpr std::size_t maxHeaders = 128;          // a stored header takes much more memory than a short line
 /// Of everything before the body, interim responses included.
 constexpr std::size_t maxHeadBytes = std::size_t { 64 } << 10U;
 /// Received bytes of one exchange per byte that a body may have. A chunked body has its chunk headers in addition.
@@ -46,11 +47,21 @@
     return n;
 }
 
-LeafConnection::LeafConnection(const Strand& strand, std::size_t maxAnswerBytes, bool acceptsCloseDelimited)
+bool ReplyMemory::tryTake(std::size_t n)
+{
+    if (m_used.fetch_add(n) + n <= m_limit)
+        return true;
+    m_used -= n;
+    return false;
+}
+
+LeafConnection::LeafConnection(
+    const Strand& strand, std::size_t maxAnswerBytes, std::shared_ptr<ReplyMemory> memory, bool acceptsCloseDelimited)
     : m_socket(strand)
     , m_timer(strand)
     , m_maxAnswerBytes(maxAnswerBytes)
     , m_acceptsCloseDelimited(acceptsCloseDelimited)
+    , m_memory(std::move(memory))
 {
 }
 
@@ -124,10 +135,26 @@
     m_done = nullptr;
     m_idleEnded = nullptr;
     m_timer.cancel();
+    m_reply = {};
+    releaseMemory();
     std::error_code ignored;
     m_socket.close(ignored);
 }
 
+/// Takes memory for what was received of the current reply. Returns false if there is none left.
+bool LeafConnection::takeMemory()
+{
+    auto needed = m_received > ReplyMemory::freeBytes ? m_received - ReplyMemory::freeBytes : 0;
+    if (needed <= m_taken)
+        return true;
+    if (!m_memory->tryTake(needed - m_taken))
+        return false;
+    m_taken = needed;
+    return true;
+}
+
+void LeafConnection::releaseMemory() { m_memory->release(std::exchange(m_taken, 0)); }
+
 void LeafConnection::read()
 {
     m_socket.async_read_some(asio::buffer(m_buf),
@@ -167,6 +194,10 @@
     m_lastReceived = Clock::now();
     m_reply.anyByteReceived = true;
     m_received += n;
+    if (!takeMemory()) {
+        finish(LeafReply::End::Malformed);
+        return;
+    }
     bool isInHead = m_reply.status == 0;
     parse(n);
     // A leaf that sends without end would otherwise keep this instance busy until the deadline of the request.
@@ -214,8 +245,8 @@
         http_parser_settings it {};
         it.on_header_field = [](http_parser* parser, const char* at, std::size_t n) {
             LeafConnection& self = connectionOf(parser);
-            if (self.m_inHeaderValue)
-                self.storeHeader();
+            if (self.m_inHeaderValue && !self.storeHeader())
+                return 1;
             self.m_headerName.append(at, n);
             return self.m_headerName.size() > maxHeaderLineBytes ? 1 : 0;
         };
@@ -243,8 +274,11 @@
     return settings;
 }
 
-void LeafConnection::storeHeader()
+/// Returns false if the response has too many headers.
+bool LeafConnection::storeHeader()
 {
+    if (m_reply.headers.size() >= maxHeaders)
+        return false;
     if (!m_headerName.empty())
         m_reply.headers.emplace_back(m_headerName, m_headerValue);
     if (strcasecmp(m_headerName.c_str(), "Index-Version") == 0)
@@ -254,12 +288,14 @@
     m_headerName.clear();
     m_headerValue.clear();
     m_inHeaderValue = false;
+    return true;
 }
 
 /// Returns the result that http_parser expects: 0 to go on, 1 if the response has no body, -1 to reject the response.
 int LeafConnection::onHeadersComplete()
 {
-    storeHeader();
+    if (!storeHeader())
+        return -1;
     m_reply.status = static_cast<int>(m_parser.status_code);
     const bool hasBody = m_reply.status / 100 != 1 && m_reply.status != 204 && m_reply.status != 304;
     const bool hasLength = m_parser.content_length != ULLONG_MAX;
@@ -301,6 +337,8 @@
         close();
     if (done)
         done(std::move(reply));
+    if (m_phase == Phase::Idle)
+        releaseMemory();
 }
 
 } // namespace citronplank
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <atomic>
 #include <functional>
 #include <http_parser.h>
 #include <memory>
@@ -34,6 +35,29 @@
     std::size_t size() const;
 };
 
+/// Memory that the replies on all connections of a client may take together while they are received. Each reply has
+/// `freeBytes` of its own in any case, so that leaves that send too much do not impede those with short answers.
+/// Thread safe.
+class ReplyMemory {
+public:
+    static constexpr std::size_t freeBytes = std::size_t { 16 } << 10U;
+
+    /// `limit` is the sum of what all replies take beyond their `freeBytes`, in bytes.
+    explicit ReplyMemory(std::size_t limit)
+        : m_limit(limit)
+    {
+    }
+    /// Returns false, and takes nothing, if the limit would be exceeded.
+    bool tryTake(std::size_t n);
+    void release(std::size_t n) { m_used -= n; }
+    /// Returns the bytes that are taken now.
+    std::size_t used() const { return m_used; }
+
+private:
+    std::size_t m_limit;
+    std::atomic<std::size_t> m_used { 0 };
+};
+
 /// One HTTP/1.1 connection to a leaf, for one exchange at a time. Not thread safe: every call and callback runs on the
 /// strand given to the constructor.
 class LeafConnection : public std::enable_shared_from_this<LeafConnection> {
@@ -41,9 +65,14 @@
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Timer = asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Strand>;
 
-    /// `maxAnswerBytes` limits the body of a response. With `acceptsCloseDelimited`, a response without a length is
-    /// complete when the leaf closes the connection cleanly; otherwise such a response is Malformed.
-    LeafConnection(const Strand&, std::size_t maxAnswerBytes, bool acceptsCloseDelimited = false);
+    /// `maxAnswerBytes` limits the body of a response. A response for which `memory` has no room is Malformed. With
+    /// `acceptsCloseDelimited`, a response without a length is complete when the leaf closes the connection cleanly;
+    /// otherwise such a response is Malformed.
+    LeafConnection(const Strand&, std::size_t maxAnswerBytes, std::shared_ptr<ReplyMemory> memory,
+        bool acceptsCloseDelimited = false);
+    ~LeafConnection() { releaseMemory(); }
+    LeafConnection(const LeafConnection&) = delete;
+    LeafConnection& operator=(const LeafConnection&) = delete;
 
     /// Connects and calls `done` once with whether it succeeded, unless closed before. Precondition: called only once.
     void connect(const asio::ip::tcp::endpoint&, milliseconds timeout, std::function<void(bool)> done);
@@ -76,7 +105,9 @@
     void onWritten(const std::error_code&, std::size_t n);
     void parse(std::size_t n);
     int onHeadersComplete();
-    void storeHeader();
+    bool storeHeader();
+    bool takeMemory();
+    void releaseMemory();
     void complete();
     void finish(LeafReply::End);
 
@@ -93,6 +124,8 @@
     bool m_inHeaderValue = false;
     std::uint64_t m_exchanges = 0;
     std::size_t m_received = 0; // bytes of the current exchange
+    std::shared_ptr<ReplyMemory> m_memory;
+    std::size_t m_taken = 0; // bytes taken from m_memory
     TimePoint m_lastReceived = Clock::now();
     http_parser m_parser {};
     std::array<char, 8192> m_buf {};
--- a/backend/LeafPool.cpp
+++ b/backend/LeafPool.cpp
@@ -29,10 +29,11 @@
 } // namespace
 
 LeafPool::LeafPool(const Strand& strand, const asio::ip::tcp::endpoint& endpoint, LeafClientSettings settings,
-    LeafPoolCounters& counters, Finish finish)
+    std::shared_ptr<ReplyMemory> replyMemory, LeafPoolCounters& counters, Finish finish)
     : m_strand(strand)
     , m_endpoint(endpoint)
     , m_settings(settings)
+    , m_replyMemory(std::move(replyMemory))
     , m_counters(counters)
     , m_finish(std::move(finish))
 {
@@ -114,7 +115,7 @@
 
 void LeafPool::connect()
 {
-    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes);
+    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, m_replyMemory);
     m_connections.push_back(connection);
     ++m_counters.openConnections;
     ++m_connecting;
@@ -212,7 +213,7 @@
         end(*exchange, PartStatus::Crashed, Outcome::MayHaveRun);
         return;
     }
-    auto probe = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes);
+    auto probe = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, m_replyMemory);
     exchange->connection = probe;
     probe->connect(m_endpoint, m_settings.connectTimeout, [self = shared_from_this(), exchange, probe](bool ok) {
         if (exchange->ended)
@@ -253,7 +254,7 @@
 /// nothing since `since` may be permanently unresponsive and are closed.
 void LeafPool::closeUnresponsive(TimePoint since)
 {
-    auto probe = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes);
+    auto probe = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, m_replyMemory);
     probe->connect(m_endpoint, m_settings.connectTimeout, [self = shared_from_this(), probe, since](bool ok) {
         if (!ok)
             return;
--- a/backend/LeafPool.h
+++ b/backend/LeafPool.h
@@ -36,7 +36,8 @@
     using Finish = std::function<void(LeafExchange&, PartResult)>;
 
     /// `finish` is called with the result of each exchange that was not cancelled.
-    LeafPool(const Strand&, const asio::ip::tcp::endpoint&, LeafClientSettings, LeafPoolCounters&, Finish finish);
+    LeafPool(const Strand&, const asio::ip::tcp::endpoint&, LeafClientSettings, std::shared_ptr<ReplyMemory>,
+        LeafPoolCounters&, Finish finish);
     ~LeafPool();
     LeafPool(const LeafPool&) = delete;
     LeafPool& operator=(const LeafPool&) = delete;
@@ -73,6 +74,7 @@
     Strand m_strand;
     asio::ip::tcp::endpoint m_endpoint;
     LeafClientSettings m_settings;
+    std::shared_ptr<ReplyMemory> m_replyMemory;
     LeafPoolCounters& m_counters;
     Finish m_finish;
     std::uint32_t m_limit = 1; // maximum number of m_connections
--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -107,7 +107,7 @@
 {
     ++pool.open;
     ++m_counters.connectAttempts;
-    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, true);
+    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, m_replyMemory, true);
     m_exchanges.at(attempt).connection = connection;
     connection->connect(pool.endpoint, m_settings.connectTimeout, [self = shared_from_this(), attempt](bool ok) {
         auto found = self->m_exchanges.find(attempt);
@@ -274,7 +274,7 @@
 
 void UpstreamClient::probe(const Announcement& leaf, std::function<void(bool)> done)
 {
-    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, true);
+    auto connection = std::make_shared<LeafConnection>(m_strand, m_settings.maxAnswerBytes, m_replyMemory, true);
     try {
         auto& pool = poolOf(leaf);
         ++pool.open;
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -20,6 +20,7 @@
     /// starts earlier.
     double idleShare = 0.75;
     std::size_t maxAnswerBytes = std::size_t { 4 } << 20U; // of a body
+    std::size_t maxReplyBytes = std::size_t { 16 } << 20U; // of all replies that are being received, see ReplyMemory
 };
 
 struct UpstreamCounters {
@@ -54,6 +55,7 @@
     UpstreamClient(const Strand& strand, UpstreamSettings settings)
         : m_strand(strand)
         , m_settings(settings)
+        , m_replyMemory(std::make_shared<ReplyMemory>(settings.maxReplyBytes))
     {
     }
 
@@ -123,6 +125,7 @@
 
     Strand m_strand;
     UpstreamSettings m_settings;
+    std::shared_ptr<ReplyMemory> m_replyMemory;
     UpstreamCounters m_counters;
     std::unordered_map<std::string, Pool> m_pools;           // by "LEAF@ADDRESS"
     std::unordered_map<std::uint64_t, Exchange> m_exchanges; // by attempt
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <thread>
 #include <unistd.h>
 
@@ -300,6 +301,41 @@
     }
 }
 
+// Guards against leaves that together fill the memory of this instance with bytes that are no answers, though each
+// exchange stays within its own limit.
+TEST_CASE("many exchanges with leaves that send without end do not add up to more memory than the client may use")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases {
+        { ok + "\r\n", std::string(60000, 'x') }, // a body
+        { ok, repeated("a:\r\n", 8000) },         // a head of many short lines
+    };
+    for (const auto& answer : cases) {
+        CAPTURE(answer.second.substr(0, 8));
+        ClientFixture it;
+        it.leaf.reply = answer.first;
+        it.leaf.endless = answer.second;
+        constexpr int exchanges = 60;
+        int ended = 0;
+        auto before = mallinfo2().uordblks;
+        std::size_t peak = before;
+        for (int i = 1; i <= exchanges; ++i)
+            it.client->send(i, it.leaf.announcement(), exchanges, { it.request }, [&](const LeafReply&) { ++ended; });
+        constexpr int maxHandlers = 1'000'000;
+        for (int i = 0; i < maxHandlers && ended < exchanges; ++i) {
+            it.io.restart();
+            it.io.run_one();
+            peak = std::max(peak, mallinfo2().uordblks);
+        }
+        CHECK(ended == exchanges);
+        CHECK(peak - before < std::size_t { 40 } << 20U);
+        // A small answer is received also while others use the memory.
+        it.leaf.endless.clear();
+        it.leaf.reply = ok + "Content-Length: 2\r\n\r\nok";
+        CHECK(it.exchange(exchanges)->body == "ok");
+    }
+}
+
 // Guards against a slow leaf whose bytes keep a connection busy after its request was cancelled.
 TEST_CASE("a leaf that sends its head byte by byte is disconnected once its request is cancelled")
 {
