Keep to what leaves say in their answers: that they leave, or want no requests for a while

Two new rules of the platform.

LeafNotices holds both for one start of a leaf, free of sockets and clocks; RoutePolicies asks it before each send. A leaf is tried with one request after its pause, at different times by different instances.

A request all of whose leaves are paused waits if it can still be answered in time, else it is refused at once with the time of the first trial. A gather counts such a shard as missing at once.

The soak has two faults more (--notices): leaves that leave without announcing it, and refusals with pauses of 0.1 to 10 s.

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -113,7 +113,8 @@
         auto found = self->m_exchanges.find(attempt);
         if (found == self->m_exchanges.end())
             return;
-        if (ok && found->second.graceTimer) {
+        const auto& mayStillSend = found->second.request.mayStillSend;
+        if (ok && (found->second.graceTimer || (mayStillSend && !mayStillSend()))) {
             self->endUnsent(attempt);
             return;
         }
@@ -132,15 +133,16 @@
     });
 }
 
-/// Ends an attempt that was cancelled while its connection was being opened, and keeps the connection.
+/// Ends an attempt that must not be sent any more once its connection is open, and keeps the connection.
 void UpstreamClient::endUnsent(std::uint64_t attempt)
 {
     auto node = m_exchanges.extract(attempt);
     auto& exchange = node.mapped();
-    exchange.graceTimer->cancel();
+    if (exchange.graceTimer)
+        exchange.graceTimer->cancel();
     keepOrClose(exchange.poolName, exchange.connection, true, m_settings.idleTimeout);
     LeafReply reply;
-    reply.end = LeafReply::End::NotWritten;
+    reply.end = LeafReply::End::NoFreeConnection;
     exchange.callback(std::move(reply));
 }
 
@@ -164,6 +166,8 @@
         exchange.graceTimer->cancel();
     if (isForeign(exchange, reply))
         reply.end = LeafReply::End::Malformed;
+    else if (reply.end == LeafReply::End::Complete && exchange.request.onReply)
+        exchange.request.onReply(reply);
     if (exchange.connection)
         reuse(exchange.poolName, exchange.connection, reply);
     if (exchange.callback)
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -40,10 +40,16 @@
     std::string bytes;
     bool isHead = false;
     /// When this request was first sent to the leaf; absent if it was not sent there before. It then uses a connection
-    /// that has carried nothing since: on another one, a late second copy of the earlier reply could not be told from
-    /// the reply to this send, because both name the same request.
+    /// that has carried nothing since: on another one, a late second copy of the earlier reply could not be
+    /// distinguished from the reply to this send, because both name the same request.
     std::optional<TimePoint> firstSentAt;
     std::function<ReplyOwner(const LeafReply&)> ownerOf; // may be empty
+    /// Called for each complete reply that may answer this request, before the callback and also if the attempt was
+    /// cancelled. May be empty.
+    std::function<void(const LeafReply&)> onReply;
+    /// Asked again once a new connection is open: if it returns false, the request is not written, and the end of the
+    /// reply is NoFreeConnection. May be empty.
+    std::function<bool()> mayStillSend;
 };
 
 /// Not thread safe: every method runs on the strand given to the constructor, and so do the callbacks.
--- a/bench/RoutedSoak.cpp
+++ b/bench/RoutedSoak.cpp
@@ -45,8 +45,10 @@
 
 class Soak {
 public:
-    Soak(std::uint64_t seed, std::string onlyFault)
+    /// With `withNotices`, leaves also leave or refuse requests by what they say in their answers.
+    Soak(std::uint64_t seed, std::string onlyFault, bool withNotices)
         : m_seed(seed)
+        , m_withNotices(withNotices)
         , m_onlyFault(std::move(onlyFault))
         , m_system(m_io, seed, firstPort + static_cast<int>(seed % portRanges) * portsPerRun)
     {
@@ -102,6 +104,7 @@
 
     // Faults. Functions that return a function start a fault; the returned function ends it.
     std::vector<Fault> faults();
+    static bool hasTimeBound(std::string_view fault);
     void chooseFaults();
     void inject();
     std::function<void()> stopInstance(const std::string& name);
@@ -130,6 +133,7 @@
 
     asio::io_context m_io;
     std::uint64_t m_seed;
+    bool m_withNotices;
     std::string m_onlyFault; // name of the only fault to inject; empty: all
     SoakSystem m_system;
     SoakTime m_startedAt = SoakClock::now();
@@ -202,6 +206,8 @@
     Request request { caller.entry, std::to_string(m_seed) + "-" + std::to_string(++m_lastId), path, SoakClock::now() };
     bool isPayment = request.path == "/pay/x";
     caller.runningId = request.id;
+    if (request.path != "/list/x")
+        m_system.notices().onRequest(request.id, caller.entry, request.sentAt);
     if (!isPayment && m_system.randomBelow(leavingShare) == 0)
         leaveLater(caller, request);
     caller.client->request(isPayment ? "POST" : "GET", request.path,
@@ -633,7 +639,7 @@
         m_system.instance(name).link->reset();
         return [this, name] { m_system.disruptions().end("faults of " + name); };
     };
-    return {
+    std::vector<Fault> all {
         { "kill_entry", onInstance(false, kill) },
         { "pause_entry", onInstance(false, pause) },
         { "stop_entry", onInstance(false, stop) },
@@ -671,6 +677,29 @@
                 };
             } },
     };
+    // Only on request, so that the earlier seeds go on choosing the same faults.
+    if (m_withNotices) {
+        all.push_back({ "leave_leaf", onLeaf([this](SoakLeaf& leaf) {
+                           leaf.isLeaving = true;
+                           return [this, &leaf] {
+                               m_system.crashLeaf(leaf);
+                               m_system.startLeaf(leaf);
+                           };
+                       }) });
+        all.push_back({ "pause_leaf", onLeaf([this](SoakLeaf& leaf) {
+                           constexpr std::uint64_t minMs = 100;
+                           constexpr std::uint64_t maxMs = 10'000;
+                           leaf.pause = milliseconds(minMs + m_system.randomBelow(maxMs - minMs));
+                           return [&leaf] { leaf.pause.reset(); };
+                       }) });
+    }
+    return all;
+}
+
+/// Whether the fault is always played, and for longer than its time bound.
+bool Soak::hasTimeBound(std::string_view fault)
+{
+    return fault == "drain_leaf" || fault == "zone_out" || fault == "leave_leaf" || fault == "pause_leaf";
 }
 
 /// Chooses `m_onlyFault`, or by default the faults with a time bound and each other fault with a probability of 40%, so
@@ -679,9 +708,8 @@
 {
     constexpr std::uint64_t chosenOfTen = 4;
     for (auto& it : faults()) {
-        bool hasTimeBound = std::string_view(it.name) == "drain_leaf" || std::string_view(it.name) == "zone_out";
-        bool isChosen
-            = m_onlyFault.empty() ? hasTimeBound || m_system.randomBelow(10) < chosenOfTen : m_onlyFault == it.name;
+        bool isChosen = m_onlyFault.empty() ? hasTimeBound(it.name) || m_system.randomBelow(10) < chosenOfTen
+                                            : m_onlyFault == it.name;
         if (isChosen)
             m_faults.push_back(std::move(it));
     }
@@ -701,7 +729,7 @@
         if (auto end = fault.begin()) {
             auto number = ++m_lastFault;
             m_activeFaults[number] = std::move(end);
-            bool isLong = std::string_view(fault.name) == "zone_out" || std::string_view(fault.name) == "drain_leaf";
+            bool isLong = hasTimeBound(fault.name) && std::string_view(fault.name) != "pause_leaf";
             auto duration = milliseconds(isLong ? 6000 + m_system.randomBelow(3000) : 200 + m_system.randomBelow(4000));
             m_system.runAfter(duration, [this, number] {
                 if (auto node = m_activeFaults.extract(number))
@@ -742,6 +770,8 @@
 {
     for (const auto& it : m_system.takeUnexpectedExits())
         reportViolation(it);
+    for (const auto& it : m_system.takeNoticeViolations())
+        reportViolation(it);
     m_system.runAfter(milliseconds(200), [this] { checkInstances(); });
 }
 
@@ -828,6 +858,7 @@
     m_isEnding = true;
     checkRecovery();
     checkLeftRequests();
+    m_boundChecks["notices"] = m_system.notices().count();
     std::string outcomes;
     for (const auto& [name, n] : m_outcomes)
         outcomes += " " + name + "=" + std::to_string(n);
@@ -850,9 +881,12 @@
     long long seed = static_cast<long long>(std::random_device {}() % 1'000'000);
     int duration = 20;
     char* only = nullptr;
+    int withNotices = 0;
     const poptOption options[] = { { "seed", 's', POPT_ARG_LONGLONG, &seed, 0,
                                        "random seed of the choice of faults (default: random)", "N" },
         { "seconds", 't', POPT_ARG_INT, &duration, 0, "duration of fault injection in seconds (default 20)", "N" },
+        { "notices", 'n', POPT_ARG_NONE, &withNotices, 0,
+            "also inject leave_leaf and pause_leaf: leaves that leave or refuse by their answers", nullptr },
         { "only", 'o', POPT_ARG_STRING, &only, 0, "inject only faults of this name", "NAME" },
         POPT_AUTOHELP POPT_TABLEEND };
     auto* context = poptGetContext(nullptr, argc, argv, options, 0);
@@ -863,7 +897,7 @@
         return 2;
     }
     try {
-        return Soak(static_cast<std::uint64_t>(seed), only ? only : "").run(seconds(duration));
+        return Soak(static_cast<std::uint64_t>(seed), only ? only : "", withNotices != 0).run(seconds(duration));
     } catch (const std::exception& error) {
         std::fprintf(stderr, "bench_RoutedSoak: %s\n", error.what());
         return 2;
--- a/daemon/RouteProtocol.h
+++ b/daemon/RouteProtocol.h
@@ -25,6 +25,8 @@
     virtual ReplyOwner ownerOf(const LeafReply&, const CallerInfo&) const = 0;
     /// Interprets a leaf's reply to a request of that caller. Leaves `attempt` of the result at 0.
     virtual AttemptResult readReply(LeafReply, const CallerInfo&) const = 0;
+    /// Returns what a leaf says about itself in a reply.
+    virtual LeafNotice readNotice(const LeafReply&) const = 0;
     virtual HttpResponse renderOutcome(RouteOutcome, const CallerInfo&) const = 0;
 };
 
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -340,7 +340,12 @@
         };
         m_upstream->send(send.attempt, send.leaf, send.connectionLimit,
             { std::move(bytes), request.method == "HEAD", send.firstSentAt,
-                [this, caller](const LeafReply& reply) { return m_protocol.ownerOf(reply, caller); } },
+                [this, caller](const LeafReply& reply) { return m_protocol.ownerOf(reply, caller); },
+                [this, id = caller.id, leaf = send.leaf](
+                    const LeafReply& reply) { recordNotice(leaf, m_protocol.readNotice(reply), "id=" + id); },
+                [this, leaf = send.leaf, chosenAt = Clock::now()] {
+                    return m_policies.notices().acceptsSince(leaf, chosenAt);
+                } },
             std::move(counted));
     } catch (const Error& error) {
         log(LogLevel::Warning, "leaf", "leaf=" + send.leaf.leaf + " request could not be sent: " + error.what());
@@ -352,6 +357,18 @@
     }
 }
 
+/// Records what a leaf said about itself in an answer. `source` names the request or the relay for the log.
+void RouteService::recordNotice(const Announcement& leaf, const LeafNotice& notice, std::string_view source)
+{
+    if (!m_policies.onNotice(leaf, notice, Clock::now()))
+        return;
+    m_counters.counter(notice.isLeaving ? "leaf_leaving_notices_total" : "leaf_pause_notices_total").add();
+    log(LogLevel::Info, "leaf",
+        "notice " + std::string(source) + " leaf=" + leaf.leaf + " boot=" + std::to_string(leaf.boot)
+            + (notice.isLeaving ? " leaving; it gets no new requests"
+                                : " wants no requests for ms=" + std::to_string(notice.pause->count())));
+}
+
 void RouteService::sendPart(Id id, const RouteSend& send)
 {
     m_counters.counter(send.isExtra ? "leaf_requests_extra_total" : "leaf_requests_first_total").add();
@@ -528,7 +545,7 @@
         text += " error=" + std::string(errorAnswer(outcome.error).name) + " reason=\"" + outcome.reason + "\"";
     else
         text += " status=" + std::to_string(outcome.answer.status);
-    if (auto missing = execution.missingShards(); !missing.empty())
+    if (auto missing = execution.missingShards(now); !missing.empty())
         text += " missing=" + joinNames(missing);
     log(level, "query", text);
 }
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -142,6 +142,7 @@
     void performRelayed(Id, RelayActions);
     void logBatch(const RelayedRequest&, const RelayAnswer&);
     void sendToLeaf(const RouteSend&, const HttpRequest&, const CallerInfo&, const UpstreamClient::Callback&);
+    void recordNotice(const Announcement& leaf, const LeafNotice&, std::string_view source);
     void sendPart(Id, const RouteSend&);
     static std::uint64_t fingerprintOf(const HttpRequest&);
     void recordAttemptEnd(
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -55,6 +55,12 @@
         asio::post(m_strand, [this, correlation = envelope.correlation, answer = decodeRelayAnswer(envelope.body)] {
             auto id = correlation >> relayNumberBits;
             auto relay = static_cast<std::uint32_t>(correlation & relayNumberMask);
+            for (const auto& it : answer.leaving) {
+                Announcement leaf;
+                leaf.leaf = it.leaf;
+                leaf.boot = it.boot;
+                recordNotice(leaf, { .isLeaving = true }, "relay=" + std::to_string(correlation));
+            }
             if (auto* running = findConnected(id))
                 perform(id, running->execution->onRelayAnswer(relay, answer, Clock::now()));
         });
--- a/query/RelayMessages.cpp
+++ b/query/RelayMessages.cpp
@@ -10,7 +10,8 @@
     std::int64_t, std::string, std::string, std::vector<std::pair<std::string, std::string>>, std::string,
     std::uint8_t>; // former builds neither send nor read the last element
 using PackedAnswer = std::tuple<bool, std::vector<std::pair<std::uint32_t, std::string>>, std::string,
-    std::vector<std::tuple<std::uint32_t, bool, bool>>>;
+    std::vector<std::tuple<std::uint32_t, bool, bool>>,
+    std::vector<std::pair<std::string, std::uint64_t>>>; // former builds neither send nor read the last element
 
 template <typename Packed>
 std::string pack(const Packed& packed)
@@ -52,22 +53,26 @@
 
 std::string encode(const RelayAnswer& it)
 {
-    PackedAnswer packed { it.isBatch, {}, it.records, {} };
+    PackedAnswer packed { it.isBatch, {}, it.records, {}, {} };
     for (const auto& answered : it.answered)
         std::get<1>(packed).emplace_back(answered.service, answered.signature);
     for (const auto& failed : it.failed)
         std::get<3>(packed).emplace_back(failed.service, failed.hasArrived, failed.mayHaveRun);
+    for (const auto& leaving : it.leaving)
+        std::get<4>(packed).emplace_back(leaving.leaf, leaving.boot);
     return pack(packed);
 }
 
 RelayAnswer decodeRelayAnswer(std::string_view bytes)
 {
-    auto [isBatch, answered, records, failed] = unpack<PackedAnswer>(bytes);
-    RelayAnswer answer { isBatch, {}, std::move(records), {} };
+    auto [isBatch, answered, records, failed, leaving] = unpack<PackedAnswer>(bytes);
+    RelayAnswer answer { isBatch, {}, std::move(records), {}, {} };
     for (auto& [service, signature] : answered)
         answer.answered.push_back({ service, std::move(signature) });
     for (const auto& [service, arrived, ran] : failed)
         answer.failed.push_back({ service, arrived, ran });
+    for (auto& [leaf, boot] : leaving)
+        answer.leaving.push_back({ std::move(leaf), boot });
     return answer;
 }
 
--- a/query/RelayMessages.h
+++ b/query/RelayMessages.h
@@ -40,6 +40,12 @@
     std::vector<Answered> answered;
     std::string records; // merged records of the parts in `answered`
     std::vector<Failed> failed;
+    /// A leaf that said in its answer to one of the parts that it is leaving.
+    struct Leaving {
+        std::string leaf;
+        std::uint64_t boot = 0;
+    };
+    std::vector<Leaving> leaving;
 };
 
 /// A relay request and the caller's request.
--- a/query/RelayedGather.cpp
+++ b/query/RelayedGather.cpp
@@ -37,13 +37,13 @@
             continue;
         }
         auto number = m_firstAttempt + m_attempts.size();
-        m_attempts.push_back({ i, leaf->leaf, now });
+        m_attempts.push_back({ i, leaf->leaf, leaf->boot, now });
         m_policies.onStart(*leaf, number, typicalLatency, now);
         actions.sends.push_back({ number, *leaf, m_policies.connectionLimit(*leaf), m_request.remaining, false });
         ++m_running;
     }
     if (m_batchSent && !m_batch.failed.empty())
-        actions.answers.push_back({ false, {}, {}, std::exchange(m_batch.failed, {}) });
+        actions.answers.push_back({ false, {}, {}, std::exchange(m_batch.failed, {}), {} });
     return completeActions(std::move(actions), now);
 }
 
@@ -60,8 +60,12 @@
     m_policies.onEnd(attempt.leaf, result.attempt, attemptEndOf(result.status), now);
     if (isAnswered)
         m_policies.onLatency(m_route, now - attempt.sentAt);
+    std::vector<RelayAnswer::Leaving> leaving;
+    if (result.isLeafLeaving)
+        leaving.push_back({ attempt.leaf, attempt.boot });
     RelayAnswer::Failed failed { attempt.service, hasArrived(result.status), mayHaveRun(result.status) };
     if (!m_batchSent) {
+        m_batch.leaving.insert(m_batch.leaving.end(), leaving.begin(), leaving.end());
         if (isAnswered) {
             m_merge.add(result.answer.body);
             m_batch.answered.push_back({ attempt.service, std::move(result.answer.signature) });
@@ -71,10 +75,10 @@
     } else if (isAnswered) {
         TopRecords merge(m_request.topRecords);
         merge.add(result.answer.body);
-        actions.answers.push_back(
-            { false, { { attempt.service, std::move(result.answer.signature) } }, merge.take(), {} });
+        actions.answers.push_back({ false, { { attempt.service, std::move(result.answer.signature) } }, merge.take(),
+            {}, std::move(leaving) });
     } else {
-        actions.answers.push_back({ false, {}, {}, { failed } });
+        actions.answers.push_back({ false, {}, {}, { failed }, std::move(leaving) });
     }
     return completeActions(std::move(actions), now);
 }
--- a/query/RelayedGather.h
+++ b/query/RelayedGather.h
@@ -43,6 +43,7 @@
     struct Attempt {
         std::uint32_t service = 0; // index in the request
         std::string leaf;
+        std::uint64_t boot = 0; // of the leaf
         TimePoint sentAt;
         bool ended = false;
     };
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -118,12 +118,12 @@
 RouteActions RouteExecution::start(TimePoint now)
 {
     RouteActions actions;
-    auto reachable = static_cast<std::size_t>(
-        std::count_if(m_parts.begin(), m_parts.end(), [&](const Part& it) { return m_policies.hasLeaf(it.service); }));
+    auto isReachable = [&](Part& it) { return isAvailable(it, now) || waitForPause(it, now); };
+    auto reachable = static_cast<std::size_t>(std::count_if(m_parts.begin(), m_parts.end(), isReachable));
     if (reachable < minAnswered()) {
         finish({ .error = ErrorKind::NoReplica,
                    .reason = "too few services of the route have an available leaf",
-                   .retryAfter = longRetryAfter },
+                   .retryAfter = retryAfter(longRetryAfter, now) },
             actions);
         return actions;
     }
@@ -134,7 +134,7 @@
         bool isRelayed = !m_parts[i].relays.empty();
         if (!isRelayed || !peersCountRelayed)
             m_policies.onFirstRequest(m_parts[i].service);
-        if (!isRelayed && !trySend(i, false, actions, now))
+        if (!isRelayed && !m_parts[i].resendAt && !trySend(i, false, actions, now))
             scheduleResend(m_parts[i], now);
     }
     return completeActions(std::move(actions), now);
@@ -193,15 +193,52 @@
 void RouteExecution::scheduleResend(Part& part, TimePoint now)
 {
     // A gather does not wait for a shard without an available leaf. A forwarded request has no other part to return.
-    if (part.resends >= maxResends || (isGather() && !m_policies.hasLeaf(part.service))) {
+    bool isPaused = m_policies.pausedUntil(part.service, now).has_value();
+    if (part.resends >= maxResends || (isGather() && !isAvailable(part, now))
+        || (isPaused && !waitForPause(part, now))) {
         part.isExhausted = true;
         return;
     }
+    if (isPaused)
+        return;
     part.resendAt = now + resendDelay * (1U << part.resends++);
     part.hedgeAt.reset(); // no attempt of the part is running
     part.tried.clear();
 }
 
+/// Whether a leaf of the part's service can be asked now.
+bool RouteExecution::isAvailable(const Part& part, TimePoint now) const
+{
+    return m_policies.hasLeaf(part.service) && !m_policies.pausedUntil(part.service, now);
+}
+
+/// Schedules a forwarded request for the end of the pause of its leaves, if it can then still be answered by the time
+/// at which its answer is due. Otherwise the caller fares better with a refusal that states the time.
+bool RouteExecution::waitForPause(Part& part, TimePoint now)
+{
+    auto until = m_policies.pausedUntil(part.service, now);
+    if (isGather() || !until || part.resends >= maxResends || *until + m_policies.typicalLatency(*m_route) > m_answerBy)
+        return false;
+    ++part.resends;
+    part.resendAt = *until;
+    part.hedgeAt.reset();
+    part.tried.clear();
+    return true;
+}
+
+/// Time after which a retry of the caller may succeed: `minimum`, or the end of the first pause among the services of
+/// the missing parts.
+milliseconds RouteExecution::retryAfter(milliseconds minimum, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const auto& it : m_parts) {
+        auto until = it.answered ? std::nullopt : m_policies.pausedUntil(it.service, now);
+        if (until)
+            first = std::min(first.value_or(*until), *until);
+    }
+    return first ? std::chrono::ceil<milliseconds>(*first - now) : minimum;
+}
+
 void RouteExecution::endAttempt(Attempt& attempt, AttemptEnd end, TimePoint now)
 {
     attempt.ended = true;
@@ -338,12 +375,12 @@
     return m_counters.late + m_counters.refusals > congestedShare * static_cast<double>(m_parts.size());
 }
 
-std::vector<std::string> RouteExecution::missingShards() const
+std::vector<std::string> RouteExecution::missingShards(TimePoint now) const
 {
     std::vector<std::string> missing;
     for (const auto& it : m_parts) {
         if (!it.answered)
-            missing.push_back(it.service);
+            missing.push_back(it.service + (m_policies.pausedUntil(it.service, now) ? "(paused)" : ""));
     }
     return missing;
 }
@@ -401,9 +438,9 @@
         || std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& it) { return !it.ended; })
         || std::any_of(m_relays.begin(), m_relays.end(), [](const Relay& it) { return !it.ended; });
     if (!mayHaveRun) {
-        return {
-            .error = ErrorKind::Overloaded, .reason = "no leaf could accept the request", .retryAfter = shortRetryAfter
-        };
+        return { .error = ErrorKind::Overloaded,
+            .reason = "no leaf could accept the request",
+            .retryAfter = retryAfter(shortRetryAfter, now) };
     }
     if (!isGather() && m_lastError)
         return { RouteOutcome::Kind::Forwarded, *m_lastError };
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -30,6 +30,7 @@
     std::uint64_t attempt = 0;
     Status status = Status::Lost;
     LeafResponse answer;
+    bool isLeafLeaving = false; // the leaf has said so in its answer
 };
 std::string_view attemptStatusName(AttemptResult::Status);
 AttemptEnd attemptEndOf(AttemptResult::Status);
@@ -124,8 +125,8 @@
     /// Returns the leaf of an attempt. Precondition: the attempt was sent by this request.
     const std::string& leafOf(std::uint64_t attempt) const { return m_attempts.at(attempt - m_firstAttempt).leaf; }
     const RouteCounters& counters() const { return m_counters; }
-    /// Returns the shards without an answer, for the log.
-    std::vector<std::string> missingShards() const;
+    /// Returns the shards without an answer, for the log. Those whose leaves are all paused at `now` are marked.
+    std::vector<std::string> missingShards(TimePoint now) const;
     /// Whether many parts were late or refused, which indicates that leaves are overloaded.
     bool isCongested() const;
     /// Number of answered parts.
@@ -178,6 +179,9 @@
     bool mayRetry(std::uint32_t part);
     void answerPart(Part&, RouteActions&);
     void scheduleResend(Part&, TimePoint now);
+    bool isAvailable(const Part&, TimePoint now) const;
+    bool waitForPause(Part&, TimePoint now);
+    milliseconds retryAfter(milliseconds minimum, TimePoint now) const;
     bool mayRunAgain(const Part& it) const
     {
         return it.ran < m_route->attempts && (m_route->idempotent || it.ran == 0);
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -70,6 +70,7 @@
 
 void RoutePolicies::setLeaves(std::vector<Announcement> leaves, TimePoint now)
 {
+    m_notices.keepOnly(leaves, now);
     std::unordered_map<std::string, std::vector<KnownLeaf>> known;
     for (auto& it : leaves) {
         KnownLeaf entry { std::move(it), {}, false };
@@ -106,7 +107,8 @@
 
 bool RoutePolicies::isUsable(const KnownLeaf& it) const
 {
-    return !it.excluded && !it.announcement.draining && !m_zonesOut.contains(it.announcement.zone);
+    return !it.excluded && !it.announcement.draining && !m_zonesOut.contains(it.announcement.zone)
+        && !m_notices.isLeaving(it.announcement);
 }
 
 /// A leaf that is warming up gets requests from one instance only, at a limited rate.
@@ -143,6 +145,8 @@
             continue;
         if (!isUsable(it) || std::find(tried.begin(), tried.end(), it.announcement.leaf) != tried.end())
             continue;
+        if (!m_notices.accepts(it.announcement, now))
+            continue;
         if (now >= it.coldUntil)
             warm.push_back(&it.announcement);
         else if (maySendToCold(it, now))
@@ -416,6 +420,23 @@
     });
 }
 
+std::optional<TimePoint> RoutePolicies::pausedUntil(const std::string& service, TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    auto found = m_leaves.find(service);
+    if (found == m_leaves.end())
+        return first;
+    for (const auto& it : found->second) {
+        if (!isUsable(it) || m_selector.isDown(it.announcement))
+            continue;
+        auto until = m_notices.pausedUntil(it.announcement, now);
+        if (!until)
+            return std::nullopt;
+        first = std::min(first.value_or(*until), *until);
+    }
+    return first;
+}
+
 std::vector<Announcement> RoutePolicies::dueProbes(TimePoint now)
 {
     std::vector<Announcement> due;
@@ -428,7 +449,7 @@
             if (found == names.end())
                 continue;
             names.erase(found);
-            if (isUsable(it))
+            if (isUsable(it) && !m_notices.pausedUntil(it.announcement, now))
                 due.push_back(it.announcement);
         }
     }
@@ -543,7 +564,17 @@
 void RoutePolicies::onStart(const Announcement& leaf, std::uint64_t attempt, Duration typicalLatency, TimePoint now)
 {
     m_selector.onStart(leaf, attempt, typicalLatency, now);
+    m_notices.onStart(leaf, attempt, now);
     m_coldStartLimit.onSend(leaf.leaf, now);
 }
 
+void RoutePolicies::onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
+{
+    m_selector.onEnd(leaf, attempt, end, now);
+    auto noticeEnd = end == AttemptEnd::Answered ? LeafNotices::End::Answered
+        : end == AttemptEnd::Refused             ? LeafNotices::End::Refused
+                                                 : LeafNotices::End::Other;
+    m_notices.onEnd(leaf, attempt, noticeEnd, now);
+}
+
 } // namespace citronplank
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/ColdStartRateLimit.h"
+#include "policy/LeafNotices.h"
 #include "policy/LeafSelector.h"
 #include "policy/RetryBudget.h"
 #include "query/GatherGroups.h"
@@ -26,6 +27,7 @@
         : m_instance(std::move(instance))
         , m_zone(zone)
         , m_selector(std::move(zone))
+        , m_notices(m_instance)
     {
     }
 
@@ -42,9 +44,14 @@
     void setZonesOut(std::set<std::string, std::less<>> zones) { m_zonesOut = std::move(zones); }
     /// Sets the names of all entry instances, including this one.
     void setEntryInstances(std::vector<std::string> names);
-    /// Stops sending to a leaf until its next boot, because another leaf responded at its address or because it
-    /// reported that it is stopping.
+    /// Stops sending to a leaf until its next boot, because another leaf responded at its address.
     void exclude(const Announcement&);
+    /// Records what a leaf said about itself in an answer, see LeafNotices. Returns whether it is new.
+    bool onNotice(const Announcement& leaf, const LeafNotice& notice, TimePoint now)
+    {
+        return m_notices.record(leaf, notice, now);
+    }
+    const LeafNotices& notices() const { return m_notices; }
 
     const std::shared_ptr<const RouteTable>& table() const { return m_table; }
     /// Returns the best leaf of the service that is not in `tried`, or null if there is none now. `typicalLatency` is
@@ -95,8 +102,12 @@
     /// not in the result are sent to leaves directly. Precondition: `usesGroups` for the route.
     std::vector<RelayPlan> planGroups(const Route&, std::span<const RelayCandidate>, TimePoint now);
 
-    /// Whether the service has a leaf that is not down, draining, excluded or in a zone taken out of service.
+    /// Whether the service has a leaf that is not down, draining, leaving, excluded or in a zone taken out of service.
+    /// The leaf may be paused.
     bool hasLeaf(const std::string& service) const;
+    /// Returns when the first leaf of the service may be tried, if there are leaves as for `hasLeaf` and all of them
+    /// are paused at `now`.
+    std::optional<TimePoint> pausedUntil(const std::string& service, TimePoint now) const;
     /// Counts a request on the route, for canServe.
     void onRequest(const Route& route) { m_requestCounts[route.name] += 1; }
     /// Whether at least half of the requests of the last seconds could be answered with the leaves that are up now.
@@ -122,13 +133,11 @@
     /// Records the size of the body of one part.
     void onPartBytes(const Route&, std::size_t bytes);
 
-    /// See LeafSelector. `onStart` also records the send for the rate limit of leaves that are warming up.
-    void onStart(const Announcement&, std::uint64_t attempt, Duration typicalLatency, TimePoint now);
-    void onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
-    {
-        m_selector.onEnd(leaf, attempt, end, now);
-    }
-    /// Returns the usable leaves that are down and due for a probe.
+    /// See LeafSelector and LeafNotices. `onStart` also records the send for the rate limit of leaves that are warming
+    /// up.
+    void onStart(const Announcement& leaf, std::uint64_t attempt, Duration typicalLatency, TimePoint now);
+    void onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now);
+    /// Returns the usable leaves that are down, due for a probe and not paused.
     std::vector<Announcement> dueProbes(TimePoint now);
     void onProbe(const std::string& leaf, bool reached, TimePoint now) { m_selector.onProbe(leaf, reached, now); }
     const LeafSelector& selector() const { return m_selector; }
@@ -179,6 +188,7 @@
     std::unordered_map<std::string, TimePoint> m_peerBackoffs;             // end of the backoff by peer
     std::size_t m_rotation = 0;                                            // distributes relays over peers and zones
     ColdStartRateLimit m_coldStartLimit;
+    LeafNotices m_notices;
 };
 
 } // namespace citronplank
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -214,6 +214,35 @@
 
 // Guards against an incomplete response that the caller takes for a complete one, and against a retry delay in another
 // unit than seconds.
+// Guards against a pause that is missed, or invented from a value that is no number of seconds.
+TEST_CASE("what a leaf says about itself is read from its headers")
+{
+    platform::RequestProtocol protocol;
+    auto notice = [&](int status, std::vector<std::pair<std::string, std::string>> headers) {
+        LeafReply reply;
+        reply.end = LeafReply::End::Complete;
+        reply.status = status;
+        reply.headers = std::move(headers);
+        return protocol.readNotice(reply);
+    };
+    for (int status : { 200, 404, 500, 503 })
+        CHECK(notice(status, { { "server-leaving", " 1 " } }).isLeaving);
+    CHECK(notice(421, { { "Server-Leaving", "1" } }).isEmpty()); // another leaf
+    for (const char* value : { "0", "", "true" })
+        CHECK_FALSE(notice(200, { { "Server-Leaving", value } }).isLeaving);
+    CHECK(notice(503, { { "retry-after", "2" } }).pause == milliseconds(2000));
+    CHECK(notice(503, { { "Retry-After", "0.25" } }).pause == milliseconds(250));
+    CHECK(notice(503, { { "Retry-After", " 1.0 " } }).pause == milliseconds(1000));
+    CHECK(notice(503, { { "Retry-After", "1" }, { "Retry-After", "3" }, { "Retry-After", "x" } }).pause
+        == milliseconds(3000));
+    CHECK(notice(503, { { "Retry-After", "99999999999999999999" } }).pause == std::chrono::hours(24));
+    for (const char* value :
+        { "", "-1", "-0", "nan", "inf", "1e400", "soon", "1s", "0x10", "Fri, 31 Dec 2027 23:59:59 GMT", "1,2" })
+        CHECK_FALSE(notice(503, { { "Retry-After", value } }).pause);
+    for (int status : { 200, 429, 500 })
+        CHECK_FALSE(notice(status, { { "Retry-After", "2" } }).pause);
+}
+
 TEST_CASE("a merged response has the signatures and the number of missing parts, a refusal has Retry-After")
 {
     platform::RequestProtocol protocol;
--- a/tests/RouteExecutionTests.cpp
+++ b/tests/RouteExecutionTests.cpp
@@ -523,3 +523,104 @@
     CHECK_THROWS_AS(decodeRelayAnswer("\x93garbage"), Error);
     CHECK_THROWS_AS(decodeRelayedCall(""), Error);
 }
+
+namespace {
+
+LeafNotice paused(int ms) { return { .pause = milliseconds(ms) }; }
+
+/// A request that is forwarded to the service s0, whose leaves are both paused.
+struct PausedFixture : Fixture {
+    explicit PausedFixture(int ms)
+        : Fixture(1, 1.0)
+    {
+        route.targets = { { "s0", 1 } };
+        route.shards.clear();
+        for (const char* zone : { "atl", "sav" })
+            policies.onNotice(leafOf("s0", zone), paused(ms), start);
+    }
+};
+
+} // namespace
+
+// Guards against a request that waits for leaves that it cannot use before its deadline.
+TEST_CASE("a request whose leaves all want no requests for long is refused at once with the time of the first trial")
+{
+    PausedFixture it(2000);
+    auto actions = it.execution().start(at(0));
+    CHECK(actions.sends.empty());
+    REQUIRE(actions.finish);
+    CHECK(errorAnswer(actions.finish->error).outcome == Outcome::NotRun);
+    REQUIRE(actions.finish->retryAfter);
+    CHECK(*actions.finish->retryAfter >= milliseconds(2000));
+    CHECK(*actions.finish->retryAfter <= milliseconds(3000));
+}
+
+TEST_CASE("a request whose leaves want no requests for a moment is sent after it, to one leaf")
+{
+    PausedFixture it(10);
+    auto actions = it.execution().start(at(0));
+    CHECK(actions.sends.empty());
+    CHECK_FALSE(actions.finish);
+    REQUIRE(actions.nextTimer);
+    CHECK(*actions.nextTimer >= at(10));
+    auto sent = it.execution().onTimer(*actions.nextTimer);
+    CHECK(sent.sends.size() == 1);
+}
+
+// Guards against a retry at a leaf that has just said that it wants none.
+TEST_CASE("a refusal that states a pause is followed by the other leaf, and then by no leaf")
+{
+    Fixture it(1, 1.0);
+    it.route.targets = { { "s0", 1 } };
+    it.route.shards.clear();
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.sends.size() == 1);
+    it.policies.onNotice(actions.sends[0].leaf, paused(5000), at(1));
+    auto retry = it.execution().onResult({ actions.sends[0].attempt, Status::Refused, {} }, at(1));
+    REQUIRE(retry.sends.size() == 1);
+    CHECK(retry.sends[0].leaf.leaf != actions.sends[0].leaf.leaf);
+    it.policies.onNotice(retry.sends[0].leaf, paused(5000), at(2));
+    auto last = it.execution().onResult({ retry.sends[0].attempt, Status::Refused, {} }, at(2));
+    CHECK(last.sends.empty());
+    REQUIRE(last.finish);
+    CHECK(errorAnswer(last.finish->error).outcome == Outcome::NotRun);
+    CHECK(*last.finish->retryAfter >= milliseconds(4999));
+}
+
+TEST_CASE("a gather counts a shard whose leaves are paused as missing at once")
+{
+    Fixture it;
+    for (const char* zone : { "atl", "sav" })
+        it.policies.onNotice(Fixture::leafOf("s3", zone), paused(1000), at(0));
+    auto actions = it.execution().start(at(0));
+    REQUIRE(actions.sends.size() == 3);
+    RouteActions last;
+    for (const auto& send : actions.sends)
+        last = it.execution().onResult(Fixture::answered(send, 'a'), at(1));
+    REQUIRE(last.finish);
+    CHECK(last.finish->kind == RouteOutcome::Kind::Merged);
+    CHECK(last.finish->missing == 1);
+    CHECK(it.execution().missingShards(at(1)) == std::vector<std::string> { "s3(paused)" });
+}
+
+TEST_CASE("a gatherer reports the leaves that have said that they are leaving")
+{
+    Fixture it;
+    RelayRequest request;
+    request.services = { "s0", "s1" };
+    request.topRecords = 3;
+    request.remaining = milliseconds(100);
+    request.batchAfter = milliseconds(50);
+    RelayedGather gather(request, 1000, it.policies);
+    auto actions = gather.start(at(0));
+    REQUIRE(actions.sends.size() == 2);
+    auto result = Fixture::answered(actions.sends[0], 'a');
+    result.isLeafLeaving = true;
+    gather.onResult(result, at(1));
+    auto last = gather.onResult(Fixture::answered(actions.sends[1], 'b'), at(2));
+    REQUIRE(last.answers.size() == 1);
+    auto received = decodeRelayAnswer(encode(last.answers[0]));
+    REQUIRE(received.leaving.size() == 1);
+    CHECK(received.leaving[0].leaf == actions.sends[0].leaf.leaf);
+    CHECK(received.answered.size() == 2);
+}
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -335,3 +335,49 @@
     }
     CHECK(gatherers.size() <= 4);
 }
+
+// Guards against a directory that lists a leaf as ready, or lists it again, after the leaf has said that it is leaving.
+TEST_CASE("a leaf that has said that it is leaving is not chosen until its next start")
+{
+    RoutePolicies policies("front-1", "atl");
+    policies.setLeaves({ leafOf("a", "list") }, start);
+    CHECK(policies.onNotice(leafOf("a", "list"), { .isLeaving = true }, start));
+    CHECK_FALSE(policies.hasLeaf("list"));
+    CHECK_FALSE(policies.pick("list", {}, typical, start));
+    CHECK_FALSE(policies.pickForPeer("list", typical, start));
+    policies.setLeaves({}, start + seconds(1));
+    auto renewed = leafOf("a", "list");
+    renewed.sequence = 7;
+    policies.setLeaves({ renewed }, start + seconds(2));
+    CHECK_FALSE(policies.pick("list", {}, typical, start + seconds(2)));
+    renewed.boot = 2;
+    policies.setLeaves({ renewed }, start + seconds(3));
+    CHECK(policies.pick("list", {}, typical, start + seconds(3)));
+}
+
+// Guards against requests and probes to a leaf that wants none, and against an instance that is not ready meanwhile.
+TEST_CASE("a paused leaf is not chosen, and its service counts as paused only if no other leaf can be used")
+{
+    RoutePolicies policies("front-1", "atl");
+    policies.setLeaves({ leafOf("a", "list"), leafOf("b", "list") }, start);
+    policies.onNotice(leafOf("a", "list"), { .pause = milliseconds(1000) }, start);
+    for (int i = 0; i < 5; ++i)
+        CHECK(policies.pick("list", {}, typical, start)->leaf == "b");
+    CHECK_FALSE(policies.pausedUntil("list", start));
+    policies.onNotice(leafOf("b", "list"), { .pause = milliseconds(3000) }, start);
+    CHECK_FALSE(policies.pick("list", {}, typical, start));
+    CHECK(policies.hasLeaf("list"));
+    auto until = policies.pausedUntil("list", start);
+    REQUIRE(until);
+    CHECK(*until >= start + milliseconds(1000));
+    CHECK(*until < start + milliseconds(3000));
+    const auto* tried = policies.pick("list", {}, typical, *until);
+    REQUIRE(tried);
+    CHECK(tried->leaf == "a");
+    policies.onStart(*tried, 1, typical, *until);
+    CHECK_FALSE(policies.pick("list", {}, typical, *until));
+    // A leaf that is down as well is not probed before the end of its pause.
+    policies.onEnd("a", 1, AttemptEnd::Unreachable, *until);
+    policies.onNotice(leafOf("a", "list"), { .pause = milliseconds(60000) }, *until);
+    CHECK(policies.dueProbes(*until + seconds(10)).empty());
+}
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -382,6 +382,44 @@
 }
 
 // Guards against a new connection for each cancelled request, and against an answer that is reported after the cancel.
+TEST_CASE("a request that is not wanted any more once its connection is open is not sent")
+{
+    ClientFixture it;
+    bool isWanted = true;
+    std::optional<LeafReply> got;
+    UpstreamRequest request { it.request };
+    request.mayStillSend = [&] { return isWanted; };
+    it.client->send(1, it.leaf.announcement(), 1, request, [&](LeafReply reply) { got = std::move(reply); });
+    isWanted = false;
+    it.runFor(milliseconds(50));
+    REQUIRE(got);
+    CHECK(got->end == LeafReply::End::NoFreeConnection);
+    CHECK(it.leaf.requests == 0);
+    CHECK(it.exchange(1)->body == "ok");
+    CHECK(it.leaf.connections == 1);
+}
+
+// Guards against a notice of a leaf that is lost because nobody needs the answer any more.
+TEST_CASE("a reply is observed also if its request was cancelled, unless it answers another request")
+{
+    ClientFixture it;
+    int observed = 0;
+    UpstreamRequest request { it.request };
+    request.onReply = [&](const LeafReply&) { ++observed; };
+    it.client->send(1, it.leaf.announcement(), 1, request, [](const LeafReply&) { CHECK(false); });
+    it.client->cancel(1, milliseconds(200), [](UpstreamClient::CancelResult) {});
+    it.runFor(milliseconds(50));
+    CHECK(observed == 0); // it was not written
+    it.client->send(2, it.leaf.announcement(), 1, request, [](const LeafReply&) { CHECK(false); });
+    it.client->cancel(2, milliseconds(200), [](UpstreamClient::CancelResult) {});
+    it.runFor(milliseconds(50));
+    CHECK(observed == 1);
+    request.ownerOf = [](const LeafReply&) { return ReplyOwner::AnotherRequest; };
+    it.client->send(3, it.leaf.announcement(), 1, request, [](const LeafReply&) {});
+    it.runFor(milliseconds(50));
+    CHECK(observed == 1);
+}
+
 TEST_CASE("a cancelled request that is answered in time keeps its connection")
 {
     ClientFixture it;
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -80,6 +80,16 @@
                 HttpResponse answer { 200, "", std::string(16, name.back()) };
                 answer.headers = { { "Server-Stamp", "stamp-" + name },
                     { "Request-Id", std::string(request.header("Request-Id")) } };
+                {
+                    const std::lock_guard lock(m_mutex);
+                    if (auto refused = m_refusedFor.find(name); refused != m_refusedFor.end()) {
+                        answer = { 503, "", "" };
+                        answer.headers = { { "Not-Executed", "1" }, { "Retry-After", refused->second },
+                            { "Request-Id", std::string(request.header("Request-Id")) } };
+                    }
+                    if (m_leaving.contains(name))
+                        answer.headers.emplace_back("Server-Leaving", "1");
+                }
                 if (request.header("Expect-Instance") != name)
                     answer = { 421, "", "" };
                 responder.answer(std::move(answer));
@@ -87,6 +97,21 @@
         m_servers.back()->start();
         return m_servers.back()->address();
     }
+    /// From now on the answers of the leaf say that it is leaving.
+    void leave(const std::string& name)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_leaving.insert(name);
+    }
+    /// From now on the leaf refuses requests with this Retry-After; empty: it accepts them again.
+    void refuse(const std::string& name, const std::string& retryAfter)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (retryAfter.empty())
+            m_refusedFor.erase(name);
+        else
+            m_refusedFor[name] = retryAfter;
+    }
     static constexpr milliseconds slowTime { 2000 }; // of a request whose path contains "/slow"
     /// Number of requests that the leaf received.
     int count(const std::string& name) { return m_counts[name]; }
@@ -96,6 +121,9 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::map<std::string, std::atomic<int>> m_counts;
+    std::mutex m_mutex; // guards the members below
+    std::set<std::string> m_leaving;
+    std::map<std::string, std::string> m_refusedFor;
     std::thread m_thread;
 };
 
@@ -479,6 +507,53 @@
     CHECK(system.query(entry, "/one/y")->body == std::string(16, 'b'));
 }
 
+// Guards against requests to a leaf after its answers have said that it is leaving or wants none for a while.
+TEST_CASE("an entry instance sends nothing more to a leaf that leaves or wants no requests, by what its answers say")
+{
+    Leaves leaves;
+    System system;
+    system.startControl();
+    system.start(entry, false);
+    REQUIRE(eventually([&] { return system.put(configurationOf(3)) == 200; }));
+    int sequence = 1;
+    std::map<std::string, std::string> addresses;
+    auto announce = [&](const std::string& name, const std::string& service, const std::string& zone) {
+        if (addresses[name].empty())
+            addresses[name] = leaves.add(name);
+        return system.announce(name, service, zone, addresses[name], ++sequence) == 200;
+    };
+    REQUIRE(eventually([&] { return announce("c", "single", "zone1"); }));
+    REQUIRE(eventually([&] { return announce("d", "single", "zone2"); }));
+    REQUIRE(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'c'); }));
+
+    leaves.refuse("c", "4.5");
+    CHECK(system.query(entry, "/one/p")->body == std::string(16, 'd'));
+    auto refused = leaves.count("c");
+    leaves.refuse("c", "");
+    for (auto end = Clock::now() + milliseconds(4000); Clock::now() < end;) {
+        system.query(entry, "/one/p");
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK(leaves.count("c") == refused);
+    CHECK(eventually([&] { return system.query(entry, "/one/x")->body == std::string(16, 'c'); }, milliseconds(4000)));
+
+    leaves.leave("c");
+    CHECK(system.query(entry, "/one/l")->body == std::string(16, 'c')); // the answer itself is passed on
+    auto left = leaves.count("c");
+    for (int i = 0; i < 20; ++i) {
+        CHECK(announce("c", "single", "zone1")); // goes on as if it stayed
+        CHECK(system.query(entry, "/one/l" + std::to_string(i))->body == std::string(16, 'd'));
+    }
+    CHECK(leaves.count("c") == left);
+
+    // Without another leaf, the caller is refused at once with the time of the pause.
+    leaves.refuse("d", "60");
+    system.query(entry, "/one/q");
+    auto last = system.query(entry, "/one/r");
+    CHECK(last->status == 503);
+    CHECK(std::stod("0" + last->get_header_value("Retry-After")) > 50);
+}
+
 // Gossip needs seconds to spread a restarted instance to 74 members. Guards against an instance that misses the notice
 // of a draining leaf during this time.
 TEST_CASE("an entry instance that is unknown to gossip learns of a draining leaf before the notice is confirmed")
--- a/tests/SoakSystem.cpp
+++ b/tests/SoakSystem.cpp
@@ -134,6 +134,8 @@
 {
     leaf.isUp = true;
     leaf.isSilent = false;
+    leaf.isLeaving = false;
+    leaf.pause.reset();
     leaf.isDraining = false;
     leaf.drainAcknowledgedAt.reset();
     leaf.sequence = 0;
@@ -233,17 +235,30 @@
     auto id = request.header("request-id");
     if (request.header("expect-instance") != leaf.name)
         return session->respond(421, "", "");
+    m_notices.onArrival(id, leaf.name, leaf.boot, SoakClock::now());
+    auto respond = [this, &leaf, id, boot = leaf.boot, session](
+                       int status, const std::string& headers, const std::string& body) {
+        bool isLeaving = leaf.isLeaving && leaf.boot == boot && leaf.isUp;
+        if (isLeaving)
+            m_notices.onLeaving(id, leaf.name, boot, SoakClock::now());
+        session->respond(
+            status, headers + "Request-Id: " + id + "\r\n" + (isLeaving ? "Server-Leaving: 1\r\n" : ""), body);
+    };
+    if (leaf.pause) {
+        m_notices.onPause(id, leaf.name, leaf.boot, SoakClock::now(), *leaf.pause);
+        auto inSeconds = std::to_string(std::chrono::duration<double>(*leaf.pause).count());
+        return respond(503, "Not-Executed: 1\r\nRetry-After: " + inSeconds + "\r\n", "");
+    }
     if (randomBelow(requestsPerRefusal) == 0)
-        return session->respond(503, "Not-Executed: 1\r\nRequest-Id: " + id + "\r\n", "");
+        return respond(503, "Not-Executed: 1\r\n", "");
     SoakExecution execution { leaf.name, leaf.service, leaf.zone, SoakClock::now(), {} };
     if (leaf.drainAcknowledgedAt)
         execution.afterDrain = execution.at - *leaf.drainAcknowledgedAt;
     m_executions[id].push_back(std::move(execution));
     if (leaf.isSilent)
         return;
-    runAfter(milliseconds(1 + randomBelow(maxServiceTime.count())), [&leaf, id, session] {
-        session->respond(200, "Server-Stamp: " + signatureOf(leaf.name, id) + "\r\nRequest-Id: " + id + "\r\n",
-            bodyOf(leaf.service, id));
+    runAfter(milliseconds(1 + randomBelow(maxServiceTime.count())), [&leaf, id, respond] {
+        respond(200, "Server-Stamp: " + signatureOf(leaf.name, id) + "\r\n", bodyOf(leaf.service, id));
     });
 }
 
--- a/tests/SoakSystem.h
+++ b/tests/SoakSystem.h
@@ -6,6 +6,7 @@
 #include "standins/HttpClient.h"
 #include "standins/relay/Relay.h"
 #include "tests/ProcessHarness.h"
+#include "tests/SoakNotices.h"
 
 #include <random>
 #include <set>
@@ -54,7 +55,9 @@
     std::uint64_t boot = 0;       // start time in milliseconds since the Unix epoch
     std::uint64_t sequence = 0;   // sequence number of the last announcement since `boot`
     bool isUp = false;
-    bool isSilent = false; // executes requests but does not respond
+    bool isSilent = false;             // executes requests but does not respond
+    bool isLeaving = false;            // says so in its answers, but not in its announcements
+    std::optional<milliseconds> pause; // refuses all requests and wants none for this time
     std::optional<SoakTime> drainAcknowledgedAt;
     bool isDraining = false;
     std::unique_ptr<standins::HttpServer> server;
@@ -141,6 +144,9 @@
     /// Executions by request id, in the order in which they began.
     std::map<std::string, std::vector<SoakExecution>>& executions() { return m_executions; }
     Disruptions& disruptions() { return m_disruptions; }
+    SoakNotices& notices() { return m_notices; }
+    /// Violations of the bounds of SoakNotices since the last call.
+    std::vector<std::string> takeNoticeViolations() { return std::exchange(m_noticeViolations, {}); }
     /// Returns a pseudo-random number less than `n`, which must be positive.
     std::uint64_t randomBelow(std::uint64_t n) { return m_random() % n; }
     /// Runs `task` on `io` after a delay.
@@ -159,6 +165,13 @@
     std::vector<std::unique_ptr<standins::HttpServer>> m_closedServers; // kept alive for pending accept handlers
     std::map<std::string, std::vector<SoakExecution>> m_executions;     // by request ID
     Disruptions m_disruptions;
+    std::vector<std::string> m_noticeViolations;
+    SoakNotices m_notices { [this](const std::string& entry, const std::string& leaf, SoakTime from, SoakTime until) {
+                               return m_disruptions.isUndisrupted(entry, from, until)
+                                   && m_disruptions.isUndisrupted("faults of " + entry, from, until)
+                                   && m_disruptions.isUndisrupted("link of " + leaf, from, until);
+                           },
+        [this](const std::string& violation) { m_noticeViolations.push_back(violation); } };
 };
 
 } // namespace citronplank::testing
