Divide the entry instances of a zone among several gatherers of each group, and let answers be due earlier on busy instances

Callers saw a third of the gathers fail in bursts on small instances, while the instances of a zone used two fifths of their processor time: one instance gathered a group for its whole zone.

Ruled out: groups of fewer shards (more messages for the entry instance), a random gatherer for each request (links to all).

Each instance now measures how late its answers are. The test of RoutePolicies that allowed at most four gatherers for a zone checks the new decision: one peer for each group and entry instance, and no gatherer with more than about twice its share.

--- a/query/GatherGroups.cpp
+++ b/query/GatherGroups.cpp
@@ -43,23 +43,32 @@
 }
 
 /// Chooses the gatherers of all groups in a zone by rendezvous hashing, so that few groups move when an instance joins
-/// or leaves.
+/// or leaves. In each round every group gets one gatherer, and no instance is chosen again before all others are.
 void GatherGroups::chooseGatherers(const std::string& zone, const std::vector<std::string>& instances)
 {
+    auto hasZone = [&](const Group& it) { return it.zones.contains(zone); };
+    auto groupCount = static_cast<std::size_t>(std::count_if(m_groups.begin(), m_groups.end(), hasZone));
+    if (instances.empty() || groupCount == 0)
+        return;
+    auto rounds = std::clamp(instances.size() / groupCount, choicesPerZone, maxGatherersPerZone);
+    rounds = std::min(rounds, instances.size());
     auto unused = instances;
-    for (auto& group : m_groups) {
-        if (instances.empty() || !group.zones.contains(zone))
-            continue;
-        if (unused.empty())
-            unused = instances;
-        auto& chosen = group.gatherers[zone];
-        chosen.push_back(rendezvousOwner(group.name, unused));
-        std::erase(unused, chosen.front());
-        auto others = instances;
-        std::erase(others, chosen.front());
-        while (chosen.size() < choicesPerZone && !others.empty()) {
-            chosen.push_back(rendezvousOwner(group.name, others));
-            std::erase(others, chosen.back());
+    for (std::size_t round = 0; round < rounds; ++round) {
+        for (auto& group : m_groups) {
+            if (!hasZone(group))
+                continue;
+            if (unused.empty())
+                unused = instances;
+            auto& chosen = group.gatherers[zone];
+            auto candidates = unused;
+            std::erase_if(candidates, [&](const auto& it) { return std::ranges::find(chosen, it) != chosen.end(); });
+            if (candidates.empty()) {
+                candidates = instances;
+                std::erase_if(
+                    candidates, [&](const auto& it) { return std::ranges::find(chosen, it) != chosen.end(); });
+            }
+            chosen.push_back(rendezvousOwner(group.name, candidates));
+            std::erase(unused, chosen.back());
         }
     }
 }
@@ -86,4 +95,17 @@
     return found->second;
 }
 
+std::vector<std::string> GatherGroups::gatherersFor(
+    std::string_view instance, std::size_t group, const std::string& zone) const
+{
+    auto all = gatherers(group, zone);
+    std::vector<std::string> order(all.begin(), all.end());
+    if (!order.empty()) {
+        auto first = hash64(instance, hash64(m_groups[group].name)) % order.size();
+        std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first), order.end());
+        order.resize(std::min(order.size(), choicesPerZone));
+    }
+    return order;
+}
+
 } // namespace citronplank
--- a/query/GatherGroups.h
+++ b/query/GatherGroups.h
@@ -27,8 +27,12 @@
     /// Maximum number of shards of a group. An instance with 0.12 of a core needs about 12 ms to send that many parts
     /// and to receive their answers. More groups mean more messages of the entry instance, whose time adds to it.
     static constexpr std::size_t maxPartsPerGroup = 20;
-    /// Instances of a zone that may gather a group: the gatherer, and one that replaces it while it does not answer.
+    /// Minimum number of instances of a zone that may gather a group, if the zone has as many: the gatherer, and one
+    /// that replaces it while it does not answer.
     static constexpr std::size_t choicesPerZone = 2;
+    /// Maximum number of instances of a zone among which the entry instances are divided. With more, each of them would
+    /// send to its leaves too rarely to detect slow ones.
+    static constexpr std::size_t maxGatherersPerZone = 8;
 
     GatherGroups() = default;
     /// `zonesOfShards` has the zones with leaves of each shard.
@@ -40,9 +44,12 @@
     /// Returns the zones of a group in the order in which the entry instances of `ownZone` use them: their own zone
     /// first, the others in an order that differs between groups, so that no zone gathers all groups of another one.
     std::vector<std::string> preferredZones(std::size_t group, const std::string& ownZone) const;
-    /// Returns the instances of a zone that gather a group, first choice first. Different groups have different first
-    /// choices as long as the zone has enough instances. Empty if the zone has no instances or is none of the group's.
+    /// Returns the instances of a zone that gather a group. Different groups have different ones as long as the zone
+    /// has enough instances. Empty if the zone has no instances or is none of the group's.
     std::span<const std::string> gatherers(std::size_t group, const std::string& zone) const;
+    /// Returns the instances of `gatherers` that `instance` sends to, first choice first. The choices of all entry
+    /// instances spread evenly over the gatherers and are stable, so that few links are open.
+    std::vector<std::string> gatherersFor(std::string_view instance, std::size_t group, const std::string& zone) const;
 
 private:
     struct Group {
--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -14,7 +14,7 @@
 /// From the time at which an answer is due until it is written: a late timer, merging and rendering with 0.12 of a
 /// core.
 constexpr milliseconds answerTime { 3 };
-constexpr double maxPathShare = 0.4;       // of the objective; limits the two times above if it is very short
+constexpr double maxPathShare = 0.5;       // of the objective; limits the two times above if it is very short
 constexpr milliseconds resendDelay { 25 }; // first delay if no leaf can accept a part; doubles each time
 constexpr std::uint32_t maxResends = 4;    // of one part that no leaf could accept
 constexpr std::uint32_t maxArrivals = 4;   // of one part at leaves, including refusals
@@ -94,8 +94,8 @@
     , m_merge(m_route->topRecords)
 {
     if (m_route->objective > milliseconds::zero()) {
-        auto path = std::min<Duration>(
-            callerPathTime + answerTime, std::chrono::duration_cast<Duration>(m_route->objective * maxPathShare));
+        auto path = std::min<Duration>(callerPathTime + answerTime + m_policies.answerDelay(),
+            std::chrono::duration_cast<Duration>(m_route->objective * maxPathShare));
         m_answerBy = std::min<TimePoint>(m_deadline, arrival + m_route->objective - path);
     }
     if (isGather()) {
@@ -394,6 +394,9 @@
         std::count_if(m_parts.begin(), m_parts.end(), [](const Part& it) { return !it.answered && !it.isExhausted; }));
     bool isEnough = m_answered >= minAnswered();
     bool canSucceed = m_answered + open >= minAnswered();
+    if (isEnough && open > 0 && now >= m_answerBy && !m_isOverdue)
+        m_policies.onAnswerDelay(now - m_answerBy);
+    m_isOverdue = m_isOverdue || now >= m_answerBy;
     if (isEnough && (open == 0 || now >= m_answerBy))
         finish(
             isGather() ? merged() : RouteOutcome { RouteOutcome::Kind::Forwarded, std::move(*m_forwarded) }, actions);
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -121,6 +121,8 @@
     RouteActions cancel();
 
     bool isFinished() const { return m_finished; }
+    /// Whether the answer was due, but its coverage was too low.
+    bool isOverdue() const { return m_isOverdue; }
     const Route& route() const { return *m_route; }
     /// Returns the leaf of an attempt. Precondition: the attempt was sent by this request.
     const std::string& leafOf(std::uint64_t attempt) const { return m_attempts.at(attempt - m_firstAttempt).leaf; }
@@ -209,6 +211,7 @@
     std::optional<LeafResponse> m_forwarded; // successful response to a forwarded request
     std::optional<LeafResponse> m_lastError; // last error response of a leaf, returned if no attempt succeeds
     bool m_mayHaveRun = false;
+    bool m_isOverdue = false; // the answer was due before, but its coverage was too low
     bool m_finished = false;
     RouteCounters m_counters;
 };
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -357,7 +357,7 @@
     std::vector<std::pair<std::string, std::string>> gatherers;
     for (std::size_t choice = 0; choice < GatherGroups::choicesPerZone; ++choice) {
         for (const auto& zone : zones) {
-            auto names = groups.gatherers(group, zone);
+            auto names = groups.gatherersFor(m_instance, group, zone);
             if (choice < names.size() && !isBackedOff(names[choice], now))
                 gatherers.emplace_back(zone, names[choice]);
         }
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/ColdStartRateLimit.h"
+#include "policy/DelayEstimate.h"
 #include "policy/LeafNotices.h"
 #include "policy/LeafSelector.h"
 #include "policy/RetryBudget.h"
@@ -130,6 +131,10 @@
     Duration hedgeDelay(const Route&) const;
     /// Records the latency of one answered part.
     void onLatency(const Route&, Duration);
+    /// Records how long after it was due an answer was ready, because this instance was busy.
+    void onAnswerDelay(Duration delay) { m_answerDelay.record(delay); }
+    /// Returns by how much answers have to be due earlier to be ready in time.
+    Duration answerDelay() const { return m_answerDelay.upperBound(); }
     /// Records the size of the body of one part.
     void onPartBytes(const Route&, std::size_t bytes);
 
@@ -187,6 +192,7 @@
     std::size_t m_otherZoneInstanceCount = 0;                              // number of entry instances in other zones
     std::unordered_map<std::string, TimePoint> m_peerBackoffs;             // end of the backoff by peer
     std::size_t m_rotation = 0;                                            // distributes relays over peers and zones
+    DelayEstimate m_answerDelay;
     ColdStartRateLimit m_coldStartLimit;
     LeafNotices m_notices;
 };
--- a/tests/GatherGroupsTests.cpp
+++ b/tests/GatherGroupsTests.cpp
@@ -37,10 +37,11 @@
 }
 
 /// Gatherer that an entry instance in `zone` uses for a shard.
-std::string gathererFor(const GatherGroups& groups, std::size_t shard, const std::string& zone)
+std::string gathererFor(
+    const GatherGroups& groups, std::size_t shard, const std::string& zone, std::string_view entry = "entry")
 {
     auto group = groups.groupOf(shard);
-    return groups.gatherers(group, groups.preferredZones(group, zone).front()).front();
+    return groups.gatherersFor(entry, group, groups.preferredZones(group, zone).front()).front();
 }
 
 } // namespace
@@ -62,20 +63,42 @@
     GatherGroups groups(leafZones(), instances());
     std::set<std::string> used;
     std::size_t count = 0;
+    std::size_t zonesOfGroups = 0;
     for (std::size_t group = 0; group < groups.size(); ++group) {
         for (const auto& zone : zones) {
-            if (auto names = groups.gatherers(group, zone); !names.empty()) {
-                used.insert(names.front());
-                ++count;
-                CHECK(groups.preferredZones(group, zone).front() == zone);
-                CHECK(names.size() == GatherGroups::choicesPerZone);
-            }
+            auto names = groups.gatherers(group, zone);
+            if (names.empty())
+                continue;
+            used.insert(names.begin(), names.end());
+            count += names.size();
+            ++zonesOfGroups;
+            CHECK(groups.preferredZones(group, zone).front() == zone);
+            CHECK(names.size() >= GatherGroups::choicesPerZone);
+            CHECK(names.size() <= GatherGroups::maxGatherersPerZone);
+            auto chosen = groups.gatherersFor("entry", group, zone);
+            CHECK(chosen.size() == GatherGroups::choicesPerZone);
+            CHECK(chosen[0] != chosen[1]);
         }
     }
-    CHECK(count == 3 * groups.size());
+    CHECK(zonesOfGroups == 3 * groups.size());
     CHECK(used.size() == count);
 }
 
+// Guards against a gatherer that all entry instances use, while the others of its group get no requests.
+TEST_CASE("entry instances divide among the gatherers of a group")
+{
+    GatherGroups groups(leafZones(), instances());
+    auto group = groups.groupOf(0);
+    auto zone = groups.preferredZones(group, "atl").front();
+    std::map<std::string, std::size_t> counts;
+    constexpr std::size_t entries = 294;
+    for (std::size_t i = 0; i < entries; ++i)
+        ++counts[groups.gatherersFor("entry-" + std::to_string(i), group, zone).front()];
+    CHECK(counts.size() == groups.gatherers(group, zone).size());
+    for (const auto& [name, n] : counts)
+        CHECK(n <= 2 * entries / counts.size());
+}
+
 TEST_CASE("the parts of a zone without leaves are spread over the zones that have them")
 {
     std::vector<GatherGroups::Zones> inThreeZones(shards, { "atl", "sav", "mac" });
--- a/tests/LargeGatherTests.cpp
+++ b/tests/LargeGatherTests.cpp
@@ -2,334 +2,37 @@
 // pauses for 100 ms every 2.4 s. Checks what callers get, and that hedges and retries stay within the shared budget.
 // The messages, leaves and processors are simulated; the decisions are those of RouteExecution and RelayedGather.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "query/RelayedGather.h"
+#include "tests/SimulatedFleet.h"
 
-#include <algorithm>
 #include <doctest/doctest.h>
-#include <functional>
-#include <memory>
-#include <queue>
-#include <random>
 
 using namespace citronplank;
-
-namespace {
-
-using std::chrono::microseconds;
-
-constexpr std::size_t shardCount = 180;
-constexpr std::size_t instancesPerZone = 49;
-constexpr std::array<const char*, 6> zones { "atl", "sav", "mac", "aug", "col", "ath" };
-constexpr std::size_t leavesPerShard = 3; // in different zones
-constexpr std::uint32_t leafConnections = 174;
-constexpr milliseconds pauseLength { 100 };
-constexpr milliseconds pauseInterval { 2400 };
-constexpr microseconds linkDelay { 900 };       // one way between zones
-constexpr microseconds localDelay { 200 };      // one way within a zone
-constexpr microseconds connectTime { 6000 };    // of a leaf
-constexpr microseconds leafMessageCost { 300 }; // of an instance with 0.12 of a core, each for a request and an answer
-constexpr microseconds relayMessageCost { 400 };
-constexpr milliseconds work { 3 };
-constexpr double workSpread = 0.35;
-constexpr int slowFactor = 11;
-constexpr milliseconds objective { 80 };
-constexpr milliseconds callerTime { 12 }; // connection setup, request and answer between caller and entry instance
-constexpr milliseconds requestInterval { 25 };
-constexpr int requestCount = 400;
-constexpr int warmUpRequests = 100; // not judged: connections are opened and latencies are learned
-constexpr double minCoverage = 0.95;
-
-const TimePoint start { seconds(1000) };
-
-/// Calls functions at their times, in order.
-class Agenda {
-public:
-    void at(TimePoint time, std::function<void()> run) { m_events.push({ time, m_next++, std::move(run) }); }
-    void runAll()
-    {
-        while (!m_events.empty()) {
-            auto event = m_events.top();
-            m_events.pop();
-            now = std::max(now, event.time);
-            event.run();
-        }
-    }
-    TimePoint now = start;
-
-private:
-    struct Event {
-        TimePoint time;
-        std::uint64_t number = 0; // keeps the order of events at the same time
-        std::function<void()> run;
-        bool operator<(const Event& other) const { return std::tie(time, number) > std::tie(other.time, other.number); }
-    };
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_next = 0;
-};
-
-struct Leaf {
-    std::string zone;
-    milliseconds phase { 0 };        // of its pauses
-    std::set<std::string> connected; // instances
-    int slowness = 1;                // multiplies the work
-    int arrivals = 0;
-
-    /// Returns when work that starts at `time` and takes `duration` ends.
-    TimePoint endOf(TimePoint time, Duration duration) const
-    {
-        auto inCycle = std::chrono::duration_cast<Duration>(time.time_since_epoch() + phase) % Duration(pauseInterval);
-        if (inCycle < Duration(pauseLength))
-            return time + (Duration(pauseLength) - inCycle) + duration;
-        auto untilPause = Duration(pauseInterval) - inCycle;
-        return time + duration + (duration > untilPause ? Duration(pauseLength) : Duration(0));
-    }
-};
-
-struct Instance {
-    Instance(std::string instanceName, std::string instanceZone)
-        : name(std::move(instanceName))
-        , zone(std::move(instanceZone))
-        , policies(name, zone)
-    {
-    }
-    std::string name;
-    std::string zone;
-    RoutePolicies policies;
-    TimePoint busyUntil = start;
-    std::map<std::uint64_t, std::unique_ptr<RelayedGather>> relayed;
-    std::uint64_t lastId = 1;
-    Duration busyTime { 0 };
-
-    /// Returns when the processor has spent `cost` on a message that arrived at `time`.
-    TimePoint spend(TimePoint time, Duration cost)
-    {
-        busyTime += cost;
-        return busyUntil = std::max(busyUntil, time) + cost;
-    }
-};
-
-struct Request {
-    Instance* entry = nullptr;
-    std::unique_ptr<RouteExecution> execution;
-    TimePoint arrivedAt;
-    std::optional<TimePoint> answeredAt;
-    bool succeeded = false;
-    std::uint32_t missing = 0;
-    std::vector<std::pair<Instance*, std::uint64_t>> relays; // by number: peer and its id of the relayed request
-};
-
-class Fleet {
-public:
-    /// The leaves are in all zones, each shard's in three of them, or all in the first three zones.
-    /// Of `slowPercent` percent of the leaves the work takes `slowFactor` times as long.
-    explicit Fleet(bool spreadsLeaves, unsigned slowPercent = 0)
-    {
-        route->name = "lookup";
-        route->objective = objective;
-        route->timeout = milliseconds(400);
-        route->attempts = 2;
-        route->topRecords = 20;
-        route->minCoverage = minCoverage;
-        ServingConfiguration configuration;
-        configuration.version = 1;
-        std::vector<Announcement> announcements;
-        for (std::size_t i = 0; i < shardCount; ++i) {
-            auto service = "s" + std::to_string(i);
-            route->shards.push_back(service);
-            configuration.services[service].connections = leafConnections;
-            for (std::size_t zone = 0; zone < leavesPerShard; ++zone) {
-                Announcement it;
-                it.service = service;
-                it.zone = zones.at((zone + (spreadsLeaves ? i : 0)) % zones.size());
-                it.leaf = service + "-" + it.zone;
-                it.address = "10.0.0.1:80";
-                it.slots = 3;
-                leaves[it.leaf]
-                    = { it.zone, milliseconds(random() % 2400), {}, random() % 100 < slowPercent ? slowFactor : 1 };
-                announcements.push_back(std::move(it));
-            }
-        }
-        configuration.routes.push_back(*route);
-        table = std::make_shared<const RouteTable>(std::move(configuration));
-        std::vector<std::string> names;
-        for (const auto* zone : zones) {
-            for (std::size_t i = 0; i < instancesPerZone; ++i) {
-                names.push_back(std::string(zone) + "-" + std::to_string(i));
-                instances.emplace(names.back(), std::make_unique<Instance>(names.back(), zone));
-            }
-        }
-        SharedBounds bounds;
-        bounds.extraBurst = 628;
-        for (auto& [name, it] : instances) {
-            it->policies.setBounds(bounds);
-            it->policies.setTable(table);
-            it->policies.setEntryInstances(names);
-            RoutePolicies::PeersByZone peers;
-            for (const auto& other : names) {
-                if (other != name)
-                    peers[instances.at(other)->zone].push_back(other);
-            }
-            it->policies.setPeers(peers);
-            it->policies.setLeaves(announcements, start);
-        }
-    }
-
-    void play()
-    {
-        for (int i = 0; i < requestCount; ++i) {
-            auto time = start + requestInterval * i;
-            auto entry = std::next(instances.begin(), static_cast<std::ptrdiff_t>(random() % instances.size()));
-            agenda.at(time, [this, entry, time] { begin(*entry->second, time); });
-        }
-        agenda.runAll();
-    }
-
-    std::shared_ptr<Route> route = std::make_shared<Route>();
-    std::shared_ptr<const RouteTable> table;
-    std::map<std::string, Leaf> leaves;
-    std::map<std::string, std::unique_ptr<Instance>> instances;
-    std::vector<std::unique_ptr<Request>> requests;
-    Agenda agenda;
-    std::mt19937 random { 7 };
-
-private:
-    void begin(Instance& entry, TimePoint time)
-    {
-        auto& request = *requests.emplace_back(std::make_unique<Request>());
-        request.entry = &entry;
-        request.arrivedAt = time;
-        request.execution = std::make_unique<RouteExecution>(route, table, time, time + route->timeout,
-            requests.size() * RouteExecution::attemptsPerRequest, entry.policies);
-        auto started = entry.spend(time, relayMessageCost);
-        agenda.at(started, [this, &request] { perform(request, request.execution->start(agenda.now)); });
-    }
-
-    static Duration delay(const std::string& from, const std::string& to)
-    {
-        return from == to ? localDelay : linkDelay;
-    }
-
-    void perform(Request& request, RouteActions actions)
-    {
-        auto& entry = *request.entry;
-        for (auto attempt : actions.cancels)
-            entry.policies.onEnd(request.execution->leafOf(attempt), attempt, AttemptEnd::Abandoned, agenda.now);
-        for (auto& it : actions.relays) {
-            auto sentAt = entry.spend(agenda.now, relayMessageCost);
-            auto& peer = *instances.at(it.peer);
-            request.relays.resize(it.relay + 1);
-            auto arrival = sentAt + delay(entry.zone, peer.zone);
-            agenda.at(arrival, [this, &request, &peer, relay = it.relay, content = it.request]() mutable {
-                auto read = peer.spend(agenda.now, relayMessageCost);
-                agenda.at(read, [this, &request, &peer, relay, content = std::move(content)]() mutable {
-                    beginRelayed(request, peer, relay, std::move(content));
-                });
-            });
-        }
-        for (const auto& it : actions.sends) {
-            sendToLeaf(entry, it, [this, &request](AttemptResult result) {
-                perform(request, request.execution->onResult(std::move(result), agenda.now));
-            });
-        }
-        if (actions.finish && !request.answeredAt) {
-            request.answeredAt = agenda.now;
-            request.succeeded = actions.finish->kind == RouteOutcome::Kind::Merged;
-            request.missing = actions.finish->missing;
-        }
-        if (actions.nextTimer) {
-            agenda.at(std::max(*actions.nextTimer, agenda.now), [this, &request] {
-                if (!request.execution->isFinished())
-                    perform(request, request.execution->onTimer(std::max(agenda.now, request.entry->busyUntil)));
-            });
-        }
-    }
-
-    void sendToLeaf(Instance& instance, const RouteSend& send, std::function<void(AttemptResult)> done)
-    {
-        auto& leaf = leaves.at(send.leaf.leaf);
-        ++leaf.arrivals;
-        auto path = delay(instance.zone, leaf.zone);
-        auto sentAt = instance.spend(agenda.now, leafMessageCost);
-        if (leaf.connected.insert(instance.name).second)
-            sentAt += connectTime + 2 * path;
-        std::normal_distribution<double> spread(0, workSpread);
-        auto duration = std::chrono::duration_cast<Duration>(leaf.slowness * work * std::exp(spread(random)));
-        auto answeredAt = leaf.endOf(sentAt + path, duration) + path;
-        agenda.at(answeredAt, [this, &instance, send, done = std::move(done)] {
-            auto read = instance.spend(agenda.now, leafMessageCost);
-            agenda.at(read, [send, done] {
-                AttemptResult result { send.attempt, AttemptResult::Status::Answered, {} };
-                result.answer.body = std::string(TopRecords::recordBytes, 'r');
-                result.answer.signature = send.leaf.service;
-                done(std::move(result));
-            });
-        });
-    }
-
-    void beginRelayed(Request& request, Instance& peer, std::uint32_t relay, RelayRequest content)
-    {
-        auto id = ++peer.lastId;
-        auto& gather = peer.relayed[id];
-        // The attempt numbers of relayed requests differ from those of the own requests.
-        gather = std::make_unique<RelayedGather>(
-            std::move(content), (id + requestCount) * RouteExecution::attemptsPerRequest, peer.policies);
-        performRelayed(request, peer, relay, id, gather->start(agenda.now));
-    }
-
-    void performRelayed(Request& request, Instance& peer, std::uint32_t relay, std::uint64_t id, RelayActions actions)
-    {
-        auto& gather = *peer.relayed.at(id);
-        for (auto attempt : actions.cancels)
-            peer.policies.onEnd(gather.leafOf(attempt), attempt, AttemptEnd::Abandoned, agenda.now);
-        for (const auto& answer : actions.answers) {
-            auto& entry = *request.entry;
-            auto arrival = peer.spend(agenda.now, relayMessageCost) + delay(peer.zone, entry.zone);
-            agenda.at(arrival, [this, &request, &entry, relay, answer] {
-                auto read = entry.spend(agenda.now, relayMessageCost);
-                agenda.at(read, [this, &request, relay, answer] {
-                    perform(request, request.execution->onRelayAnswer(relay, answer, agenda.now));
-                });
-            });
-        }
-        for (const auto& it : actions.sends) {
-            sendToLeaf(peer, it, [this, &request, &peer, relay, id](AttemptResult result) {
-                performRelayed(request, peer, relay, id, peer.relayed.at(id)->onResult(std::move(result), agenda.now));
-            });
-        }
-        if (actions.nextTimer && !actions.finished) {
-            agenda.at(*actions.nextTimer, [this, &request, &peer, relay, id] {
-                performRelayed(request, peer, relay, id, peer.relayed.at(id)->onTimer(agenda.now));
-            });
-        }
-    }
-};
-
-} // namespace
+using namespace citronplank::testing;
 
 TEST_CASE("callers of all zones get answers over 180 shards in time while 4 in 100 leaves pause")
 {
-    bool spreadsLeaves = false;
-    SUBCASE("leaves in all zones, each shard's in three of them") { spreadsLeaves = true; }
-    unsigned slowPercent = 0;
+    FleetShape shape;
+    shape.spreadsLeaves = false;
+    SUBCASE("leaves in all zones, each shard's in three of them") { shape.spreadsLeaves = true; }
     SUBCASE("leaves in three zones") { }
     SUBCASE("leaves in all zones, 15 in 100 of them slow")
     {
-        spreadsLeaves = true;
-        slowPercent = 15;
+        shape.spreadsLeaves = true;
+        shape.slowPercent = 15;
     }
-    Fleet fleet(spreadsLeaves, slowPercent);
+    Fleet fleet(shape);
     fleet.play();
     std::map<std::string, std::pair<int, int>> inTime; // by zone: in time, all
     double coverage = 0;
     int judged = 0;
-    for (std::size_t i = warmUpRequests; i < fleet.requests.size(); ++i) {
+    for (std::size_t i = shape.warmUpRequests; i < fleet.requests.size(); ++i) {
         const auto& it = *fleet.requests[i];
         REQUIRE(it.answeredAt);
         auto& [good, all] = inTime[it.entry->zone];
         ++all;
         ++judged;
-        good += it.succeeded && *it.answeredAt - it.arrivedAt <= objective - callerTime ? 1 : 0;
-        coverage += 1 - static_cast<double>(it.missing) / shardCount;
+        good += it.succeeded && *it.answeredAt - it.arrivedAt <= shape.objective - shape.callerTime ? 1 : 0;
+        coverage += 1 - static_cast<double>(it.missing) / shape.shardCount;
     }
     for (const auto& it : inTime) {
         const auto& [good, all] = it.second;
@@ -340,12 +43,12 @@
     int arrivals = 0;
     for (const auto& [name, leaf] : fleet.leaves)
         arrivals += leaf.arrivals;
-    auto first = static_cast<double>(shardCount * fleet.requests.size());
+    auto first = static_cast<double>(shape.shardCount * fleet.requests.size());
     MESSAGE("parts sent again: " << arrivals - first << " of " << first);
     CHECK(arrivals - first <= 0.2 * first);
     // No instance is close to its capacity while the others idle.
     Duration busiest { 0 };
     for (const auto& [name, it] : fleet.instances)
         busiest = std::max(busiest, it->busyTime);
-    CHECK(busiest <= 0.4 * Duration(requestInterval * requestCount));
+    CHECK(busiest <= 0.4 * Duration(shape.requestInterval * shape.requestCount));
 }
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -281,12 +281,12 @@
     }
 }
 
-// Guards against one instance that sends all parts itself, which takes longer than the leaves need to respond, and
-// against relays to a peer that does not answer.
-TEST_CASE(
-    "with many entry instances, all of a zone use the same relay peer for a group of shards, and another if it is down")
+// Guards against one instance that sends all parts itself, which takes longer than the leaves need to respond, against
+// a few instances that gather for all others of their zone, and against relays to a peer that does not answer.
+TEST_CASE("with many entry instances, each uses one relay peer for a group of shards, and another if it is down")
 {
     constexpr std::size_t shards = 64;
+    constexpr std::size_t groups = 4;
     ServingConfiguration configuration;
     configuration.version = 1;
     Route route;
@@ -305,7 +305,7 @@
     RoutePolicies::PeersByZone elsewhere { { "sav", {} } };
     for (std::size_t i = 0; i < 3 * ManyInstances::instancesPerZone; ++i)
         elsewhere["sav"].push_back("sav" + std::to_string(i));
-    std::set<std::string> gatherers;
+    std::map<std::string, std::size_t> entriesOfGatherer;
     for (const auto& self : names) {
         RoutePolicies policies(self, "atl");
         policies.setTable(table);
@@ -321,9 +321,10 @@
         policies.setPeers(peers);
         auto plans = policies.planRelays(route, start);
         std::size_t parts = 0;
+        CHECK(plans.size() <= groups);
         for (const auto& it : plans) {
             CHECK(it.peer != self);
-            gatherers.insert(it.peer);
+            ++entriesOfGatherer[it.peer];
             parts += it.shardIndices.size();
         }
         CHECK(parts >= shards / 2);
@@ -333,7 +334,10 @@
         for (const auto& it : policies.planRelays(route, start))
             CHECK(it.peer != down);
     }
-    CHECK(gatherers.size() <= 4);
+    // All instances of the zone gather, and none for more than about twice its share of the others.
+    CHECK(entriesOfGatherer.size() >= names.size() - groups);
+    for (const auto& [name, entries] : entriesOfGatherer)
+        CHECK(entries <= 2 * groups + 1);
 }
 
 // Guards against a directory that lists a leaf as ready, or lists it again, after the leaf has said that it is leaving.
