Merge what is known of a leaf by start, phase and sequence

Cause: LeafDirectory ordered the states of a leaf by start and sequence only. A member that missed the last renewals of a leaf marked it as draining under a low sequence; a member with a higher one took the departure for an older announcement and published its own, ready one. A late announcement undid the departure too, also after the removal.

Ruled out: the gossip store. It keeps the last published version of an item, whatever its content, so the order has to be that of the directory, which publishes a departure again if another member has overwritten it.

LeafRecord holds the one order and the record format: a later start wins, within a start the phase never goes back, of the announcements the one with the highest sequence counts. A notice is published again until the peers have confirmed it: before, a repeated one was confirmed at once.

A draining leaf that announces itself as ready within the same start stays draining.

Before: LeafDirectoryTests "a departure holds at members with later renewals ..." failed 4 of 4 checks on the old directory.

--- a/bench/QuerySlopes.cpp
+++ b/bench/QuerySlopes.cpp
@@ -241,7 +241,7 @@
             ++it.sequence;
             source.announce(it, now);
         });
-        const auto bytes = source.exportAll();
+        const auto bytes = source.exportAll(now);
         const double heapBefore = heapBytes();
         LeafDirectory directory("reader");
         const double importBefore = cpuSeconds();
--- a/coordination/LeafDirectory.cpp
+++ b/coordination/LeafDirectory.cpp
@@ -1,170 +1,111 @@
 #include "coordination/LeafDirectory.h"
 
 #include <algorithm>
-#include <msgpack.hpp>
 
 namespace citronplank {
 
 namespace {
 
-constexpr std::uint32_t renewalsToTakeOver = 3; // consecutive
-constexpr std::size_t maxRecordBytes = 900;     // below maxItemBytes, with room for the key
+constexpr std::uint32_t renewalsToTakeOver = 3;         // consecutive
+constexpr milliseconds departureCheckInterval { 1000 }; // between checks for departures to forget
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
-
-auto versionOf(const Announcement& announcement) { return std::pair(announcement.boot, announcement.sequence); }
-
-// Whether two announcements are equal in all that a renewal publishes when it changes. Not compared are the sequence
-// and how much warm-up time is left, only whether there is any.
-bool hasSameContent(const Announcement& a, const Announcement& b)
-{
-    return a.leaf == b.leaf && a.service == b.service && a.zone == b.zone && a.address == b.address && a.boot == b.boot
-        && a.slots == b.slots && a.connections == b.connections && a.versions == b.versions && a.draining == b.draining
-        && (a.warmupLeft.count() > 0) == (b.warmupLeft.count() > 0);
-}
-
-void pack(Packer& packer, const Announcement& announcement)
-{
-    packer.pack_array(11);
-    packer.pack(announcement.leaf);
-    packer.pack(announcement.service);
-    packer.pack(announcement.zone);
-    packer.pack(announcement.address);
-    packer.pack(announcement.boot);
-    packer.pack(announcement.sequence);
-    packer.pack(announcement.slots);
-    packer.pack(announcement.connections);
-    packer.pack(announcement.draining);
-    packer.pack_array(static_cast<std::uint32_t>(announcement.versions.size() * 3));
-    for (const auto& it : announcement.versions) {
-        packer.pack(it.version);
-        packer.pack(it.shard);
-        packer.pack(it.shardCount);
-    }
-    packer.pack(announcement.warmupLeft.count());
-}
+} // namespace
 
-template <typename Value>
-Value valueAt(const msgpack::object& object, std::size_t i)
+LeafDirectory::LeafDirectory(std::string self, milliseconds timeout)
+    : m_self(std::move(self))
+    , m_timeout(timeout)
 {
-    if (object.type != msgpack::type::ARRAY || i >= object.via.array.size)
-        throw msgpack::type_error();
-    return object.via.array.ptr[i].as<Value>();
 }
 
-Announcement announcementFrom(const msgpack::object& object)
+bool LeafDirectory::hasRecentRenewal(const Entry& entry, TimePoint now) const
 {
-    Announcement announcement;
-    announcement.leaf = valueAt<std::string>(object, 0);
-    announcement.service = valueAt<std::string>(object, 1);
-    announcement.zone = valueAt<std::string>(object, 2);
-    announcement.address = valueAt<std::string>(object, 3);
-    announcement.boot = valueAt<std::uint64_t>(object, 4);
-    announcement.sequence = valueAt<std::uint64_t>(object, 5);
-    announcement.slots = valueAt<std::uint32_t>(object, 6);
-    announcement.connections = valueAt<std::uint32_t>(object, 7);
-    announcement.draining = valueAt<bool>(object, 8);
-    const auto numbers = valueAt<std::vector<std::uint64_t>>(object, 9);
-    if (numbers.size() % 3 != 0)
-        throw msgpack::type_error();
-    for (std::size_t i = 0; i < numbers.size(); i += 3)
-        announcement.versions.push_back(
-            { numbers[i], static_cast<std::uint32_t>(numbers[i + 1]), static_cast<std::uint32_t>(numbers[i + 2]) });
-    announcement.warmupLeft = milliseconds(valueAt<milliseconds::rep>(object, 10));
-    return announcement;
+    return entry.lastRenewal && now < *entry.lastRenewal + m_timeout;
 }
 
-void check(const Announcement& announcement)
+/// Whether the announcement is of a start that has departed, or of an earlier one.
+bool LeafDirectory::isDeparted(const Announcement& announcement) const
 {
-    if (announcement.leaf.empty() || announcement.service.empty() || announcement.zone.empty()
-        || announcement.address.empty())
-        throw Error(ErrorKind::BadRequest, "an announcement lacks the leaf, service, zone or address");
-    // Larger durations overflow when they are added to the time.
-    if (announcement.warmupLeft < milliseconds::zero() || announcement.warmupLeft > maxWarmup)
-        throw Error(ErrorKind::BadRequest, "leaf " + announcement.leaf + " announces an invalid warm-up time");
-    if (announcement.slots == 0)
-        throw Error(ErrorKind::BadRequest, "leaf " + announcement.leaf + " announces no slots");
-    for (const auto& it : announcement.versions)
-        if (it.shardCount == 0 || it.shard >= it.shardCount)
-            throw Error(ErrorKind::BadRequest,
-                "leaf " + announcement.leaf + " announces a shard that is not below its number of shards");
+    const auto it = m_departures.find(announcement.leaf);
+    return it != m_departures.end() && announcement.boot <= it->second.boot;
 }
 
-} // namespace
-
-LeafDirectory::LeafDirectory(std::string self, milliseconds timeout)
-    : m_self(std::move(self))
-    , m_timeout(timeout)
-{
-}
-
-std::string LeafDirectory::encodeRecord(const Announcement& announcement, std::string_view registrar)
+void LeafDirectory::publish(Entry& entry, Output& out)
 {
-    msgpack::sbuffer buffer;
-    Packer packer(buffer);
-    packer.pack_array(2);
-    packer.pack(registrar);
-    pack(packer, announcement);
-    return { buffer.data(), buffer.size() };
+    entry.registrar = m_self;
+    entry.registrarLostSince.reset();
+    const auto& leaf = entry.state.announcement.leaf;
+    m_repairs.erase(leaf);
+    out.items.push_back({ std::string(leafKeyPrefix) + leaf, encodeLeafRecord(entry.state, m_self), false });
 }
 
-std::optional<LeafDirectory::Record> LeafDirectory::decodeRecord(std::string_view bytes, std::size_t& offset)
+void LeafDirectory::publishRemoval(const std::string& leaf, Output& out)
 {
-    try {
-        // Limits what a malformed length field can make the decoder allocate.
-        const msgpack::unpack_limit limit(3000, 16, maxRecordBytes, maxRecordBytes, 16, 8);
-        std::size_t next = offset;
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), next, nullptr, nullptr, limit);
-        offset = next; // also past a record whose content is invalid
-        Record record { announcementFrom(valueAt<msgpack::object>(handle.get(), 1)),
-            valueAt<std::string>(handle.get(), 0) };
-        check(record.announcement);
-        return record;
-    } catch (const std::exception&) {
-        return std::nullopt; // msgpack throws a different exception for each kind of malformed input
-    }
+    out.items.push_back({ std::string(leafKeyPrefix) + leaf, {}, true });
 }
 
-bool LeafDirectory::hasRecentRenewal(const Entry& entry, TimePoint now) const
+/// Publishes that a leaf is draining or gone, to be confirmed by the peers.
+void LeafDirectory::publishNotice(Entry& entry, Output& out)
 {
-    return entry.lastRenewal && now < *entry.lastRenewal + m_timeout;
+    publish(entry, out);
+    out.notice = Notice { entry.state.announcement.leaf, entry.state.announcement.boot, entry.state.phase };
 }
 
-void LeafDirectory::publish(Entry& entry, Output& out)
+void LeafDirectory::confirm(const Notice& notice)
 {
-    entry.registrar = m_self;
-    entry.registrarLostSince.reset();
-    out.items.push_back(
-        { std::string(leafKeyPrefix) + entry.announcement.leaf, encodeRecord(entry.announcement, m_self), false });
+    const auto it = m_entries.find(notice.leaf);
+    if (it != m_entries.end() && it->second.state.announcement.boot == notice.boot)
+        it->second.confirmed = std::max(it->second.confirmed, notice.phase);
 }
 
-LeafDirectory::Entries::iterator LeafDirectory::erase(Entries::iterator it, Output& out)
+/// Removes a leaf from the list, and remembers its departure if it has departed. Of a leaf without a start time nothing
+/// is remembered, because its next start could not be distinguished.
+LeafDirectory::Entries::iterator LeafDirectory::erase(Entries::iterator it, TimePoint now, Output& out)
 {
     out.changed = true;
+    const auto& state = it->second.state;
+    if (state.phase != LeafPhase::Ready && state.announcement.boot != 0)
+        m_departures.insert_or_assign(it->first, Departure { state.announcement.boot, state.phase, now });
+    m_repairs.erase(it->first);
     return m_entries.erase(it);
 }
 
 LeafDirectory::Output LeafDirectory::announce(const Announcement& announcement, TimePoint now)
 {
-    check(announcement);
-    if (encodeRecord(announcement, m_self).size() > maxRecordBytes)
+    checkAnnouncement(announcement);
+    const LeafState received(announcement);
+    if (encodeLeafRecord(received, m_self).size() > maxLeafRecordBytes)
         throw Error(ErrorKind::BadRequest, "the announcement of leaf " + announcement.leaf + " is too long");
     Output out;
-    if (isAddressTakenOver(announcement))
+    if (isDeparted(announcement) || isAddressTakenOver(announcement))
         return out;
-    removeEarlierLeavesAt(announcement, out);
+    m_departures.erase(announcement.leaf);
+    removeEarlierLeavesAt(announcement, now, out);
     const auto [it, isNew] = m_entries.try_emplace(announcement.leaf);
     auto& entry = it->second;
-    if (!isNew && versionOf(announcement) < versionOf(entry.announcement))
-        return out;
-    const bool hasNewContent = isNew || !hasSameContent(entry.announcement, announcement);
-    const bool isNext = entry.lastRenewal && announcement.sequence == entry.announcement.sequence + 1;
-    entry.consecutiveRenewals = isNext && hasRecentRenewal(entry, now) ? entry.consecutiveRenewals + 1 : 1;
-    entry.lastRenewal = now;
-    entry.announcement = announcement;
-    const bool takesOver = entry.registrar != m_self
+    const auto before = isNew ? LeafState() : entry.state;
+    const bool isLaterStart = isNew || before.announcement.boot < announcement.boot;
+    if (isLaterStart) {
+        entry.state = received;
+        entry.confirmed = LeafPhase::Ready;
+    } else {
+        merge(entry.state, received);
+    }
+    const bool isRenewal = isLaterStart
+        || (before.announcement.boot == announcement.boot && before.announcement.sequence <= announcement.sequence
+            && before.phase != LeafPhase::Gone);
+    const bool hasNewContent = isNew || !hasSameContent(before, entry.state);
+    if (isRenewal) {
+        const bool isNext = entry.lastRenewal && announcement.sequence == before.announcement.sequence + 1;
+        entry.consecutiveRenewals = isNext && hasRecentRenewal(entry, now) ? entry.consecutiveRenewals + 1 : 1;
+        entry.lastRenewal = now;
+    }
+    const bool takesOver = isRenewal && entry.registrar != m_self
         && (entry.consecutiveRenewals >= renewalsToTakeOver || entry.registrarLostSince.has_value());
-    if (hasNewContent || takesOver)
+    // A notice counts only within its start; a late one of an earlier start is not about the entry.
+    const bool isNotice = announcement.draining && announcement.boot == entry.state.announcement.boot;
+    if (isNotice && entry.confirmed < entry.state.phase)
+        publishNotice(entry, out);
+    else if (hasNewContent || takesOver)
         publish(entry, out);
     out.changed = out.changed || hasNewContent;
     return out;
@@ -175,24 +116,24 @@
 bool LeafDirectory::isAddressTakenOver(const Announcement& announcement) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& it) {
-        const auto& other = it.second.announcement;
+        const auto& other = it.second.state.announcement;
         return other.leaf != announcement.leaf && other.address == announcement.address
             && other.boot > announcement.boot;
     });
 }
 
 /// Removes the leaves that announced the address of `announcement` and started before its leaf; they have exited.
-void LeafDirectory::removeEarlierLeavesAt(const Announcement& announcement, Output& out)
+void LeafDirectory::removeEarlierLeavesAt(const Announcement& announcement, TimePoint now, Output& out)
 {
     for (auto it = m_entries.begin(); it != m_entries.end();) {
-        const auto& other = it->second.announcement;
+        const auto& other = it->second.state.announcement;
         if (other.leaf == announcement.leaf || other.address != announcement.address
             || other.boot >= announcement.boot) {
             ++it;
             continue;
         }
-        out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
-        it = erase(it, out);
+        publishRemoval(it->first, out);
+        it = erase(it, now, out);
     }
 }
 
@@ -203,11 +144,12 @@
     if (it == m_entries.end())
         return out;
     auto& entry = it->second;
-    out.changed = !entry.announcement.draining;
-    entry.announcement.draining = true;
-    ++entry.announcement.sequence;
-    entry.lastRenewal = now;
-    publish(entry, out);
+    out.changed = entry.state.phase == LeafPhase::Ready;
+    if (entry.state.phase != LeafPhase::Gone)
+        entry.lastRenewal = now;
+    entry.state.advanceTo(LeafPhase::Gone);
+    if (entry.confirmed != LeafPhase::Gone)
+        publishNotice(entry, out);
     return out;
 }
 
@@ -217,54 +159,156 @@
     Output out;
     if (!key.starts_with(leafKeyPrefix))
         return out;
+    const auto name = key.substr(leafKeyPrefix.size());
     if (removed) {
-        const auto it = m_entries.find(key.substr(leafKeyPrefix.size()));
+        if (const auto it = m_repairs.find(name); it != m_repairs.end())
+            m_repairs.erase(it);
+        const auto it = m_entries.find(name);
         if (it == m_entries.end())
             return out;
         // The registrar that removed the leaf has not heard from it for 2 s, but this daemon has.
-        if (hasRecentRenewal(it->second, now))
+        if (hasRecentRenewal(it->second, now) && it->second.state.phase != LeafPhase::Gone)
             publish(it->second, out);
         else
-            erase(it, out);
+            erase(it, now, out);
         return out;
     }
     std::size_t offset = 0;
-    if (auto record = decodeRecord(payload, offset); record
-        && leafKeyPrefix.size() + record->announcement.leaf.size() == key.size()
-        && key.ends_with(record->announcement.leaf))
+    if (auto record = decodeLeafEntry(payload, offset).record; record && record->state.announcement.leaf == name)
         applyRecord(std::move(*record), now, out);
     return out;
 }
 
-void LeafDirectory::applyRecord(Record record, TimePoint now, Output& out)
+void LeafDirectory::applyRecord(LeafRecord record, TimePoint now, Output& out)
 {
-    const auto [it, isNew] = m_entries.try_emplace(record.announcement.leaf);
+    const auto received = std::move(record.state);
+    const auto& name = received.announcement.leaf;
+    if (isDeparted(received.announcement)) {
+        auto& departure = m_departures.find(name)->second;
+        if (departure.boot == received.announcement.boot && departure.phase > received.phase)
+            scheduleRepair(received, now);
+        else if (departure.boot == received.announcement.boot)
+            departure.phase = received.phase;
+        return;
+    }
+    m_departures.erase(name);
+    const auto [it, isNew] = m_entries.try_emplace(name);
     auto& entry = it->second;
-    const bool isOlder = !isNew && versionOf(record.announcement) < versionOf(entry.announcement);
-    if (isOlder && hasRecentRenewal(entry, now)) {
+    const auto before = entry.state;
+    const bool isLaterStart = isNew || before.announcement.boot < received.announcement.boot;
+    const bool isSameStart = !isNew && before.announcement.boot == received.announcement.boot;
+    if (isLaterStart)
+        entry = Entry { .state = received };
+    else
+        merge(entry.state, received);
+    const bool isDepartureOverwritten = isSameStart && received.phase < entry.state.phase;
+    const bool isOlder = !isLaterStart
+        && (!isSameStart || isDepartureOverwritten || received.announcement.sequence < before.announcement.sequence);
+    const bool isWitness = hasRecentRenewal(entry, now);
+    out.changed = isNew || !hasSameContent(before, entry.state);
+    if (isOlder && isWitness) {
         // A registrar with an older announcement has overwritten this daemon's item, or has missed a change that this
         // daemon has received.
-        if (entry.registrar == m_self || !hasSameContent(entry.announcement, record.announcement))
+        if (entry.registrar == m_self || !hasSameContent(entry.state, received))
             publish(entry, out);
         else
-            entry.registrar = record.registrar;
+            entry.registrar = std::move(record.registrar);
         return;
     }
-    if (isOlder && entry.announcement.boot != record.announcement.boot)
+    if (!isLaterStart && !isSameStart)
         return;
-    if (record.registrar == m_self && !hasRecentRenewal(entry, now)) {
+    if (isDepartureOverwritten)
+        scheduleRepair(received, now);
+    else
+        m_repairs.erase(name);
+    setRegistrar(entry, std::move(record.registrar), now);
+}
+
+/// Sets the registrar that another daemon has published.
+void LeafDirectory::setRegistrar(Entry& entry, std::string registrar, TimePoint now)
+{
+    if (registrar == m_self && !hasRecentRenewal(entry, now)) {
         // This daemon published the item before it restarted. The leaf has no registrar until it announces itself
         // again.
         entry.registrarLostSince = now;
     } else {
-        const bool isRegistrarLost
-            = m_registrarsKnown && record.registrar != m_self && !m_liveRegistrars.contains(record.registrar);
-        entry.registrarLostSince = isRegistrarLost ? std::optional(now) : std::nullopt;
+        const bool isLost = m_registrarsKnown && registrar != m_self && !m_liveRegistrars.contains(registrar);
+        entry.registrarLostSince = isLost ? std::optional(now) : std::nullopt;
+    }
+    entry.registrar = std::move(registrar);
+}
+
+/// Merges a departure of a start that another daemon does not list any more.
+void LeafDirectory::applyDeparture(const LeafDeparture& departure, TimePoint now, Output& out)
+{
+    const auto removedAt = now - departure.age;
+    if (departure.boot == 0 || departure.age >= departureRetention)
+        return;
+    if (const auto it = m_entries.find(departure.leaf); it != m_entries.end()) {
+        auto& entry = it->second;
+        if (entry.state.announcement.boot > departure.boot)
+            return;
+        const bool isSameStart = entry.state.announcement.boot == departure.boot;
+        out.changed = out.changed || entry.state.phase == LeafPhase::Ready;
+        if (isSameStart)
+            entry.state.advanceTo(departure.phase);
+        if (isSameStart && hasRecentRenewal(entry, now)) {
+            publish(entry, out); // the others have missed a change that this daemon has received
+            return;
+        }
+        erase(it, now, out);
+    }
+    const auto [it, isNew]
+        = m_departures.try_emplace(departure.leaf, Departure { departure.boot, departure.phase, removedAt });
+    auto& held = it->second;
+    if (isNew || held.boot > departure.boot)
+        return;
+    if (held.boot < departure.boot)
+        held = { departure.boot, departure.phase, removedAt };
+    held.phase = std::max(held.phase, departure.phase);
+    held.removedAt = std::min(held.removedAt, TimePoint(removedAt));
+}
+
+/// Schedules that a departure which this daemon knows is published again. The delay depends on the place of this daemon
+/// among the live ones, which differs from leaf to leaf.
+void LeafDirectory::scheduleRepair(const LeafState& overwrittenBy, TimePoint now)
+{
+    const auto& leaf = overwrittenBy.announcement.leaf;
+    std::size_t place = 0;
+    if (!m_liveRegistrars.empty()) {
+        const auto n = m_liveRegistrars.size();
+        const auto self = std::distance(m_liveRegistrars.begin(), m_liveRegistrars.lower_bound(m_self));
+        place = (static_cast<std::size_t>(self) + n - hash64(leaf, 0) % n) % n;
+    }
+    m_repairs.try_emplace(leaf, Repair { overwrittenBy, now + static_cast<int>(place) * repairStep });
+}
+
+/// Publishes the overwritten departures that are due. A leaf that was removed is listed as draining once more until it
+/// expires, so that its removal is published too.
+void LeafDirectory::repair(TimePoint now, Output& out)
+{
+    for (auto it = m_repairs.begin(); it != m_repairs.end();) {
+        if (now < it->second.due) {
+            ++it;
+            continue;
+        }
+        const auto name = it->first;
+        const auto overwrittenBy = std::move(it->second.overwrittenBy);
+        it = m_repairs.erase(it);
+        auto entry = m_entries.find(name);
+        const auto departure = m_departures.find(name);
+        if (entry == m_entries.end() && departure != m_departures.end()
+            && departure->second.boot == overwrittenBy.announcement.boot) {
+            entry = m_entries.try_emplace(name).first;
+            entry->second.state = LeafState(overwrittenBy.announcement, departure->second.phase);
+            m_departures.erase(departure);
+            out.changed = true;
+        }
+        if (entry == m_entries.end() || entry->second.state.phase == LeafPhase::Ready)
+            continue;
+        entry->second.lastRenewal = now; // so that this daemon removes the leaf at the timeout
+        publish(entry->second, out);
     }
-    out.changed = isNew || !hasSameContent(entry.announcement, record.announcement);
-    entry.registrar = std::move(record.registrar);
-    if (!isOlder)
-        entry.announcement = std::move(record.announcement);
 }
 
 LeafDirectory::Output LeafDirectory::setLiveRegistrars(const std::set<std::string, std::less<>>& names, TimePoint now)
@@ -289,30 +333,42 @@
 LeafDirectory::Output LeafDirectory::expire(TimePoint now)
 {
     Output out;
+    repair(now, out);
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         const auto& entry = it->second;
         const bool isRegistrar = entry.registrar == m_self && entry.lastRenewal && !entry.registrarLostSince;
         if (isRegistrar && !hasRecentRenewal(entry, now)) {
-            out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
-            it = erase(it, out);
+            publishRemoval(it->first, out);
+            it = erase(it, now, out);
         } else if (entry.registrarLostSince && now >= *entry.registrarLostSince + m_timeout
             && !hasRecentRenewal(entry, now)) {
             // If this daemon published the item before it restarted, no other registrar would remove it.
             if (entry.registrar == m_self)
-                out.items.push_back({ std::string(leafKeyPrefix) + it->first, {}, true });
-            it = erase(it, out);
+                publishRemoval(it->first, out);
+            it = erase(it, now, out);
         } else {
             ++it;
         }
     }
+    if (now >= m_departuresCheckedAt + departureCheckInterval)
+        expireDepartures(now);
     return out;
 }
 
+void LeafDirectory::expireDepartures(TimePoint now)
+{
+    m_departuresCheckedAt = now;
+    std::erase_if(m_departures, [&](const auto& it) { return now - it.second.removedAt >= departureRetention; });
+    while (m_departures.size() > maxDepartures)
+        m_departures.erase(std::min_element(m_departures.begin(), m_departures.end(),
+            [](const auto& a, const auto& b) { return a.second.removedAt < b.second.removedAt; }));
+}
+
 std::vector<std::string> LeafDirectory::services() const
 {
     std::set<std::string> names;
     for (const auto& [name, entry] : m_entries)
-        names.insert(entry.announcement.service);
+        names.insert(entry.state.announcement.service);
     return { names.begin(), names.end() };
 }
 
@@ -320,8 +376,8 @@
 {
     std::vector<Announcement> replicas;
     for (const auto& [name, entry] : m_entries)
-        if (entry.announcement.service == service)
-            replicas.push_back(entry.announcement);
+        if (entry.state.announcement.service == service)
+            replicas.push_back(entry.state.announcement);
     return replicas;
 }
 
@@ -330,7 +386,7 @@
     std::vector<Announcement> all;
     all.reserve(m_entries.size());
     for (const auto& [name, entry] : m_entries)
-        all.push_back(entry.announcement);
+        all.push_back(entry.state.announcement);
     return all;
 }
 
@@ -338,8 +394,8 @@
 {
     std::vector<Announcement> leaves;
     for (const auto& [name, entry] : m_entries) {
-        if (entry.announcement.zone == zone)
-            leaves.push_back(entry.announcement);
+        if (entry.state.announcement.zone == zone)
+            leaves.push_back(entry.state.announcement);
     }
     return leaves;
 }
@@ -347,42 +403,47 @@
 std::optional<Announcement> LeafDirectory::leaf(std::string_view name) const
 {
     const auto it = m_entries.find(name);
-    return it == m_entries.end() ? std::nullopt : std::optional(it->second.announcement);
+    return it == m_entries.end() ? std::nullopt : std::optional(it->second.state.announcement);
 }
 
 std::uint64_t LeafDirectory::contentHash() const
 {
     std::uint64_t hash = 0;
     for (const auto& [name, entry] : m_entries) {
-        auto announcement = entry.announcement;
-        announcement.sequence = 0;
-        hash = hash64(encodeRecord(announcement, {}), hash);
+        auto state = entry.state;
+        state.announcement.sequence = 0;
+        hash = hash64(encodeLeafRecord(state, {}), hash);
     }
     return hash;
 }
 
-std::string LeafDirectory::exportAll() const
+std::string LeafDirectory::exportAll(TimePoint now) const
 {
     std::string bytes;
     for (const auto& [name, entry] : m_entries)
-        bytes += encodeRecord(entry.announcement, entry.registrar);
+        bytes += encodeLeafRecord(entry.state, entry.registrar);
+    for (const auto& [name, it] : m_departures)
+        bytes += encodeLeafDeparture(
+            { name, it.boot, it.phase, std::chrono::duration_cast<milliseconds>(now - it.removedAt) });
     return bytes;
 }
 
 LeafDirectory::Output LeafDirectory::importAll(std::string_view bytes, TimePoint now)
 {
     Output out;
-    std::vector<Record> records;
+    std::vector<DecodedLeafEntry> entries;
     for (std::size_t offset = 0; offset < bytes.size();) {
         const auto begin = offset;
-        if (auto record = decodeRecord(bytes, offset))
-            records.push_back(std::move(*record));
-        else if (offset == begin)
+        entries.push_back(decodeLeafEntry(bytes, offset));
+        if (offset == begin)
             throw Error(ErrorKind::BadRequest, "the imported leaf directory is malformed or truncated");
     }
     bool changed = false;
-    for (auto& record : records) {
-        applyRecord(std::move(record), now, out);
+    for (auto& entry : entries) {
+        if (entry.record)
+            applyRecord(std::move(*entry.record), now, out);
+        else if (entry.departure)
+            applyDeparture(*entry.departure, now, out);
         changed = changed || out.changed;
     }
     out.changed = changed;
--- a/daemon/MembershipService.cpp
+++ b/daemon/MembershipService.cpp
@@ -182,6 +182,13 @@
     }
     if (output.changed)
         m_handlers.directoryChanged();
+    if (output.notice)
+        done = [this, notice = *output.notice, done = std::move(done)](bool confirmed) {
+            if (confirmed)
+                m_directory.with([&](LeafDirectory& it) { it.confirm(notice); });
+            if (done)
+                done(confirmed);
+        };
     if (m_handlers.broadcast && !output.items.empty())
         m_handlers.broadcast(output.items, std::move(done));
     else if (done)
@@ -246,7 +253,7 @@
 
 std::string MembershipService::exportDirectory() const
 {
-    return m_directory.with([](LeafDirectory& it) { return it.exportAll(); });
+    return m_directory.with([](LeafDirectory& it) { return it.exportAll(Clock::now()); });
 }
 
 void MembershipService::importDirectory(std::string bytes, std::function<void()> done)
--- a/tests/LeafDirectoryTests.cpp
+++ b/tests/LeafDirectoryTests.cpp
@@ -159,7 +159,7 @@
         source.announce(it, at(0));
     }
     LeafDirectory target("b");
-    const auto bytes = source.exportAll();
+    const auto bytes = source.exportAll(at(0));
     CHECK(target.importAll(bytes, at(10)).changed);
     CHECK(target.contentHash() == source.contentHash());
     CHECK(target.services().size() == 3);
@@ -179,7 +179,7 @@
     second.announce(other, at(0));
     for (const char* odd : { "\x93\x01\x02\x03", "\xc0", "\x92\xa1r\x92\xa1x\xc3" }) {
         LeafDirectory target("b");
-        CHECK(target.importAll(source.exportAll() + odd + second.exportAll(), at(10)).changed);
+        CHECK(target.importAll(source.exportAll(at(0)) + odd + second.exportAll(at(0)), at(10)).changed);
         CHECK(target.leafCount() == 2);
     }
 }
@@ -227,6 +227,32 @@
     CHECK_FALSE(directory.leaf("atl-1"));
 }
 
+// Guards against requests to a leaf that has departed at a member which missed its last renewals (review/4).
+TEST_CASE("a departure holds at members with later renewals and against announcements that arrive late")
+{
+    LeafDirectory first("a");
+    LeafDirectory second("b");
+    applyItems(first.announce(announcementOf(1, 1), at(0)), second, at(0));
+    second.announce(announcementOf(1, 2), at(500));
+    second.announce(announcementOf(1, 3), at(1000));
+    const auto departure = first.depart("atl-1", at(1100));
+    SUBCASE("at the member with the later renewals")
+    {
+        LeafDirectory::Output answer;
+        for (const auto& item : departure.items)
+            answer = second.applyItem(item.key, item.payload, item.removed, at(1110));
+        applyItems(answer, first, at(1120));
+    }
+    SUBCASE("after a late announcement")
+    {
+        applyItems(departure, second, at(1110));
+        applyItems(first.announce(announcementOf(1, 9), at(1200)), second, at(1210));
+        applyItems(second.announce(announcementOf(1, 8), at(1200)), first, at(1210));
+    }
+    CHECK(first.leaf("atl-1")->draining);
+    CHECK(second.leaf("atl-1")->draining);
+}
+
 // Guards against an instance that is busy with each change of the directory for longer than changes are apart, because
 // listing the leaves takes time that grows with the square of their number.
 TEST_CASE("listing the leaves takes time in proportion to their number")
