Forget sends that are outside the window of the cold start rate limit

Cause: ColdStartRateLimit dropped old sends only when a leaf was asked for while it warmed up, so it kept 8 bytes for each send to every other leaf, and an entry for each leaf that ever got a request.

Ruled out: recording only for leaves that warm up. A leaf that restarts is cold before its announcement arrives, and the sends before it count.

Before: with the old `onSend` the new test holds 10,000 of 10,000 sends. After: at most those of the last 1.1 s to a leaf; leaves without any are dropped at each change of the directory.

--- a/policy/ColdStartRateLimit.h
+++ b/policy/ColdStartRateLimit.h
@@ -5,6 +5,7 @@
 #include "citronplank.h"
 
 #include <deque>
+#include <numeric>
 #include <unordered_map>
 
 namespace citronplank {
@@ -20,17 +21,42 @@
     /// Whether one more request may be sent to the leaf now. `perSecond` is the number of requests per second that the
     /// leaf can handle from all instances together; half of it is used, so below 2 nothing is allowed.
     bool allows(const std::string& leaf, double perSecond, TimePoint now)
+    {
+        auto found = m_sent.find(leaf);
+        if (found == m_sent.end())
+            return perSecond >= 2;
+        dropOld(found->second, now);
+        return static_cast<double>(found->second.size()) + 1 <= perSecond / 2;
+    }
+    /// Counts a request that is sent to the leaf, whether or not `allows` was called for it.
+    void onSend(const std::string& leaf, TimePoint now)
     {
         auto& sent = m_sent[leaf];
+        dropOld(sent, now);
+        sent.push_back(now);
+    }
+    /// Forgets the leaves to which nothing was sent within the window. Call it when the leaves change.
+    void trim(TimePoint now)
+    {
+        for (auto it = m_sent.begin(); it != m_sent.end();) {
+            dropOld(it->second, now);
+            it = it->second.empty() ? m_sent.erase(it) : std::next(it);
+        }
+    }
+    /// Number of sends that are remembered; at most those of the last window, once `trim` was called.
+    std::size_t size() const
+    {
+        return std::accumulate(m_sent.begin(), m_sent.end(), std::size_t { 0 },
+            [](std::size_t n, const auto& it) { return n + it.second.size(); });
+    }
+
+private:
+    static void dropOld(std::deque<TimePoint>& sent, TimePoint now)
+    {
         while (!sent.empty() && now - sent.front() >= window)
             sent.pop_front();
-        return static_cast<double>(sent.size()) + 1 <= perSecond / 2;
     }
-    /// Counts a request that is sent to the leaf, whether or not `allows` was called for it.
-    void onSend(const std::string& leaf, TimePoint now) { m_sent[leaf].push_back(now); }
-    void forget(const std::string& leaf) { m_sent.erase(leaf); }
 
-private:
     std::unordered_map<std::string, std::deque<TimePoint>> m_sent;
 };
 
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -71,6 +71,7 @@
 void RoutePolicies::setLeaves(std::vector<Announcement> leaves, TimePoint now)
 {
     m_notices.keepOnly(leaves, now);
+    m_coldStartLimit.trim(now);
     std::unordered_map<std::string, std::vector<KnownLeaf>> known;
     for (auto& it : leaves) {
         KnownLeaf entry { std::move(it), {}, false };
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -140,6 +140,20 @@
     CHECK(counts["none"] == 0);
 }
 
+// Guards against memory that grows with each send, and with each leaf that requests were ever sent to.
+TEST_CASE("the rate limit of cold leaves remembers the sends of its window only")
+{
+    ColdStartRateLimit limit;
+    TimePoint now { seconds(1) };
+    for (int i = 0; i < 10000; ++i, now += milliseconds(11))
+        limit.onSend("leaf-" + std::to_string(i / 1000), now);
+    CHECK(limit.size() <= 1000); // 100 for each leaf
+    limit.trim(now);
+    CHECK(limit.size() <= 100);
+    CHECK_FALSE(limit.allows("leaf-9", 100, now));
+    CHECK(limit.allows("leaf-8", 100, now));
+}
+
 // Guards against a leaf that is never used because each change of the directory restarts its warm-up.
 TEST_CASE("the warm-up of a leaf ends on time although the directory changes meanwhile")
 {
