Reset the weighted round robin when the weights change

Cause: RoutePolicies::chooseTarget kept the current weights of the former configuration. They have the magnitude of its weights, so after a change from 1,000 to 1 hundreds of requests in a row went to one target.

Ruled out: a reset at each configuration, which would restart the round robin of all routes with each unrelated change.

Before: 10 of 10 requests to one of two targets of equal weight. After: 5 of 10.

--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -511,8 +511,16 @@
     // one and subtract the sum of the weights from it.
     if (m_currentWeights.size() > maxTrackedRoutes)
         m_currentWeights.clear();
-    auto& currentWeights = m_currentWeights[route.name];
-    currentWeights.resize(route.targets.size());
+    auto& [weights, currentWeights] = m_currentWeights[route.name];
+    // Current weights are of the magnitude of the weights. Kept after a change from 1,000 to 1, they would send
+    // hundreds of requests in a row to one target.
+    if (!std::equal(weights.begin(), weights.end(), route.targets.begin(), route.targets.end(),
+            [](double weight, const auto& target) { return weight == target.weight; })) {
+        weights.clear();
+        for (const auto& it : route.targets)
+            weights.push_back(it.weight);
+        currentWeights.assign(weights.size(), 0);
+    }
     double sum = 0;
     std::size_t best = 0;
     for (std::size_t i = 0; i < currentWeights.size(); ++i) {
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -150,6 +150,10 @@
         TimePoint coldUntil;   // end of the warm-up
         bool excluded = false; // see `exclude`
     };
+    struct RoundRobin {              // weighted, over the targets of a route
+        std::vector<double> weights; // of the targets when `current` was reset
+        std::vector<double> current;
+    };
     bool isServable(const Route&) const;
     bool isUsable(const KnownLeaf&) const;
     bool maySendToCold(const KnownLeaf&, TimePoint now);
@@ -175,18 +179,18 @@
     std::shared_ptr<const RouteTable> m_table = std::make_shared<const RouteTable>(ServingConfiguration {});
     std::set<std::string, std::less<>> m_zonesOut;
     std::vector<std::string> m_entryInstances;
-    std::unordered_map<std::string, std::vector<KnownLeaf>> m_leaves;      // by service
-    std::unordered_map<std::string, PercentBudget> m_budgets;              // by service
-    std::unordered_map<std::string, LatencyDigest> m_latencies;            // by route name
-    std::unordered_map<std::string, std::vector<double>> m_currentWeights; // of the weighted round robin, by route name
-    std::unordered_map<std::string, double> m_partBytes;                   // smoothed, by route name
-    std::unordered_map<std::string, double> m_requestCounts;               // recent requests, decayed, by route name
-    PeersByZone m_peers;                                                   // in other zones, selected ones only
-    PeersByZone m_instances;                                               // all entry instances, including this one
-    std::map<std::vector<std::string>, GatherGroups> m_groups;             // see groupsOf; by the gathered shards
-    std::size_t m_otherZoneInstanceCount = 0;                              // number of entry instances in other zones
-    std::unordered_map<std::string, TimePoint> m_peerBackoffs;             // end of the backoff by peer
-    std::size_t m_rotation = 0;                                            // distributes relays over peers and zones
+    std::unordered_map<std::string, std::vector<KnownLeaf>> m_leaves; // by service
+    std::unordered_map<std::string, PercentBudget> m_budgets;         // by service
+    std::unordered_map<std::string, LatencyDigest> m_latencies;       // by route name
+    std::unordered_map<std::string, RoundRobin> m_currentWeights;     // by route name
+    std::unordered_map<std::string, double> m_partBytes;              // smoothed, by route name
+    std::unordered_map<std::string, double> m_requestCounts;          // recent requests, decayed, by route name
+    PeersByZone m_peers;                                              // in other zones, selected ones only
+    PeersByZone m_instances;                                          // all entry instances, including this one
+    std::map<std::vector<std::string>, GatherGroups> m_groups;        // see groupsOf; by the gathered shards
+    std::size_t m_otherZoneInstanceCount = 0;                         // number of entry instances in other zones
+    std::unordered_map<std::string, TimePoint> m_peerBackoffs;        // end of the backoff by peer
+    std::size_t m_rotation = 0;                                       // distributes relays over peers and zones
     ColdStartRateLimit m_coldStartLimit;
     LeafNotices m_notices;
 };
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -140,6 +140,22 @@
     CHECK(counts["none"] == 0);
 }
 
+// Guards against hundreds of requests in a row to one target after a version with weights of another magnitude.
+TEST_CASE("new weights are in force at once")
+{
+    RoutePolicies policies("front-1", "atl");
+    Route route;
+    route.name = "split";
+    route.targets = { { "old", 1000 }, { "new", 1 } };
+    for (int i = 0; i < 500; ++i)
+        policies.chooseTarget(route);
+    route.targets = { { "old", 1 }, { "new", 1 } };
+    int n = 0;
+    for (int i = 0; i < 10; ++i)
+        n += policies.chooseTarget(route) == "new" ? 1 : 0;
+    CHECK(n == 5);
+}
+
 // Guards against memory that grows with each send, and with each leaf that requests were ever sent to.
 TEST_CASE("the rate limit of cold leaves remembers the sends of its window only")
 {
