Keep the pool of a removed leaf until its exchanges have ended

Cause: UpstreamClient::keepOnly erased the pool of a leaf while exchanges with it were running. If the leaf returned under the same name and address, their connections were subtracted from the new pool. The count wrapped, and no connection to the leaf was opened any more.

Ruled out: closing the busy connections, which would interrupt requests that a leaving leaf still answers.

Before: the new test ended with NoFreeConnection. After: it passes, and all 23 cases of RoutedDaemonTests.

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -51,7 +51,10 @@
             throw;
         }
     }
-    return it->second;
+    auto& pool = it->second;
+    if (std::exchange(pool.isRemoved, false))
+        pool.limit = std::numeric_limits<std::uint32_t>::max(); // until the next send
+    return pool;
 }
 
 void UpstreamClient::send(
@@ -204,8 +207,7 @@
     auto pool = m_pools.find(poolName);
     if (pool == m_pools.end() || !isReusable || pool->second.open > pool->second.limit) {
         connection->close();
-        if (pool != m_pools.end())
-            --pool->second.open;
+        releaseConnection(poolName);
         return;
     }
     pool->second.idle.push_back({ connection, Clock::now() });
@@ -218,6 +220,14 @@
         });
 }
 
+/// Counts a connection of the pool that was closed after it was busy or connecting.
+void UpstreamClient::releaseConnection(const std::string& poolName)
+{
+    auto pool = m_pools.find(poolName);
+    if (pool != m_pools.end() && --pool->second.open == 0 && pool->second.isRemoved)
+        m_pools.erase(pool);
+}
+
 void UpstreamClient::onIdleEnded(const std::string& poolName, const Connection& connection)
 {
     auto pool = m_pools.find(poolName);
@@ -269,8 +279,7 @@
     auto& ended = node.mapped();
     if (ended.connection) {
         ended.connection->close();
-        if (auto pool = m_pools.find(ended.poolName); pool != m_pools.end())
-            --pool->second.open;
+        releaseConnection(ended.poolName);
         closeUnresponsive(ended.poolName, ended.startedAt);
     }
     done(CancelResult::Unresponsive);
@@ -313,14 +322,22 @@
 
 void UpstreamClient::keepOnly(const std::set<std::string, std::less<>>& leaves)
 {
-    std::erase_if(m_pools, [&](auto& it) {
-        auto name = std::string_view(it.first).substr(0, it.first.rfind('@'));
-        if (leaves.contains(name))
-            return false;
-        for (auto& idle : it.second.idle)
+    for (auto it = m_pools.begin(); it != m_pools.end();) {
+        auto name = std::string_view(it->first).substr(0, it->first.rfind('@'));
+        if (leaves.contains(name)) {
+            ++it;
+            continue;
+        }
+        auto& pool = it->second;
+        for (auto& idle : pool.idle)
             idle.connection->close();
-        return true;
-    });
+        pool.open -= static_cast<std::uint32_t>(pool.idle.size());
+        pool.idle.clear();
+        // The pool counts its busy connections until they end: if the leaf returns meanwhile, it has the same pool.
+        pool.limit = 0;
+        pool.isRemoved = true;
+        it = pool.open == 0 ? m_pools.erase(it) : std::next(it);
+    }
 }
 
 void UpstreamClient::closeAll()
@@ -331,6 +348,7 @@
     }
     m_exchanges.clear();
     keepOnly({});
+    m_pools.clear();
 }
 
 } // namespace citronplank
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -105,6 +105,7 @@
         std::uint32_t open = 0;                                          // number of idle, busy and connecting ones
         std::uint32_t limit = std::numeric_limits<std::uint32_t>::max(); // maximum of `open`
         bool namesRequests = false;                                      // a reply said which request it answers
+        bool isRemoved = false;                                          // by keepOnly; erased with its last connection
     };
     struct Exchange {
         std::string poolName;
@@ -118,6 +119,7 @@
     Pool& poolOf(const Announcement&);
     static Connection takeIdle(Pool&, const UpstreamRequest&);
     static void closeOldestIdle(Pool&);
+    void releaseConnection(const std::string& poolName);
     void connect(std::uint64_t attempt, Pool&);
     void start(std::uint64_t attempt);
     void endUnsent(std::uint64_t attempt);
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -367,6 +367,25 @@
     CHECK(it.exchange(1)->end == LeafReply::End::Complete);
 }
 
+// Guards against a count of connections that wraps, after which no connection to a leaf is opened any more.
+TEST_CASE("a leaf that returns while exchanges with it are running gets connections")
+{
+    ClientFixture it;
+    it.leaf.isSilent = true;
+    for (std::uint64_t attempt : { 101, 102 })
+        it.client->send(attempt, it.leaf.announcement(), 4, { it.request }, [](const LeafReply&) {});
+    it.runFor(milliseconds(30));
+    it.client->keepOnly({});
+    it.leaf.isSilent = false;
+    auto before = Clock::now();
+    CHECK(it.exchange()->end == LeafReply::End::Complete);
+    for (std::uint64_t attempt : { 101, 102 })
+        it.client->cancel(attempt, milliseconds(10), [](UpstreamClient::CancelResult) {});
+    it.runFor(milliseconds(50));
+    CHECK(it.exchange(4, before)->end == LeafReply::End::Complete); // on a new connection
+    CHECK(it.leaf.connections == 4);
+}
+
 TEST_CASE("a request that was cancelled while its connection was being opened is not sent")
 {
     ClientFixture it;
