Bound what the control log keeps by bytes, in memory and on disk

Copies of a configuration share one text. Files are written and read record by record. A configuration over 4 MiB is refused when it is sent; the control address takes up to that size, because 5,000 routes (1.07 MB) exceeded its 1 MiB.

The format on disk and on links is unchanged.

--- a/bench/ControlSlopes.cpp
+++ b/bench/ControlSlopes.cpp
@@ -2,12 +2,14 @@
 // their data below the current folder, with simulated time and real fsync calls. Each message is encoded and decoded
 // as on a link.
 //
-//     bench_ControlSlopes
+//     bench_ControlSlopes                   # all tables
+//     bench_ControlSlopes configurations    # memory and disk of large configurations only
 #include "coordination/ControlReplica.h"
 #include "coordination/ViewCoordinator.h"
 
 #include <cstdio>
 #include <ctime>
+#include <fstream>
 #include <malloc.h>
 
 using namespace citronplank;
@@ -276,6 +278,84 @@
         (cpuSeconds() - cpuBefore) * 1e3);
 }
 
+/// Maximum resident memory of this process since the last call of restartPeak().
+double peakBytes()
+{
+    std::ifstream in("/proc/self/status");
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stod(line.substr(6)) * 1024;
+    }
+    return 0;
+}
+
+/// Returns freed memory to the system and sets the peak to what is resident now, which it returns.
+double restartPeak()
+{
+    malloc_trim(0);
+    std::ofstream("/proc/self/clear_refs") << 5;
+    return peakBytes();
+}
+
+/// A configuration of about the size that the platform sends, with a service for each tenth route.
+std::string configuration(std::size_t routes, std::uint64_t version)
+{
+    std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
+    for (std::size_t i = 0; i < routes; ++i) {
+        auto number = std::to_string(10'000 + i);
+        text += R"({"name":"route-)" + number + R"(","host":"bulk.example","path_prefix":"/bulk/)" + number
+            + R"(/","route_type":"idempotent","timeout_ms":10000,"target_latency_ms":600,"priority":2,"service":"service-)"
+            + std::to_string(i / 10) + R"(","max_attempts":2},)";
+    }
+    text += "],\"services\":[";
+    for (std::size_t i = 0; i < routes / 10; ++i)
+        text += R"({"name":"service-)" + std::to_string(i)
+            + R"(","health_path":"/health","max_connections":39,"protocol":"h1","tls":false,"warmup_s":3.0},)";
+    return text + "]}";
+}
+
+/// Three members in one process; the size on disk is that of one member, and memory is that of all three.
+void measureConfigurations()
+{
+    std::printf("\nchanges of a configuration, 3 members in one process: peak memory of all, maximum on one disk, and "
+                "peak memory of one member that restarts\n");
+    std::printf("%8s %8s %12s %12s %12s %14s %12s\n", "routes", "changes", "bytes each", "peak MiB", "disk MiB",
+        "restart MiB", "commits/s");
+    constexpr double mebibyte = 1024.0 * 1024;
+    for (const std::size_t routes : { 350, 1000, 2450, 3500, 5000 }) {
+        for (const std::size_t changes : { 1000, 2000 }) {
+            const auto content = configuration(routes, 1);
+            const double before = restartPeak();
+            double peak = 0;
+            std::uintmax_t disk = 0;
+            double restart = 0;
+            double rate = 0;
+            {
+                Cluster cluster(3);
+                const auto folder = cluster.folder() / cluster.leaderName();
+                const double wallBefore = wallSeconds();
+                for (std::size_t first = 0; first < changes; first += 10) {
+                    // Each change has a text of its own, as each that operators send.
+                    cluster.commit(10, 1, [&](std::size_t i) {
+                        return PutDocument { first + i + 1, std::string(content) };
+                    });
+                    disk = std::max(disk, bytesOf(folder));
+                }
+                rate = static_cast<double>(changes) / (wallSeconds() - wallBefore);
+                peak = peakBytes() - before;
+                const auto name = cluster.leaderName();
+                cluster.close(name);
+                const double beforeRestart = restartPeak();
+                cluster.open(name);
+                restart = peakBytes() - beforeRestart;
+            }
+            std::printf("%8zu %8zu %12zu %12.1f %12.1f %14.1f %12.0f\n", routes, changes, content.size(),
+                peak / mebibyte, static_cast<double>(disk) / mebibyte, restart / mebibyte, rate);
+            std::fflush(stdout);
+        }
+    }
+}
+
 void printRestartHeader(const char* name)
 {
     std::printf("%8s %12s %14s %12s %12s %12s\n", name, "disk KiB", "snapshot KiB", "open ms", "restart ms", "cpu ms");
@@ -431,8 +511,12 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "configurations") {
+        measureConfigurations();
+        return 0;
+    }
     measureCommits();
     measureIdle();
     measureRuleChanges();
@@ -440,4 +524,5 @@
     measureMemory();
     measureLeases();
     measureDifferences();
+    measureConfigurations();
 }
--- a/coordination/ControlCodec.h
+++ b/coordination/ControlCodec.h
@@ -47,6 +47,12 @@
 struct IsMap<std::map<T...>> : std::true_type {
 };
 
+/// Output of a packer. Unlike msgpack::sbuffer it gives its content away without a copy.
+struct StringOutput {
+    std::string text;
+    void write(const char* data, std::size_t size) { text.append(data, size); }
+};
+
 /// Writes one value as msgpack.
 class Writer {
 public:
@@ -64,6 +70,8 @@
             m_packer.pack(static_cast<std::uint64_t>(value));
         else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>)
             m_packer.pack(value);
+        else if constexpr (std::is_same_v<T, SharedText>)
+            m_packer.pack(value.text());
         else if constexpr (IsVector<T>::value)
             writeVector(value);
         else if constexpr (IsMap<T>::value)
@@ -77,7 +85,7 @@
             fields(*this, const_cast<T&>(value));
     }
 
-    std::string take() { return std::string(m_buf.data(), m_buf.size()); }
+    std::string take() { return std::move(m_buf.text); }
 
 private:
     template <typename T>
@@ -112,8 +120,8 @@
         std::visit([this](const auto& it) { write(it); }, value);
     }
 
-    msgpack::sbuffer m_buf;
-    msgpack::packer<msgpack::sbuffer> m_packer { m_buf };
+    StringOutput m_buf;
+    msgpack::packer<StringOutput> m_packer { m_buf };
 };
 
 /// Reads one msgpack object. Any mismatch throws msgpack::type_error.
@@ -141,6 +149,8 @@
             readEnum(object, value);
         else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>)
             object.convert(value);
+        else if constexpr (std::is_same_v<T, SharedText>)
+            value = object.as<std::string>();
         else if constexpr (IsVector<T>::value)
             readVector(object, value);
         else if constexpr (IsMap<T>::value)
@@ -286,8 +296,10 @@
         auto n = data.size();
         std::size_t offset = 0;
         constexpr std::size_t maxDepth = 32;
-        auto handle
-            = msgpack::unpack(data.data(), n, offset, nullptr, nullptr, msgpack::unpack_limit(n, n, n, n, n, maxDepth));
+        // The objects refer to `data`, so that the text in it is copied once only, into the value.
+        auto referToData = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        auto handle = msgpack::unpack(
+            data.data(), n, offset, referToData, nullptr, msgpack::unpack_limit(n, n, n, n, n, maxDepth));
         if (offset != n)
             throw Error(ErrorKind::BadRequest, std::string("trailing bytes after ") + what);
         T value {};
--- a/coordination/ControlEntries.cpp
+++ b/coordination/ControlEntries.cpp
@@ -56,6 +56,23 @@
     return entries;
 }
 
+std::size_t EntryWindow::bytesBetween(std::uint64_t first, std::uint64_t last) const
+{
+    std::size_t bytes = 0;
+    for (auto i = std::max(first, m_baseIndex) + 1; i <= std::min(last, lastIndex()); ++i)
+        bytes += approximateBytes(at(i));
+    return bytes;
+}
+
+std::uint64_t EntryWindow::startWithin(std::uint64_t last, std::size_t maxBytes) const
+{
+    std::size_t bytes = 0;
+    auto start = last;
+    while (start > m_baseIndex && (bytes += approximateBytes(at(start))) <= maxBytes)
+        --start;
+    return start;
+}
+
 namespace {
 
 std::size_t bytesOf(const EditRules& it)
@@ -86,10 +103,10 @@
 
 } // namespace
 
-std::size_t approximateBytes(const LogEntry& entry)
+std::size_t approximateBytes(const Command& command)
 {
     constexpr std::size_t fixedBytes = 64; // index, term, timestamp, numbers of the command and encoding overhead
-    return fixedBytes + std::visit([](const auto& it) { return bytesOf(it); }, entry.command);
+    return fixedBytes + std::visit([](const auto& it) { return bytesOf(it); }, command);
 }
 
 void MembershipHistory::reset(std::uint64_t index, const Membership& membership)
--- a/coordination/ControlEntries.h
+++ b/coordination/ControlEntries.h
@@ -30,6 +30,11 @@
     /// The entries from `index` on, as many as fit within both limits, but at least one if there is one.
     /// Precondition: index > baseIndex().
     std::vector<LogEntry> slice(std::uint64_t index, std::size_t maxCount, std::size_t maxBytes) const;
+    /// Approximate size of the entries after `first` up to and including `last`, as far as they are in the window.
+    std::size_t bytesBetween(std::uint64_t first, std::uint64_t last) const;
+    /// The smallest index after which the entries up to and including `last` take at most `maxBytes`.
+    /// Precondition: baseIndex() <= last <= lastIndex().
+    std::uint64_t startWithin(std::uint64_t last, std::size_t maxBytes) const;
 
 private:
     std::uint64_t m_baseIndex = 0;
@@ -37,9 +42,10 @@
     std::deque<LogEntry> m_entries;
 };
 
-/// Approximate encoded size of an entry, for the size limit of a message and to decide when a snapshot is due. Thread
-/// safe.
-std::size_t approximateBytes(const LogEntry&);
+/// Approximate encoded size of an entry with a command, for the size limit of a message and to decide when a snapshot
+/// is due. Thread safe.
+std::size_t approximateBytes(const Command&);
+inline std::size_t approximateBytes(const LogEntry& entry) { return approximateBytes(entry.command); }
 
 /// The memberships that log entries define. As in Raft, a membership takes effect when its entry is appended, before it
 /// is committed. Not thread safe.
--- a/coordination/ControlLog.h
+++ b/coordination/ControlLog.h
@@ -39,7 +39,8 @@
     ControlOutput propose(Command, std::uint64_t proposalId, TimePoint now);
     /// Proposes commands and stores them with a single sync. Each completes exactly once, in this or a later output:
     /// immediately as NotLeader if this member is not the leader, or as Refused if it is a ChangeMembers, which only
-    /// the log itself may propose.
+    /// the log itself may propose, a document over `maxDocumentBytes`, or would exceed `maxUncommittedBytes`. A refused
+    /// command is not applied.
     ControlOutput proposeAll(std::vector<Proposal>, TimePoint now);
     /// Requests a quorum round that starts after this call, for a linearizable read. The read completes exactly once,
     /// in this or a later output; it completes unconfirmed if this member is not the leader or loses leadership.
@@ -128,6 +129,7 @@
     void advanceCommitAsLeader();
     void commitThrough(std::uint64_t index);
     bool ownTermCommitted() const { return m_window.termAt(m_commitIndex).value_or(0) == m_term; }
+    static bool isWithinLimits(const Command&, std::size_t uncommittedBytes);
     static bool areConsecutive(const Append&);
     bool isSnapshotDue() const;
     bool storeEntries(const Append&);
@@ -325,13 +327,17 @@
 {
     auto output = run(now, [&] {
         std::vector<Command> commands;
+        auto uncommitted = m_window.bytesBetween(m_commitIndex, m_window.lastIndex());
         for (auto& it : proposals) {
+            auto bytes = approximateBytes(it.command);
             if (!isLeader()) {
                 m_out.completedProposals.push_back({ it.id, ProposeStatus::NotLeader });
-            } else if (std::holds_alternative<ChangeMembers>(it.command)) {
+            } else if (std::holds_alternative<ChangeMembers>(it.command)
+                || !isWithinLimits(it.command, uncommitted + bytes)) {
                 m_out.completedProposals.push_back({ it.id, ProposeStatus::Refused });
             } else {
                 commands.push_back(std::move(it.command));
+                uncommitted += bytes;
                 m_pending.emplace(m_window.lastIndex() + commands.size(), PendingProposal { it.id, m_term });
             }
         }
--- a/coordination/ControlLogMembers.h
+++ b/coordination/ControlLogMembers.h
@@ -145,6 +145,7 @@
         auto [peer, isNew] = m_peers.try_emplace(it);
         if (isNew) {
             peer->second.next = m_window.lastIndex() + 1;
+            peer->second.sentAfter = m_window.lastIndex();
             peer->second.lastAnswer = m_now;
         }
     }
--- a/coordination/ControlLogReplication.h
+++ b/coordination/ControlLogReplication.h
@@ -54,7 +54,9 @@
         return;
     }
     Append message { peer.next - 1, *m_window.termAt(peer.next - 1), m_commitIndex, m_round, m_freshnessMs, {} };
-    message.entries = m_window.slice(peer.next, maxEntriesPerAppend, maxBytesPerAppend);
+    auto unacknowledged = m_window.bytesBetween(std::max(peer.match, peer.sentAfter), peer.next - 1);
+    if (unacknowledged < maxUnacknowledgedBytes)
+        message.entries = m_window.slice(peer.next, maxEntriesPerAppend, maxBytesPerAppend);
     // Links preserve the order of messages, so the next one may continue after this one. If this one is lost, the
     // member rejects the next heartbeat and names the index to continue after.
     peer.next += message.entries.size();
@@ -170,9 +172,21 @@
 {
     auto entries = m_commitIndex - (m_snapshot ? m_snapshot->index : 0);
     bool large = m_snapshotBytes > m_settings.smallSnapshotBytes;
+    if (entries > 0 && m_committedBytes >= std::max(m_settings.bytesPerSnapshot, m_snapshotBytes))
+        return true;
     return entries >= m_settings.entriesPerSnapshot && (!large || m_committedBytes >= m_snapshotBytes / 2);
 }
 
+/// Whether a command is within the limits of a document and of the entries that are not committed yet, of which
+/// `uncommittedBytes` are held.
+template <ControlStorage Storage>
+bool ControlLog<Storage>::isWithinLimits(const Command& command, std::size_t uncommittedBytes)
+{
+    if (const auto* it = std::get_if<PutDocument>(&command); it && it->content.size() > maxDocumentBytes)
+        return false;
+    return uncommittedBytes <= maxUncommittedBytes;
+}
+
 template <ControlStorage Storage>
 bool ControlLog<Storage>::areConsecutive(const Append& message)
 {
@@ -246,7 +260,8 @@
         // A new round number distinguishes a rejection of this message from delayed rejections of earlier ones.
         peer.resentRound = m_round;
         m_rounds.push_back({ ++m_round, m_now, wallMs() });
-        peer.next = std::max(peer.match, std::min(message.index, m_window.lastIndex())) + 1;
+        peer.sentAfter = std::max(peer.match, std::min(message.index, m_window.lastIndex()));
+        peer.next = peer.sentAfter + 1;
         sendEntries(envelope.from, peer);
     }
     updateQuorum();
--- a/coordination/ControlLogSnapshot.h
+++ b/coordination/ControlLogSnapshot.h
@@ -30,17 +30,20 @@
 }
 
 /// Keeps some entries before the snapshot, so that a member that lags slightly needs no snapshot. While a snapshot is
-/// being sent to a member, the entries after it are kept as well, up to `maxEntriesInMemory` before the new snapshot.
+/// being sent to a member, the entries after it are kept as well, up to `maxEntriesInMemory` and `maxBytesInMemory`
+/// before the new snapshot. A member that needs older ones gets the new snapshot.
 template <ControlStorage Storage>
 void ControlLog<Storage>::truncateWindow()
 {
     auto snapshotIndex = m_snapshot->index;
-    auto through = snapshotIndex - std::min(snapshotIndex, m_settings.entriesKeptInMemory);
+    auto through = std::max(snapshotIndex - std::min(snapshotIndex, m_settings.entriesKeptInMemory),
+        m_window.startWithin(snapshotIndex, m_settings.bytesKeptInMemory));
     for (const auto& [member, peer] : m_peers) {
         if (peer.transfer)
             through = std::min(through, peer.transfer->header.index);
     }
-    auto minThrough = snapshotIndex - std::min(snapshotIndex, maxEntriesInMemory);
+    auto minThrough = std::max(snapshotIndex - std::min(snapshotIndex, maxEntriesInMemory),
+        m_window.startWithin(snapshotIndex, maxBytesInMemory));
     m_window.dropThrough(std::max(through, minThrough));
     m_members.dropThrough(snapshotIndex);
 }
--- a/coordination/ControlLogTypes.h
+++ b/coordination/ControlLogTypes.h
@@ -19,7 +19,14 @@
 constexpr milliseconds snapshotResendInterval { 300 };
 constexpr std::uint64_t maxEntriesInMemory = 16'384; // kept before the snapshot while an older one is being sent
 constexpr std::size_t maxEntriesPerAppend = 512;
-constexpr std::size_t maxBytesPerAppend = 1024UL * 1024; // by approximateBytes(); a larger entry is sent alone
+// The sizes of entries below are by approximateBytes().
+constexpr std::size_t maxBytesPerAppend = 1024UL * 1024; // a larger entry is sent alone
+// Entries sent to a member that it has not acknowledged; at the limit it gets heartbeats only. A member that does not
+// read its link would otherwise cost the leader a copy of each entry.
+constexpr std::size_t maxUnacknowledgedBytes = 4UL * 1024 * 1024;
+// At the limit a leader refuses further commands, such as one that cannot reach a majority for a while.
+constexpr std::size_t maxUncommittedBytes = 16UL * 1024 * 1024;
+constexpr std::size_t maxBytesInMemory = 16UL * 1024 * 1024; // as maxEntriesInMemory
 
 struct ControlLogSettings {
     std::string name;                           // of this member
@@ -31,7 +38,11 @@
     // snapshot, which keeps the cost proportional to the log: with 200,000 request keys and 200-byte answers a snapshot
     // takes 50 MB and about 0.28 s to encode and store.
     std::size_t smallSnapshotBytes = 1024UL * 1024;
-    std::uint64_t entriesKeptInMemory = 512; // before the snapshot, for members that lag slightly
+    // A snapshot is due at any number of entries once they exceed this size and that of the last snapshot. The log on
+    // disk then takes at most about this size, or that of a snapshot, and the uncommitted entries.
+    std::size_t bytesPerSnapshot = 8UL * 1024 * 1024;
+    std::uint64_t entriesKeptInMemory = 512;           // before the snapshot, for members that lag slightly
+    std::size_t bytesKeptInMemory = 4UL * 1024 * 1024; // the same by size
     std::size_t snapshotChunkBytes = 256UL * 1024;
     // Members that are not configured may join: they become learners, and voters while there are fewer than
     // `voterTarget` live voters. The configured members are then only the initial voters and the first to probe.
@@ -134,6 +145,7 @@
 struct PeerProgress {
     std::uint64_t next = 1;          // index of the next entry to send
     std::uint64_t match = 0;         // greatest index known to be durable there
+    std::uint64_t sentAfter = 0;     // the entries after this one and before `next` were sent
     std::uint64_t answeredRound = 0; // latest quorum round that it has answered
     std::uint64_t resentRound = 0;   // rejections of rounds up to this one have been handled
     TimePoint lastAnswer;            // before the first answer: when this record was created
--- a/coordination/ControlMessages.h
+++ b/coordination/ControlMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "citronplank.h"
+#include "coordination/SharedText.h"
 
 #include <tuple>
 #include <variant>
@@ -83,10 +84,14 @@
     bool operator==(const ChangeMembers&) const = default;
 };
 
+// A longer document is refused when it is submitted. 5,000 routes take 1.1 MB, and 1.8 MB with a service for each. A
+// message over a link may take 8 MiB.
+constexpr std::size_t maxDocumentBytes = 4UL * 1024 * 1024;
+
 /// Replaces the serving configuration as a whole. The highest version wins; any other changes nothing.
 struct PutDocument {
     std::uint64_t version = 0;
-    std::string content; // opaque to the control state, so that it is read back as it was sent
+    SharedText content; // opaque to the control state, so that it is read back as it was sent
     bool operator==(const PutDocument&) const = default;
 };
 
--- a/coordination/ControlState.h
+++ b/coordination/ControlState.h
@@ -56,7 +56,7 @@
 /// The serving configuration in force, as it was submitted. Its content is opaque here; see ServingConfiguration.
 struct StoredDocument {
     std::uint64_t version = 0; // chosen by the operator; 0: there is none yet
-    std::string content;
+    SharedText content;
     std::uint64_t index = 0; // log index of the command that stored it
     bool operator==(const StoredDocument&) const = default;
 };
--- a/coordination/ControlStorage.cpp
+++ b/coordination/ControlStorage.cpp
@@ -1,6 +1,7 @@
 #include "coordination/ControlStorage.h"
 
 #include "coordination/ControlCodec.h"
+#include "coordination/ControlEntries.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -30,6 +31,9 @@
 constexpr const char* snapshotFile = "snapshot";
 constexpr const char* lockFile = "lock";
 constexpr std::size_t recordHeaderBytes = 16;
+// The log is rewritten when the entries that later ones have replaced exceed this size, so that a sequence of leaders
+// whose entries are not committed does not fill the disk.
+constexpr std::size_t maxReplacedBytes = 16UL * 1024 * 1024;
 
 /// The stored data is damaged or incomplete, so that its files must be set aside.
 class CorruptionError : public std::runtime_error {
@@ -58,68 +62,116 @@
     return static_cast<std::uint32_t>(hash64(lengthBytes, recordHeaderBytes));
 }
 
-/// The body preceded by the record header, see FileControlStorage.
-std::string frameRecord(std::string_view body)
-{
-    if (body.size() > UINT32_MAX)
-        throw StorageError("control record of " + std::to_string(body.size()) + " bytes is over 4 GiB");
-    std::string buf;
-    buf.reserve(recordHeaderBytes + body.size());
-    appendInteger(buf, body.size(), 4);
-    appendInteger(buf, lengthChecksum(std::string_view(buf).substr(0, 4)), 4);
-    appendInteger(buf, hash64(body), 8);
-    buf.append(body);
-    return buf;
-}
+/// Passes records to `write` in pieces of a bounded size, so that neither a file nor a large record is copied as a
+/// whole.
+template <typename Write>
+class RecordWriter {
+public:
+    explicit RecordWriter(Write write)
+        : m_write(std::move(write))
+    {
+    }
 
-struct RecordRead {
-    bool torn = false; // the data ends within the record
-    std::string_view body;
-    std::size_t next = 0; // offset of the next record
+    /// Adds a record with this body, see FileControlStorage.
+    void add(std::string_view body)
+    {
+        if (body.size() > UINT32_MAX)
+            throw StorageError("control record of " + std::to_string(body.size()) + " bytes is over 4 GiB");
+        auto start = m_buf.size();
+        appendInteger(m_buf, body.size(), 4);
+        appendInteger(m_buf, lengthChecksum(std::string_view(m_buf).substr(start, 4)), 4);
+        appendInteger(m_buf, hash64(body), 8);
+        bool isLarge = body.size() >= pieceBytes;
+        if (!isLarge)
+            m_buf.append(body);
+        if (isLarge || m_buf.size() >= pieceBytes)
+            flush();
+        if (isLarge)
+            m_write(body);
+    }
+    void flush()
+    {
+        m_write(std::string_view(m_buf));
+        m_buf.clear();
+    }
+
+private:
+    static constexpr std::size_t pieceBytes = 64UL * 1024;
+    Write m_write;
+    std::string m_buf;
 };
 
-RecordRead readRecord(std::string_view data, std::size_t offset, const char* file)
-{
-    if (data.size() - offset < recordHeaderBytes)
-        return { true, {}, offset };
-    auto length = readInteger(data, offset, 4);
-    if (readInteger(data, offset + 4, 4) != lengthChecksum(data.substr(offset, 4)))
-        throw CorruptionError(std::string("checksum mismatch in a record length of file ") + file);
-    if (data.size() - offset - recordHeaderBytes < length)
-        return { true, {}, offset };
-    auto body = data.substr(offset + recordHeaderBytes, length);
-    if (readInteger(data, offset + 8, 8) != hash64(body))
-        throw CorruptionError(std::string("checksum mismatch in a record body of file ") + file);
-    return { false, body, offset + recordHeaderBytes + length };
-}
+/// Reads the records of a file one after another. The body of one record is held in memory.
+class RecordReader {
+public:
+    /// Throws CorruptionError if the file does not exist, and StorageError if it cannot be opened.
+    explicit RecordReader(const std::filesystem::path& path)
+        : m_name(path.filename().string())
+    {
+        if (!std::filesystem::exists(path))
+            throw CorruptionError("file " + m_name + " is missing");
+        m_size = std::filesystem::file_size(path);
+        m_in.open(path, std::ios::binary);
+        if (!m_in.is_open())
+            throw StorageError("cannot read " + path.string());
+    }
 
-std::optional<std::string> readFile(const std::filesystem::path& path)
-{
-    if (!std::filesystem::exists(path))
-        return std::nullopt;
-    std::ifstream in(path, std::ios::binary);
-    std::string content((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
-    if (!in.is_open() || in.bad())
-        throw StorageError("cannot read " + path.string());
-    return content;
-}
+    /// Reads the next record. False at the end of the file, and if the file ends within the record.
+    bool next()
+    {
+        auto left = m_size - m_offset;
+        m_isTorn = left > 0 && left < recordHeaderBytes;
+        if (left < recordHeaderBytes)
+            return false;
+        std::string header(recordHeaderBytes, '\0');
+        read(header);
+        auto length = readInteger(header, 0, 4);
+        if (readInteger(header, 4, 4) != lengthChecksum(std::string_view(header).substr(0, 4)))
+            throw CorruptionError("checksum mismatch in a record length of file " + m_name);
+        m_isTorn = left - recordHeaderBytes < length;
+        if (m_isTorn)
+            return false;
+        m_body.resize(length);
+        read(m_body);
+        if (readInteger(header, 8, 8) != hash64(m_body))
+            throw CorruptionError("checksum mismatch in a record body of file " + m_name);
+        m_offset += recordHeaderBytes + length;
+        return true;
+    }
+
+    /// The body of the record that next() has read last.
+    std::string& body() { return m_body; }
+    /// Whether next() returned false because the file ends within a record, which starts at offset().
+    bool isTorn() const { return m_isTorn; }
+    /// The end of the record that next() has read last.
+    std::uintmax_t offset() const { return m_offset; }
+
+private:
+    void read(std::string& buf)
+    {
+        if (!m_in.read(buf.data(), static_cast<std::streamsize>(buf.size())))
+            throw StorageError("cannot read file " + m_name);
+    }
+
+    std::string m_name;
+    std::ifstream m_in;
+    std::uintmax_t m_size = 0;
+    std::uintmax_t m_offset = 0;
+    std::string m_body;
+    bool m_isTorn = false;
+};
 
 /// Reads a file that must consist of `recordCount` records. It was replaced atomically, so a torn record is corruption.
 std::vector<std::string> readRecords(const std::filesystem::path& path, std::size_t recordCount)
 {
-    auto content = readFile(path);
-    auto name = path.filename().string();
-    if (!content)
-        throw CorruptionError("file " + name + " is missing");
+    RecordReader reader(path);
     std::vector<std::string> bodies;
-    for (std::size_t offset = 0; offset < content->size() || bodies.size() < recordCount;) {
-        auto it = readRecord(*content, offset, name.c_str());
-        if (it.torn)
-            throw CorruptionError("file " + name + " ends within a record");
-        bodies.emplace_back(it.body);
-        offset = it.next;
-    }
-    if (bodies.size() != recordCount)
+    while (bodies.size() < recordCount && reader.next())
+        bodies.push_back(std::move(reader.body()));
+    auto name = path.filename().string();
+    if (bodies.size() < recordCount)
+        throw CorruptionError("file " + name + " ends within a record");
+    if (reader.offset() != std::filesystem::file_size(path))
         throw CorruptionError("file " + name + " has trailing data");
     return bodies;
 }
@@ -240,31 +292,35 @@
 
 void FileControlStorage::readLog()
 {
-    auto content = readFile(m_folder / logFile);
-    if (!content)
-        throw CorruptionError("file log is missing");
-    std::size_t offset = 0;
-    while (offset < content->size()) {
-        auto it = readRecord(*content, offset, logFile);
-        if (it.torn) {
-            truncateTornRecord(offset);
-            break;
-        }
-        auto entry = decodeLogEntry(it.body);
+    RecordReader reader(m_folder / logFile);
+    auto firstAllowed = m_snapshot ? m_snapshot->index + 1 : 1;
+    while (reader.next()) {
+        auto entry = decodeLogEntry(reader.body());
         // A record whose index is already present replaces that entry and all after it.
-        while (!m_entries.empty() && m_entries.back().index >= entry.index)
-            m_entries.pop_back();
-        auto firstAllowed = m_snapshot ? m_snapshot->index + 1 : 1;
+        dropReplacedEntries(entry.index);
         bool follows = m_entries.empty() ? entry.index <= firstAllowed : entry.index == m_entries.back().index + 1;
         if (!follows)
             throw CorruptionError("log entry " + std::to_string(entry.index) + " does not follow its predecessor");
+        // Of an entry that the snapshot contains only index and term are needed below.
+        if (entry.index < firstAllowed)
+            entry.command = NoOp {};
         m_entries.push_back(std::move(entry));
-        offset = it.next;
     }
+    if (reader.isTorn())
+        truncateTornRecord(reader.offset());
     if (m_snapshot)
         m_entries = entriesAfterSnapshot(std::move(m_entries), *m_snapshot);
 }
 
+/// Removes the entries from `firstIndex` on. Their records stay in the log file until it is rewritten.
+void FileControlStorage::dropReplacedEntries(std::uint64_t firstIndex)
+{
+    while (!m_entries.empty() && m_entries.back().index >= firstIndex) {
+        m_replacedBytes += approximateBytes(m_entries.back());
+        m_entries.pop_back();
+    }
+}
+
 void FileControlStorage::truncateTornRecord(std::uintmax_t validBytes)
 {
     FileDescriptor log(::open((m_folder / logFile).c_str(), O_WRONLY | O_CLOEXEC));
@@ -275,10 +331,10 @@
 
 void FileControlStorage::create()
 {
-    replaceFile(voteFile, frameRecord(codec::encodeValue(VoteRecord {})));
-    replaceFile(logFile, "");
+    replaceFile(voteFile, { codec::encodeValue(VoteRecord {}) });
+    replaceFile(logFile, {});
     auto identity = newIdentity();
-    replaceFile(identityFile, frameRecord(codec::encodeValue(identity)));
+    replaceFile(identityFile, { codec::encodeValue(identity) });
     m_disk = identity;
 }
 
@@ -289,6 +345,7 @@
     m_vote = {};
     m_snapshot.reset();
     m_entries.clear();
+    m_replacedBytes = 0;
     int number = 1;
     while (std::filesystem::exists(m_folder / ("set-aside-" + std::to_string(number))))
         ++number;
@@ -319,7 +376,7 @@
 void FileControlStorage::saveVote(const VoteRecord& vote)
 {
     requireUsable();
-    replaceFile(voteFile, frameRecord(codec::encodeValue(vote)));
+    replaceFile(voteFile, { codec::encodeValue(vote) });
     m_vote = vote;
 }
 
@@ -328,20 +385,21 @@
     requireUsable();
     if (entries.empty())
         return;
-    std::string content;
+    RecordWriter records([this](std::string_view piece) { writeAll(m_log.get(), piece, logFile); });
     for (const auto& it : entries)
-        content += frameRecord(encode(it));
-    writeAll(m_log.get(), content, logFile);
+        records.add(encode(it));
+    records.flush();
     syncDescriptor(m_log.get(), logFile);
-    while (!m_entries.empty() && m_entries.back().index >= entries.front().index)
-        m_entries.pop_back();
+    dropReplacedEntries(entries.front().index);
     m_entries.insert(m_entries.end(), entries.begin(), entries.end());
+    if (m_replacedBytes > maxReplacedBytes)
+        rewriteLog();
 }
 
 void FileControlStorage::saveSnapshot(const SnapshotHeader& header, std::string_view data)
 {
     requireUsable();
-    replaceFile(snapshotFile, frameRecord(encode(header)) + frameRecord(data));
+    replaceFile(snapshotFile, { encode(header), data });
     m_snapshot = header;
     m_entries = entriesAfterSnapshot(std::move(m_entries), header);
     // A crash before this rename leaves entries that the snapshot contains; they are dropped at the next start.
@@ -350,10 +408,11 @@
 
 void FileControlStorage::rewriteLog()
 {
-    std::string content;
-    for (const auto& it : m_entries)
-        content += frameRecord(encode(it));
-    replaceFile(logFile, content);
+    replaceFileWith(logFile, [this](auto& records) {
+        for (const auto& it : m_entries)
+            records.add(encode(it));
+    });
+    m_replacedBytes = 0;
     openLog();
 }
 
@@ -364,6 +423,7 @@
     m_vote = {};
     m_snapshot.reset();
     m_entries.clear();
+    m_replacedBytes = 0;
     m_setAsideReason.clear();
     try {
         try {
@@ -375,7 +435,7 @@
         // Damaged content may have been set aside by an earlier attempt that could not write the new files.
         if (m_disk == 0)
             create();
-        replaceFile(voteFile, frameRecord(codec::encodeValue(m_vote)));
+        replaceFile(voteFile, { codec::encodeValue(m_vote) });
         rewriteLog();
     } catch (const std::filesystem::filesystem_error& e) {
         throw StorageError(e.what());
@@ -400,14 +460,25 @@
 // ---------------------------------------------------------------------------------------------------------------
 // File operations
 
-void FileControlStorage::replaceFile(const char* name, std::string_view content)
+void FileControlStorage::replaceFile(const char* name, RecordBodies bodies)
+{
+    replaceFileWith(name, [&](auto& records) {
+        for (auto it : bodies)
+            records.add(it);
+    });
+}
+
+template <typename WriteContent>
+void FileControlStorage::replaceFileWith(const char* name, WriteContent&& writeContent)
 {
     auto path = m_folder / name;
     auto temporary = m_folder / (std::string(name) + ".new");
     FileDescriptor file(::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
     if (file.get() < 0)
         fail("cannot create " + temporary.string());
-    writeAll(file.get(), content, name);
+    RecordWriter records([&](std::string_view piece) { writeAll(file.get(), piece, name); });
+    writeContent(records);
+    records.flush();
     syncDescriptor(file.get(), name);
     if (m_operations.rename(temporary.c_str(), path.c_str()) != 0)
         fail("cannot rename " + temporary.string());
--- a/coordination/ControlStorage.h
+++ b/coordination/ControlStorage.h
@@ -134,9 +134,13 @@
     void create();
     void setAside(const std::string& reason);
     void openLog();
+    void dropReplacedEntries(std::uint64_t firstIndex);
     void rewriteLog();
     void truncateTornRecord(std::uintmax_t validBytes);
-    void replaceFile(const char* name, std::string_view content);
+    using RecordBodies = std::initializer_list<std::string_view>;
+    void replaceFile(const char* name, RecordBodies bodies);
+    template <typename WriteContent>
+    void replaceFileWith(const char* name, WriteContent&& writeContent);
     void writeAll(int descriptor, std::string_view content, const char* file);
     void syncDescriptor(int descriptor, const char* file);
     void syncFolder();
@@ -151,6 +155,7 @@
     VoteRecord m_vote;
     std::optional<SnapshotHeader> m_snapshot;
     std::vector<LogEntry> m_entries; // as in the log file, to rewrite it after a snapshot
+    std::size_t m_replacedBytes = 0; // approximate size of the entries in the log file that later ones have replaced
     std::string m_setAsideReason;
     bool m_failed = false;
 };
--- a/daemon/ControlService.cpp
+++ b/daemon/ControlService.cpp
@@ -5,6 +5,7 @@
 #include "rules/RulesFile.h"
 
 #include <asio.hpp>
+#include <atomic>
 #include <future>
 #include <mutex>
 #include <random>
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr milliseconds tickInterval { 20 };
+// Messages that wait for the control thread, which may be blocked by a slow disk. Further large ones are dropped; the
+// protocol repeats them.
+constexpr std::size_t maxQueuedBytes = 32UL * 1024 * 1024;
 constexpr milliseconds firstElectionTimeout { 200 }; // two heartbeats of an existing leader
 
 std::uint64_t wallTimeMs(TimePoint at)
@@ -34,6 +38,21 @@
     }
 }
 
+/// Approximate size of the content of a message; 0 for messages of a fixed small size.
+std::size_t contentBytes(const ControlMessage& message)
+{
+    if (const auto* propose = std::get_if<Propose>(&message.body))
+        return approximateBytes(propose->command);
+    if (const auto* snapshot = std::get_if<InstallSnapshot>(&message.body))
+        return snapshot->chunk.size();
+    std::size_t bytes = 0;
+    if (const auto* append = std::get_if<Append>(&message.body)) {
+        for (const auto& it : append->entries)
+            bytes += approximateBytes(it);
+    }
+    return bytes;
+}
+
 ControlLogSettings logSettings(const ControlServiceSettings& settings)
 {
     std::random_device random;
@@ -86,7 +105,13 @@
 
     void receive(const std::string& from, ControlMessage message)
     {
-        post([this, from, message = std::move(message)] {
+        auto bytes = contentBytes(message);
+        if (m_queuedBytes.fetch_add(bytes) + bytes > maxQueuedBytes && bytes > 0) {
+            m_queuedBytes -= bytes;
+            return;
+        }
+        post([this, from, bytes, message = std::move(message)] {
+            m_queuedBytes -= bytes;
             run([&] { return m_replica->receive(from, message, Clock::now()); });
             scheduleFlush();
         });
@@ -284,6 +309,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::thread m_thread;
     std::set<std::string> m_contacts; // as set last; a restarted control role needs them to find its cluster
+    std::atomic<std::size_t> m_queuedBytes { 0 }; // of received messages that are not processed yet
     bool m_flushScheduled = false;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_publishedVersion = 0; // passed to the handler `published` last
--- a/daemon/ControlService.h
+++ b/daemon/ControlService.h
@@ -57,7 +57,8 @@
     /// Stops the thread. May be called twice. Precondition: not called on the control thread.
     void stop();
 
-    /// Processes a received message. Thread safe.
+    /// Processes a received message. Drops it, as a link may, if too many bytes wait for the control thread. Thread
+    /// safe.
     void receive(const std::string& from, ControlMessage message);
     /// Proposes a command; `handler` runs on the control thread, at most once. It does not run if the service stops
     /// first, or if the control role has failed and is not reopened. Thread safe.
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds closeReserve { 1500 };
 constexpr milliseconds leavePropagationTime { 300 }; // for gossip to spread the leave, or for a new leader to take over
 constexpr std::size_t maxProbeConnections = 64;      // load balancers poll once a second
+// Configurations that were received and are not answered yet. Operators send 16 a second of 0.7 MB in bursts, and one
+// may wait for 3.5 s while there is no leader, which would be 39 MB.
+constexpr std::size_t maxSubmittedBytes = 16UL * 1024 * 1024;
 constexpr std::uint64_t firstZoneBroadcast = 1ULL << 32U; // above the numbers of this instance's own broadcasts
 
 } // namespace
@@ -90,6 +93,7 @@
         HttpServerSettings control;
         control.address = m_routedSettings.controlAddress;
         control.detectsEarlyDisconnects = true;
+        control.maxBodyBytes = maxDocumentBytes;
         m_controlServer = std::make_unique<HttpServer>(
             m_io, control, [this](const HttpRequest& request, const Responder& responder) {
                 handleControlRequest(request, responder);
@@ -164,7 +168,7 @@
     if (!m_routes || document.version <= m_decodedVersion)
         return;
     try {
-        auto configuration = m_decodeConfiguration(document.content);
+        auto configuration = m_decodeConfiguration(document.content.text());
         m_callerServer->setLimits(configuration.callerLimits);
         m_routes->setTable(std::make_shared<const RouteTable>(std::move(configuration)));
         m_decodedVersion = document.version;
@@ -444,6 +448,16 @@
 
 void RoutedDaemon::putConfiguration(std::string content, std::function<void(PutResult, std::string)> done)
 {
+    auto bytes = content.size();
+    done = [this, bytes, done = std::move(done)](PutResult result, std::string reason) {
+        m_submittedBytes -= bytes;
+        done(result, std::move(reason));
+    };
+    if (m_submittedBytes.fetch_add(bytes) + bytes > maxSubmittedBytes) {
+        log(LogLevel::Warning, "config", "Refused a configuration, because too many others are not confirmed yet.");
+        done(PutResult::Unknown, {});
+        return;
+    }
     PutDocument command;
     try {
         command.version = m_decodeConfiguration(content).version;
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -116,6 +116,7 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leavesChanged { true };
     std::atomic<std::uint64_t> m_decodedVersion { 0 }; // of the configuration that the routes use; 0: none yet
+    std::atomic<std::size_t> m_submittedBytes { 0 };   // of configurations that are not answered yet
     Guarded<std::map<std::string, std::uint64_t>> m_knownEntries; // incarnations of the live entry instances
     /// Acknowledgements that are not sent yet: peer and broadcast number.
     Guarded<std::vector<std::pair<std::string, std::uint64_t>>> m_directoryAcks;
