--- a/tests/ProcessHarness.h
+++ b/tests/ProcessHarness.h
@@ -29,6 +29,7 @@
     ChildProcess& operator=(const ChildProcess&) = delete;
 
     void signal(int number) const;
+    pid_t pid() const { return m_pid; }
     /// Waits for the exit. Returns the exit code, 128 + signal number if a signal ended the process, or -1 after the
     /// timeout.
     int wait(std::chrono::milliseconds timeout);
