Bound what misbehaving clients can take: one memory budget, connections by descriptors and peer

- policy/MemoryBudget: a quarter of memory-mb for everything that callers can fill; charged for bytes in memory, not for declared ones; a quarter of it is reserved for holders of up to 16 KiB.
All servers of RoutedDaemon draw on it.
- transport: a connection reads only if there is room, waits up to 1 s, then refuses with 503 (not run).
While the budget is short, connections that have held most for longest without progress (1 KiB/s) are closed.
Free memory is returned.
- Connections: half of max-fds for callers, three quarters of these for one address.
At a bound, the connection without progress for longest, of the address that has most, is closed for the new one.
- An idle connection has no read buffer.
Up to 8 KiB of requests are read ahead.
- The fields of a header are bounded by its size instead of 128, as a legal header may have more.
- HttpServer.cpp is split; metrics and a log line at most once a second for each address and kind of refusal.

Ruled out: a minimum rate as a reason to close in calm: an ordinary caller may pause, and the existing times for header, body and response bound it. Limits by declared length: clients that declare much and send little would take the budget.

"Requests sent ahead without reading" still fails: requests to the leaf keep failing afterwards, for a reason that is not found yet.

--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds closeReserve { 1500 };
 constexpr milliseconds leavePropagationTime { 300 }; // for gossip to spread the leave, or for a new leader to take over
 constexpr std::size_t maxProbeConnections = 64;      // load balancers poll once a second
+constexpr std::size_t maxProbeBodyBytes = 4096;      // ignored
+constexpr milliseconds httpReportInterval { 1000 };
 constexpr std::uint64_t firstZoneBroadcast = 1ULL << 32U; // above the numbers of this instance's own broadcasts
 
 } // namespace
@@ -33,6 +35,7 @@
     ControlHandler controlHandler)
     : Node(settings.node)
     , m_routedSettings(std::move(settings))
+    , m_httpBounds(HttpBounds::of(m_routedSettings.machine, !m_routedSettings.callerAddress.empty()))
     , m_protocol(protocol)
     , m_decodeConfiguration(std::move(decode))
     , m_controlHandler(std::move(controlHandler))
@@ -52,6 +55,7 @@
     , m_zoneBroadcast([this](const std::string& peer, std::uint64_t number,
                           const std::string& body) { sendTo(peer, MessageKind::DirectoryItems, body, number); },
           firstZoneBroadcast)
+    , m_httpReports(m_counters)
 {
     m_membership->setBroadcastHandler([this](std::vector<DirectoryItem> items, std::function<void(bool)> done) {
         broadcast(std::move(items), std::move(done));
@@ -68,28 +72,24 @@
         HttpServerSettings callers;
         callers.address = m_routedSettings.callerAddress;
         callers.detectsEarlyDisconnects = true;
+        callers.maxConnections = m_httpBounds.callerConnections;
+        callers.memory = m_httpBounds.memory;
         m_callerServer = std::make_unique<HttpServer>(m_io, callers, [this](HttpRequest request, Responder responder) {
             m_routes->onRequest(std::move(request), std::move(responder));
         });
     }
-    if (!m_routedSettings.readyAddress.empty()) {
-        HttpServerSettings ready;
-        ready.address = m_routedSettings.readyAddress;
-        ready.maxConnections = maxProbeConnections;
-        m_readyServer = std::make_unique<HttpServer>(m_io, ready,
+    if (!m_routedSettings.readyAddress.empty())
+        m_readyServer = makeProbeServer(m_routedSettings.readyAddress,
             [this](const HttpRequest& request, const Responder& responder) { answerReady(request, responder); });
-    }
-    if (!m_routedSettings.metricsAddress.empty()) {
-        HttpServerSettings metrics;
-        metrics.address = m_routedSettings.metricsAddress;
-        metrics.maxConnections = maxProbeConnections;
-        m_metricsServer = std::make_unique<HttpServer>(m_io, metrics,
+    if (!m_routedSettings.metricsAddress.empty())
+        m_metricsServer = makeProbeServer(m_routedSettings.metricsAddress,
             [this](const HttpRequest& request, const Responder& responder) { answerMetrics(request, responder); });
-    }
     if (!m_routedSettings.controlAddress.empty()) {
         HttpServerSettings control;
         control.address = m_routedSettings.controlAddress;
         control.detectsEarlyDisconnects = true;
+        control.maxConnections = m_httpBounds.controlConnections;
+        control.memory = m_httpBounds.memory;
         m_controlServer = std::make_unique<HttpServer>(
             m_io, control, [this](const HttpRequest& request, const Responder& responder) {
                 handleControlRequest(request, responder);
@@ -99,6 +99,17 @@
 
 RoutedDaemon::~RoutedDaemon() { shutDownNode(); }
 
+/// A server for polls, which need no body.
+std::unique_ptr<HttpServer> RoutedDaemon::makeProbeServer(const std::string& address, HttpServer::Handler handler)
+{
+    HttpServerSettings settings;
+    settings.address = address;
+    settings.maxConnections = maxProbeConnections;
+    settings.maxBodyBytes = maxProbeBodyBytes;
+    settings.memory = m_httpBounds.memory;
+    return std::make_unique<HttpServer>(m_io, settings, std::move(handler));
+}
+
 void RoutedDaemon::start()
 {
     runEvery(leavesInterval, [this] { onLeavesTimer(); });
@@ -106,10 +117,15 @@
     runEvery(readinessInterval, [this] { updateReadiness(); });
     runEvery(trafficLogInterval, [this] { logTraffic(); });
     runEvery(relayLinkInterval, [this] { keepRelayLinksOpen(); });
-    for (auto* it : { m_callerServer.get(), m_readyServer.get(), m_controlServer.get(), m_metricsServer.get() }) {
-        if (it)
-            it->start();
+    const std::pair<const char*, HttpServer*> servers[] = { { "callers", m_callerServer.get() },
+        { "ready", m_readyServer.get() }, { "control", m_controlServer.get() }, { "metrics", m_metricsServer.get() } };
+    for (const auto& [name, server] : servers) {
+        if (!server)
+            continue;
+        m_httpReports.add(name, server);
+        server->start();
     }
+    runEvery(httpReportInterval, [this] { m_httpReports.update(*m_httpBounds.memory); });
     startNode();
     log(LogLevel::Info, "start",
         "instance=" + m_settings.name + " zone=" + m_settings.zone + " callers=" + m_routedSettings.callerAddress
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -4,6 +4,7 @@
 // accept the configuration, the zones taken out of service and the announcements of leaves, and distribute them.
 #pragma once
 
+#include "daemon/HttpBounds.h"
 #include "daemon/ItemBroadcast.h"
 #include "daemon/LogBuffer.h"
 #include "daemon/Node.h"
@@ -42,6 +43,7 @@
     std::string controlAddress; // empty: no control member
     std::string metricsAddress; // for GET /metrics and GET /dump; empty: not served
     SharedBounds bounds;
+    MachineLimits machine;
     milliseconds graceTime { 6000 };                // from SIGTERM to the end of the process
     milliseconds readinessPropagationTime { 2300 }; // until load balancers have noticed that it is not ready
     milliseconds directoryWait { 3000 };            // from the start; then an incomplete directory counts as complete
@@ -103,11 +105,13 @@
     void updateRouteLeaves();
     void updateReadiness();
     void logTraffic() const;
+    std::unique_ptr<HttpServer> makeProbeServer(const std::string& address, HttpServer::Handler);
     void keepRelayLinksOpen();
     void answerReady(const HttpRequest&, const Responder&);
     void answerMetrics(const HttpRequest&, const Responder&) const;
 
     RoutedDaemonSettings m_routedSettings;
+    HttpBounds m_httpBounds; // of all servers below
     const RouteProtocol& m_protocol;
     ConfigurationDecoder m_decodeConfiguration;
     ControlHandler m_controlHandler;
@@ -130,6 +134,7 @@
     std::unique_ptr<HttpServer> m_readyServer;
     std::unique_ptr<HttpServer> m_controlServer;
     std::unique_ptr<HttpServer> m_metricsServer;
+    HttpReports m_httpReports;
 };
 
 } // namespace citronplank
--- a/transport/HttpServer.h
+++ b/transport/HttpServer.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "citronplank.h"
+#include "policy/MemoryBudget.h"
 
 #include <functional>
 #include <memory>
@@ -44,11 +45,15 @@
     std::string address;                                    // "IP:PORT"; port 0 selects a free port
     std::size_t maxHeaderBytes = std::size_t { 16 } << 10U; // of the target and the header names and values
     std::size_t maxBodyBytes = std::size_t { 1 } << 20U;
-    std::size_t maxConnections = 4096;   // further connections get one "overloaded" response
-    milliseconds headerTimeout { 5000 }; // from the first byte of a request, or from the accept of a new connection
-    milliseconds bodyTimeout { 5000 };   // from the end of the header
-    milliseconds idleTimeout { 30000 };  // between requests of one connection
-    milliseconds writeTimeout { 10000 }; // for sending the whole response
+    /// At the limits, the connection that made no progress for longest is closed for a new one; see
+    /// ConnectionShedding. If there is none, the new one gets one "overloaded" response.
+    std::size_t maxConnections = 4096;
+    std::size_t maxConnectionsPerPeer = 0; // of one IP address; 0: three quarters of maxConnections
+    std::shared_ptr<MemoryBudget> memory;  // shared by the servers of a process; null: 64 MiB for this server
+    milliseconds headerTimeout { 5000 };   // from the first byte of a request, or from the accept of a new connection
+    milliseconds bodyTimeout { 5000 };     // from the end of the header
+    milliseconds idleTimeout { 30000 };    // between requests of one connection
+    milliseconds writeTimeout { 10000 };   // for sending the whole response
     /// Checks before each call of the handler whether the caller has closed the connection already, so that the
     /// responder reports it as disconnected from the start. A caller that has only shut down its sending side gets no
     /// response.
@@ -58,7 +63,11 @@
 struct HttpServerCounters {
     std::uint64_t connections = 0;       // open now
     std::uint64_t accepted = 0;          // without the rejected ones
-    std::uint64_t rejected = 0;          // exceeded the connection limit
+    std::uint64_t rejected = 0;          // exceeded a connection limit
+    std::uint64_t replaced = 0;          // closed for a new connection at a connection limit
+    std::uint64_t refusedForMemory = 0;  // answered as overloaded because the memory budget is short
+    std::uint64_t closedForMemory = 0;   // chosen to be closed because they held memory without progress
+    std::uint64_t timeouts = 0;          // too slow in sending a request or in reading a response
     std::uint64_t requests = 0;          // passed to the handler
     std::uint64_t badRequests = 0;       // answered by the server itself: malformed, too large or too slow
     std::uint64_t callerDisconnects = 0; // connections that ended before the response was sent
