Add a test of invalid responses of a leaf, which fails

A status that is none (000, 099, 20, 600, 999, four digits, blanks) and a body after 204 reach the caller as a response.

--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -100,6 +100,48 @@
     std::thread m_thread;
 };
 
+/// A leaf that sends the same bytes to each request and then nothing more.
+class RawLeaf {
+public:
+    explicit RawLeaf(std::string reply)
+        : m_reply(std::move(reply))
+    {
+        accept();
+    }
+    ~RawLeaf() { m_io.stop(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    int requests() const { return m_requests; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
+            if (ec)
+                return;
+            serve(std::make_shared<tcp::socket>(std::move(socket)), std::make_shared<std::string>());
+            accept();
+        });
+    }
+    void serve(const std::shared_ptr<tcp::socket>& socket, const std::shared_ptr<std::string>& input)
+    {
+        asio::async_read_until(*socket, asio::dynamic_buffer(*input), "\r\n\r\n",
+            [this, socket, input](std::error_code ec, std::size_t n) {
+                if (ec)
+                    return;
+                input->erase(0, n);
+                ++m_requests;
+                asio::write(*socket, asio::buffer(m_reply), ec);
+                serve(socket, input);
+            });
+    }
+
+    std::string m_reply;
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor { m_io, { asio::ip::make_address("127.0.0.1"), 0 } };
+    std::atomic<int> m_requests { 0 };
+    std::jthread m_thread { [this] { m_io.run(); } };
+};
+
 struct Fixture {
     /// Without `leafAddress`, the leaves "a" and "b" of the service are one HttpServer of the fixture; otherwise its
     /// only leaf is at that address, and requests must not run twice.
@@ -241,3 +283,37 @@
     CHECK(leaf.runs() == 1);
     CHECK(leaf.connections() == 2);
 }
+
+// Guards against bytes of a leaf in trouble that reach the caller as a response, or as one that says "not run".
+TEST_CASE("an invalid response of a leaf is answered with a status of this system")
+{
+    const std::string rest = "Server-Stamp: stamp\r\nRequest-Id: id\r\n";
+    const std::string empty = rest + "Content-Length: 0\r\n\r\n";
+    std::vector<std::string> replies;
+    for (const char* status : { "000 Zero", "099 Low", "20 Short", "600 High", "999 High", "2000 Long", "0200 Long",
+             "+20 Sign", "-200 Sign", "2 00 Blank", " 200 Blank", "", "101 Switching Protocols", "100 Continue",
+             "199 Interim", "200 OK\r\nHTTP/1.1 200 OK" })
+        replies.push_back("HTTP/1.1 " + std::string(status) + "\r\n" + empty);
+    replies.push_back("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + rest + "Content-Length: 2\r\n\r\nab");
+    replies.push_back("HTTP/1.1 204 No Content\r\n" + rest + "Content-Length: 2\r\n\r\nab");
+    replies.push_back("HTTP/1.1 204 No Content\r\n" + rest + "\r\nab");
+    replies.push_back("HTTP/1.1 304 Not Modified\r\n" + rest + "Content-Length: 2\r\n\r\nab");
+    for (const auto& reply : replies) {
+        CAPTURE(reply);
+        RawLeaf leaf(reply);
+        Fixture it(leaf.address());
+        auto caller = it.sendRequest();
+        std::string answer(4096, '\0');
+        std::size_t n = 0;
+        caller.non_blocking(true);
+        for (int i = 0; i < 60 && n == 0; ++i) {
+            it.run(milliseconds(100));
+            std::error_code ec;
+            n = caller.read_some(asio::buffer(answer), ec);
+        }
+        answer.resize(n);
+        CHECK(answer.starts_with("HTTP/1.1 504 "));
+        CHECK(answer.find("\"may_have_run\"") != std::string::npos);
+        CHECK(leaf.requests() == 1);
+    }
+}
