Treat a response without a valid status as a failure of the leaf

Cause: the parser accepts any number of digits and blanks as a status, and LeafConnection took each response that it parsed for one. Now the status is three digits from 100 to 599, only 1xx is interim, 101 is invalid, and 204 or 304 with a body is invalid too. All paths (single, part of a gather, relayed part, citronplankd) receive through LeafConnection.

A response 304 with a Content-Length waited for a body that never comes; it is complete after its header now.

--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -14,6 +14,11 @@
 constexpr std::size_t maxHeadBytes = std::size_t { 64 } << 10U;
 /// Received bytes of one exchange per byte that a body may have. A chunked body has its chunk headers in addition.
 constexpr std::size_t maxFramingFactor = 2;
+constexpr std::size_t statusLineBytes
+    = 13; // "HTTP/1.1 200 ", with a line end instead of the blank if there is no reason
+constexpr int switchingProtocols = 101;
+constexpr int noContent = 204;
+constexpr int notModified = 304;
 constexpr milliseconds writeGrace { 20 }; // how long to wait for the end of a write, see `complete`
 
 template <typename Number>
@@ -103,8 +108,7 @@
     m_written = false;
     m_hasMessage = false;
     ++m_exchanges;
-    http_parser_init(&m_parser, HTTP_RESPONSE);
-    m_parser.data = this;
+    beginResponse();
     m_headerName.clear();
     m_headerValue.clear();
     m_inHeaderValue = false;
@@ -221,20 +225,54 @@
         finish(n == 0 ? LeafReply::End::NotWritten : LeafReply::End::Lost);
 }
 
+void LeafConnection::beginResponse()
+{
+    http_parser_init(&m_parser, HTTP_RESPONSE);
+    m_parser.data = this;
+    m_statusLine.clear();
+}
+
+/// Parses input of one response. Returns the number of bytes that belong to it.
+std::size_t LeafConnection::parse(std::string_view input)
+{
+    for (char it : input) {
+        bool isLeadingLineEnd = m_statusLine.empty() && (it == '\r' || it == '\n'); // skipped by the parser too
+        if (m_statusLine.size() == statusLineBytes)
+            break;
+        if (!isLeadingLineEnd)
+            m_statusLine += it;
+    }
+    return http_parser_execute(&m_parser, &callbacks(), input.data(), input.size());
+}
+
+/// Whether the response has a status of three digits that a final or interim response can have. The parser also accepts
+/// fewer and more digits, and blanks.
+bool LeafConnection::hasValidStatus() const
+{
+    constexpr std::size_t at = 9; // after "HTTP/1.1 "
+    auto isDigit = [this](std::size_t i) { return m_statusLine[i] >= '0' && m_statusLine[i] <= '9'; };
+    if (m_statusLine.size() < statusLineBytes || m_statusLine[at] < '1' || m_statusLine[at] > '5' || !isDigit(at + 1)
+        || !isDigit(at + 2))
+        return false;
+    char next = m_statusLine[at + 3];
+    return (next == ' ' || next == '\r' || next == '\n') && m_parser.status_code != switchingProtocols;
+}
+
 void LeafConnection::parse(std::size_t n)
 {
-    std::size_t done = http_parser_execute(&m_parser, &callbacks(), m_buf.data(), n);
+    std::string_view input(m_buf.data(), n);
+    std::size_t done = parse(input);
     while (m_hasMessage && m_reply.status / 100 == 1) { // an interim response; the final one follows
         m_hasMessage = false;
         m_reply = { .anyByteReceived = true };
-        http_parser_init(&m_parser, HTTP_RESPONSE);
-        m_parser.data = this;
-        done += http_parser_execute(&m_parser, &callbacks(), m_buf.data() + done, n - done);
+        beginResponse();
+        done += parse(input.substr(done));
     }
-    if (m_hasMessage) {
+    bool isWithoutBody = m_reply.status == noContent || m_reply.status == notModified;
+    if (m_hasMessage && !(isWithoutBody && done < n)) {
         m_keepAlive = http_should_keep_alive(&m_parser) != 0 && done == n;
         complete();
-    } else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade) {
+    } else if (m_hasMessage || HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade) {
         finish(LeafReply::End::Malformed);
     }
 }
@@ -294,16 +332,20 @@
 /// Returns the result that http_parser expects: 0 to go on, 1 if the response has no body, -1 to reject the response.
 int LeafConnection::onHeadersComplete()
 {
-    if (!storeHeader())
+    if (!storeHeader() || !hasValidStatus())
         return -1;
     m_reply.status = static_cast<int>(m_parser.status_code);
-    const bool hasBody = m_reply.status / 100 != 1 && m_reply.status != 204 && m_reply.status != 304;
+    const bool hasBody = m_reply.status / 100 != 1 && m_reply.status != noContent && m_reply.status != notModified;
     const bool hasLength = m_parser.content_length != ULLONG_MAX;
+    // With status 304 the length is the one that the body of a response with status 200 would have.
+    if (m_reply.status == noContent
+        && ((hasLength && m_parser.content_length > 0) || (m_parser.flags & F_CHUNKED) != 0))
+        return -1;
     // A response that ends with the connection cannot be distinguished from a truncated one.
     bool isCloseDelimited = hasBody && !m_isHead && !hasLength && (m_parser.flags & F_CHUNKED) == 0;
     if (isCloseDelimited && !m_acceptsCloseDelimited)
         return -1;
-    if (m_isHead)
+    if (m_isHead || m_reply.status == notModified)
         return 1;
     return hasLength && m_parser.content_length > m_maxAnswerBytes ? -1 : 0;
 }
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -19,7 +19,7 @@
         NoFreeConnection, // no connection was free, and the connection limit is reached
         NotWritten,       // failed before the first byte was written
         Lost,             // the connection ended after the first byte was written
-        Malformed,        // the response is not valid HTTP, has no length or is too large
+        Malformed,        // the response is not valid HTTP, has no length, no status from 200 to 599 or is too large
     };
     End end = End::Lost;
     int status = 0;                                           // HTTP status; 0 if no complete header was received
@@ -104,6 +104,9 @@
     void onRead(const std::error_code&, std::size_t n);
     void onWritten(const std::error_code&, std::size_t n);
     void parse(std::size_t n);
+    void beginResponse();
+    std::size_t parse(std::string_view);
+    bool hasValidStatus() const;
     int onHeadersComplete();
     bool storeHeader();
     bool takeMemory();
@@ -130,6 +133,7 @@
     http_parser m_parser {};
     std::array<char, 8192> m_buf {};
     std::string m_request;
+    std::string m_statusLine; // its first statusLineBytes, as received
     std::string m_headerName;
     std::string m_headerValue;
     LeafReply m_reply;
