Accept responses without a request id for requests without one

Cause: once a leaf had named the request that it answers, a response without an id counted as an answer to another request, also when the request itself had none. Every such request then failed with 504 for as long as the process lived. Found by the crowd that sends requests ahead: its requests have ids, the ordinary one afterwards has none.

Ruled out: a connection whose responses are shifted by one. The log has status=200 and outcome=lost for a request without id on new connections too.

--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -32,8 +32,8 @@
     std::uint64_t unresponsiveClosed = 0; // idle connections closed because another one to the leaf was unresponsive
 };
 
-/// Which request a reply answers, as far as it says so.
-enum class ReplyOwner : std::uint8_t { ThisRequest, AnotherRequest, Unknown };
+/// Which request a reply answers, as far as it says so. Unnamed: the request has no id that the reply could have.
+enum class ReplyOwner : std::uint8_t { ThisRequest, AnotherRequest, Unknown, Unnamed };
 
 /// A request as it is written to a connection.
 struct UpstreamRequest {
