Number proposals and broadcasts from the incarnation of the process

Cause: ControlClient and ItemBroadcast numbered from 1 in each run of a process, and answers name only the number. A late answer to a command of an earlier run counted as the answer to one of the present run, and a late acknowledgement confirmed a notice that the peer did not have.

Ruled out: an incarnation in each answer. It changes the format of the messages, so peers of the release before would not return it. They return the number, which has 64 bits. If the clock of an instance is set back, the ranges of two runs can still meet.

Before: with equal ranges, as numbering from 1 gave, 2 checks of the new test fail. After: it passes.

--- a/daemon/ControlClient.cpp
+++ b/daemon/ControlClient.cpp
@@ -2,10 +2,11 @@
 
 namespace citronplank {
 
-ControlClient::ControlClient(std::vector<std::string> members, Sender sender)
+ControlClient::ControlClient(std::vector<std::string> members, Sender sender, std::uint64_t lastId)
     : m_sender(std::move(sender))
     , m_table(LockRank::Requests)
 {
+    m_table.with([&](Table& table) { table.lastId = lastId; });
     setMembers(std::move(members));
 }
 
--- a/daemon/ControlClient.h
+++ b/daemon/ControlClient.h
@@ -26,8 +26,9 @@
     /// Sends a proposal to a control member, which may be this daemon. Returns false only if it was not sent.
     using Sender = std::function<bool(const std::string& member, const Propose&)>;
 
-    /// `members` are the names of all control members.
-    ControlClient(std::vector<std::string> members, Sender sender);
+    /// `members` are the names of all control members. Proposals are numbered above `lastId`; pass the incarnation of
+    /// this process, so that a late answer to an earlier run is not taken for one to this run.
+    ControlClient(std::vector<std::string> members, Sender sender, std::uint64_t lastId = 0);
 
     /// Replaces the members' names.
     void setMembers(std::vector<std::string> members);
--- a/daemon/ItemBroadcast.h
+++ b/daemon/ItemBroadcast.h
@@ -28,8 +28,8 @@
     static constexpr seconds lifetime { 5 };
     static constexpr double minConfirmedShare = 0.5; // share of the peers that confirms a change at `confirmTimeout`
 
-    /// Broadcasts are numbered from `firstNumber` on. Objects whose acknowledgements arrive together need
-    /// different ranges.
+    /// Broadcasts are numbered from `firstNumber` on. Objects whose acknowledgements arrive together need different
+    /// ranges, and so do the runs of a process, because acknowledgements to an earlier run may still arrive.
     explicit ItemBroadcast(Sender sender, std::uint64_t firstNumber = 1)
         : m_sender(std::move(sender))
         , m_lastNumber(firstNumber - 1)
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -64,8 +64,10 @@
 {
     auto names = namesOf(settings.controlMembers);
     m_knownControlMembers.with([&](std::set<std::string>& it) { it.insert(names.begin(), names.end()); });
-    m_controlClient = std::make_unique<ControlClient>(namesOf(settings.controlMembers),
-        [this](const std::string& member, const Propose& proposal) { return sendProposal(member, proposal); });
+    m_controlClient = std::make_unique<ControlClient>(
+        namesOf(settings.controlMembers),
+        [this](const std::string& member, const Propose& proposal) { return sendProposal(member, proposal); },
+        m_incarnation);
     LinkSettings links;
     links.listenAddress = settings.linkAddress;
     links.sender = settings.name;
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -25,7 +25,8 @@
 constexpr milliseconds closeReserve { 1500 };
 constexpr milliseconds leavePropagationTime { 300 }; // for gossip to spread the leave, or for a new leader to take over
 constexpr std::size_t maxProbeConnections = 64;      // load balancers poll once a second
-constexpr std::uint64_t firstZoneBroadcast = 1ULL << 32U; // above the numbers of this instance's own broadcasts
+/// Added to the incarnation, which is the time of the start in microseconds and so stays below.
+constexpr std::uint64_t firstZoneBroadcast = 1ULL << 62U;
 
 } // namespace
 
@@ -45,13 +46,16 @@
     , m_knownEntries(LockRank::Requests)
     , m_directoryAcks(LockRank::Requests)
     , m_broadcastStrand(asio::make_strand(m_io))
-    , m_broadcast([this](const std::string& peer, std::uint64_t number, const std::string& body) {
-        auto kind = m_directoryForwarders.contains(peer) ? MessageKind::DirectoryForward : MessageKind::DirectoryItems;
-        sendTo(peer, kind, body, number);
-    })
+    , m_broadcast(
+          [this](const std::string& peer, std::uint64_t number, const std::string& body) {
+              auto kind
+                  = m_directoryForwarders.contains(peer) ? MessageKind::DirectoryForward : MessageKind::DirectoryItems;
+              sendTo(peer, kind, body, number);
+          },
+          m_incarnation)
     , m_zoneBroadcast([this](const std::string& peer, std::uint64_t number,
                           const std::string& body) { sendTo(peer, MessageKind::DirectoryItems, body, number); },
-          firstZoneBroadcast)
+          firstZoneBroadcast + m_incarnation)
 {
     m_membership->setBroadcastHandler([this](std::vector<DirectoryItem> items, std::function<void(bool)> done) {
         broadcast(std::move(items), std::move(done));
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -2,6 +2,7 @@
 // table.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "backend/UpstreamClient.h"
+#include "daemon/ControlClient.h"
 #include "daemon/ItemBroadcast.h"
 #include "daemon/LogBuffer.h"
 #include "platform/RequestProtocol.h"
@@ -496,6 +497,40 @@
 
 // ---------------------------------------------------------------------------------------------------------------
 
+// Guards against an answer to a former run of this process that confirms a command or a change of this one.
+TEST_CASE("answers and acknowledgements to an earlier run are ignored")
+{
+    const std::uint64_t formerRun = 1'000'000;
+    const std::uint64_t thisRun = 5'000'000;
+    std::uint64_t sent = 0;
+    int answers = 0;
+    auto send = [&](const std::string&, const Propose& it) { return (sent = it.proposalId) != 0; };
+    ControlClient former({ "m" }, send, formerRun);
+    former.submit(
+        NoOp {}, milliseconds(100), [](const SubmitResult&) {}, at(0));
+    const auto formerId = sent;
+    ControlClient client({ "m" }, send, thisRun);
+    client.submit(
+        NoOp {}, milliseconds(100), [&](const SubmitResult&) { ++answers; }, at(0));
+    client.onAnswer({ formerId, ProposeStatus::Committed, {}, 7, {} }, at(1));
+    CHECK(answers == 0);
+    client.onAnswer({ sent, ProposeStatus::Committed, {}, 8, {} }, at(2));
+    CHECK(answers == 1);
+
+    std::vector<std::uint64_t> numbers;
+    auto broadcastBy = [&](const std::string&, std::uint64_t number, const std::string&) { numbers.push_back(number); };
+    std::vector<DirectoryItem> items { { "leaf/a", "payload", false } };
+    bool isConfirmed = false;
+    ItemBroadcast formerBroadcast(broadcastBy, formerRun);
+    formerBroadcast.start(items, { "p" }, at(0), nullptr);
+    ItemBroadcast broadcast(broadcastBy, thisRun);
+    broadcast.start(items, { "p" }, at(0), [&](bool it) { isConfirmed = it; });
+    broadcast.onAck("p", numbers.front());
+    CHECK_FALSE(isConfirmed);
+    broadcast.onAck("p", numbers.back());
+    CHECK(isConfirmed);
+}
+
 // Guards against a directory change that is acknowledged before the peers have it.
 TEST_CASE("a directory change is confirmed once all peers have it, or enough of them at the timeout")
 {
