--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -30,7 +30,8 @@
 constexpr std::size_t maxSubmittedBytes = 16UL * 1024 * 1024;
 constexpr std::size_t maxProbeBodyBytes = 4096;      // ignored
 constexpr milliseconds httpReportInterval { 1000 };
-constexpr std::uint64_t firstZoneBroadcast = 1ULL << 32U; // above the numbers of this instance's own broadcasts
+/// Added to the incarnation, which is the time of the start in microseconds and so stays below.
+constexpr std::uint64_t firstZoneBroadcast = 1ULL << 62U;
 
 } // namespace
 
@@ -51,13 +52,16 @@
     , m_knownEntries(LockRank::Requests)
     , m_directoryAcks(LockRank::Requests)
     , m_broadcastStrand(asio::make_strand(m_io))
-    , m_broadcast([this](const std::string& peer, std::uint64_t number, const std::string& body) {
-        auto kind = m_directoryForwarders.contains(peer) ? MessageKind::DirectoryForward : MessageKind::DirectoryItems;
-        sendTo(peer, kind, body, number);
-    })
+    , m_broadcast(
+          [this](const std::string& peer, std::uint64_t number, const std::string& body) {
+              auto kind
+                  = m_directoryForwarders.contains(peer) ? MessageKind::DirectoryForward : MessageKind::DirectoryItems;
+              sendTo(peer, kind, body, number);
+          },
+          m_incarnation)
     , m_zoneBroadcast([this](const std::string& peer, std::uint64_t number,
                           const std::string& body) { sendTo(peer, MessageKind::DirectoryItems, body, number); },
-          firstZoneBroadcast)
+          firstZoneBroadcast + m_incarnation)
     , m_httpReports(m_counters)
 {
     m_membership->setBroadcastHandler([this](std::vector<DirectoryItem> items, std::function<void(bool)> done) {
