--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -28,7 +28,7 @@
 // Configurations that were received and are not answered yet. Operators send 16 a second of 0.7 MB in bursts, and one
 // may wait for 3.5 s while there is no leader, which would be 39 MB.
 constexpr std::size_t maxSubmittedBytes = 16UL * 1024 * 1024;
-constexpr std::size_t maxProbeBodyBytes = 4096;      // ignored
+constexpr std::size_t maxProbeBodyBytes = 4096; // ignored
 constexpr milliseconds httpReportInterval { 1000 };
 /// Added to the incarnation, which is the time of the start in microseconds and so stays below.
 constexpr std::uint64_t firstZoneBroadcast = 1ULL << 62U;
