--- a/bench/ControlSlopes.cpp
+++ b/bench/ControlSlopes.cpp
@@ -303,9 +303,10 @@
     std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
     for (std::size_t i = 0; i < routes; ++i) {
         auto number = std::to_string(10'000 + i);
-        text += R"({"name":"route-)" + number + R"(","host":"bulk.example","path_prefix":"/bulk/)" + number
-            + R"(/","route_type":"idempotent","timeout_ms":10000,"target_latency_ms":600,"priority":2,"service":"service-)"
-            + std::to_string(i / 10) + R"(","max_attempts":2},)";
+        text.append(R"({"name":"route-)").append(number);
+        text.append(R"(","host":"bulk.example","path_prefix":"/bulk/)").append(number);
+        text.append(R"(/","route_type":"idempotent","timeout_ms":10000,"target_latency_ms":600,"priority":2,)");
+        text.append(R"("service":"service-)").append(std::to_string(i / 10)).append(R"(","max_attempts":2},)");
     }
     text += "],\"services\":[";
     for (std::size_t i = 0; i < routes / 10; ++i)
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -449,6 +449,27 @@
     CHECK(*system.read("127.40.2.1") == configurationOf(9));
 }
 
+// Guards against a configuration of a size in use that the control address refuses, and against one beyond the limit
+// that is acknowledged.
+TEST_CASE("a configuration of 5,000 routes is stored, and one over the limit is refused when it is sent")
+{
+    System system;
+    system.startControl();
+    auto large = configurationOf(1);
+    auto route = large.at("routes").at(0);
+    for (int i = 0; i < 5000; ++i) {
+        route["name"] = "additional-route-" + std::to_string(i);
+        route["path_prefix"] = "/additional/" + std::to_string(i) + "/";
+        large["routes"].push_back(route);
+    }
+    REQUIRE(eventually([&] { return system.put(large) == 200; }));
+    auto tooLarge = configurationOf(2);
+    tooLarge["comment"] = std::string(maxDocumentBytes, 'x');
+    CHECK(system.put(tooLarge) == 413);
+    REQUIRE(eventually([&] { return system.read().has_value(); }));
+    CHECK(*system.read() == large);
+}
+
 // Guards against an entry instance without a configuration because it would get one only from members known to gossip.
 TEST_CASE("an entry instance that gossip cannot reach still gets the configuration")
 {
