--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -3,6 +3,7 @@
 // rejected although they are below their limit.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "coordination/QuotaAllotter.h"
+#include "daemon/QuotaService.h"
 #include "policy/CustomerQuota.h"
 
 #include <algorithm>
@@ -303,13 +304,14 @@
 // resumes.
 TEST_CASE("a lease that a new leader does not know of counts until it has expired")
 {
-    for (bool freezes : { false, true }) {
+    for (auto [freezes, absence] : { std::pair(false, 5900), { true, 5900 }, { false, 12000 }, { true, 12000 } }) {
         CAPTURE(freezes);
+        CAPTURE(absence);
         System it(3, 100, 0);
         for (int i = 0; i < 4000; ++i) {
             it.advance();
             if (i == 1000) {
-                (freezes ? it.instances[0].frozenUntil : it.instances[0].cutOffUntil) = it.now + milliseconds(5900);
+                (freezes ? it.instances[0].frozenUntil : it.instances[0].cutOffUntil) = it.now + milliseconds(absence);
                 it.changeLeader(true);
             }
             it.request(0);
@@ -318,3 +320,83 @@
         CHECK(static_cast<double>(it.maxInWindow()) <= it.limit());
     }
 }
+
+// Guards against leases that are granted twice because the reply that granted them may have been lost.
+TEST_CASE("granted leases count although no later report states them")
+{
+    TimePoint now(std::chrono::hours(1));
+    QuotaAllotter allotter(bounds);
+    Customer customer { .name = name, .ratePerSecond = 100, .burst = 10 };
+    allotter.beginTerm(false, now);
+    allotter.setLimits({ &customer, 1 }, now);
+    double rate = 0;
+    double depth = 0;
+    for (int i = 0; i < 10; ++i) {
+        QuotaReport report { 1, { { .customer = name, .wanted = 20, .arrivals = 50 } } };
+        auto grant = allotter.onReport("i" + std::to_string(i), 1, report, now)->grants.at(0);
+        rate += grant.rate;
+        depth += grant.depth;
+        CHECK(grant.tokens <= grant.depth);
+    }
+    CHECK(rate > 0);
+    CHECK(rate <= bounds.rateOf(customer));
+    CHECK(depth <= bounds.depthOf(customer));
+}
+
+// Guards against tokens that a repeated or late reply adds a second time.
+TEST_CASE("only the first reply to the newest report counts")
+{
+    TimePoint now(std::chrono::hours(1));
+    CustomerQuota quota("i", bounds, now);
+    Customer customer { .name = name, .ratePerSecond = 1 };
+    quota.setLimits({ &customer, 1 }, now);
+    quota.onArrival(name, now);
+    auto first = quota.startReport("a", {}, now);
+    auto second = quota.startReport("a", {}, now);
+    QuotaReply reply { first.number, 1, { { .customer = name, .depth = 3, .tokens = 1 } } };
+    CHECK_FALSE(quota.onReply(reply, now));
+    reply.number = second.number;
+    CHECK(quota.onReply(reply, now));
+    CHECK_FALSE(quota.onReply(reply, now));
+    CHECK(quota.tryTake(name, now));
+    CHECK_FALSE(quota.tryTake(name, now));
+}
+
+// Guards against two allotters at a time, and against one that forgets that it had a successor while it was cut off.
+TEST_CASE("a control member allots only while it is confirmed as the leader, and knows nothing after a pause")
+{
+    TimePoint now(std::chrono::hours(1));
+    std::optional<std::uint64_t> term;
+    QuotaService service(bounds,
+        { [&] { return term; }, [] { return std::string("a"); },
+            [] {
+                return std::set<std::string> { "i", "j" };
+            } },
+        now);
+    Customer customer { .name = name, .ratePerSecond = 1 };
+    std::uint64_t number = 0;
+    auto tokens = [&] {
+        service.onTimer(now);
+        auto reply
+            = service.onReport("i", 1, encode(QuotaReport { ++number, { { .customer = name, .wanted = 1 } } }), now);
+        return reply.empty() ? -1 : decodeQuotaReply(reply).grants.at(0).tokens;
+    };
+    service.setCustomers({ &customer, 1 }, now);
+    CHECK(tokens() == -1);
+    term = 3;
+    CHECK(tokens() == 0); // leases of an earlier leader may be in force
+    now += seconds(1);
+    CHECK(tokens() == 0);
+    for (int i = 0; i < 10; ++i)
+        service.onTimer(now += seconds(1));
+    CHECK(tokens() == 0); // the leases have expired now, and the bucket starts empty
+    now += seconds(1);
+    CHECK(tokens() == 1);
+    now += seconds(2); // longer than a leader may go without a confirmation
+    double granted = 0;
+    for (int i = 0; i < 10; ++i)
+        granted += tokens();
+    CHECK(granted == bounds.handoverTokens());
+    term.reset();
+    CHECK(tokens() == -1);
+}
