Limit the rate of customers over all instances

With bounds.quota_window_s in the platform's settings, entry instances take a token for each request of a customer with a rate, before the request enters a queue, and report to the control leader, which answers with leases. A request without a token waits for the reply, 25 to 100 ms; over the limit it is answered with 429, "not run", and the time at which a token will be available. A request that is then rejected for lack of capacity returns its token. Without the setting, or without customers that have a rate, nothing is sent and nothing changes.

Control members decode the configuration only if limits are enabled.

RouteServiceTests 7 of 7 (new: requests over the limit, with and without an allotter), PlatformTests 12 of 12, QuotaTests 7 of 7 cases pass. Not run: whole systems with limits, the load of 860 instances and 10,000 customers.

--- a/daemon/PartMessages.h
+++ b/daemon/PartMessages.h
@@ -30,6 +30,8 @@
     RelayCancel = 16,
     Forward = 17,          // a ForwardedMessage, which the receiver handles and sends to the peers of its zone
     DirectoryForward = 18, // as DirectoryItems; acknowledged once the peers of the receiver's zone have the items too
+    QuotaReport = 19,      // of an entry instance to the control leader; see policy/QuotaMessages.h
+    QuotaReply = 20,
 };
 
 /// A message that is forwarded to the peers of a zone.
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -68,6 +68,7 @@
     , m_protocol(protocol)
     , m_counters(counters)
     , m_traffic(traffic)
+    , m_instance(instance)
     , m_zone(zone)
     , m_policies(instance, zone)
     , m_upstream(std::make_shared<UpstreamClient>(m_strand, UpstreamSettings {}))
@@ -77,6 +78,7 @@
     , m_waitTimer(m_strand)
     , m_lastId(initialRequestId())
     , m_checkTimer(m_strand)
+    , m_quotaTimer(m_strand)
 {
     m_policies.setBounds(bounds);
     scheduleChecks();
@@ -125,6 +127,7 @@
 void RouteService::checkRoutes()
 {
     recordTimerDelay();
+    checkQuota();
     m_canServe = m_policies.canServe();
     if (std::exchange(m_relayPeersChanged, false))
         m_relayPeers.with([&](auto& it) { it = m_policies.relayPeers(); });
@@ -158,6 +161,8 @@
 void RouteService::setTable(std::shared_ptr<const RouteTable> table)
 {
     asio::post(m_strand, [this, table = std::move(table)]() mutable {
+        if (m_quota)
+            m_quota->setLimits(table->configuration().customers, Clock::now());
         m_policies.setTable(std::move(table));
         m_relayPeersChanged = true;
     });
@@ -185,6 +190,8 @@
 void RouteService::setEntryInstances(std::vector<std::string> names, RoutePolicies::PeersByZone peers)
 {
     asio::post(m_strand, [this, names = std::move(names), peers = std::move(peers)]() mutable {
+        if (m_quota)
+            m_quota->setInstances(names);
         m_policies.setEntryInstances(std::move(names));
         m_policies.setPeers(peers);
         m_relayPeersChanged = true;
@@ -263,12 +270,7 @@
     auto wait = std::chrono::duration_cast<Duration>(maxWaitShare * route->objective);
     WaitingRequest waiting { std::move(caller), std::move(customer), std::move(request), std::move(responder),
         arrivedAt, arrivedAt + wait, std::move(route) };
-    if (waiting.route->shards.empty()) {
-        startRequest(std::move(waiting), nullptr);
-        return;
-    }
-    auto& queue = m_admissionQueues[waiting.route->shards.front()];
-    admit(std::move(waiting), queue);
+    admitWithinLimit(std::move(waiting));
 }
 
 void RouteService::startRequest(WaitingRequest it, ConcurrencyLimit* limit)
@@ -578,6 +580,8 @@
     asio::post(m_strand, [this] {
         m_checkTimer.cancel();
         m_waitTimer.cancel();
+        m_quotaTimer.cancel();
+        m_waitingForToken.clear();
         m_running.clear();
         m_relayed.clear();
         m_upstream->closeAll();
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -8,6 +8,7 @@
 #include "daemon/Traffic.h"
 #include "policy/ConcurrencyLimit.h"
 #include "policy/CrashGuard.h"
+#include "policy/CustomerQuota.h"
 #include "policy/StopAdmission.h"
 #include "query/RelayedGather.h"
 #include "transport/Links.h"
@@ -26,6 +27,12 @@
 /// Sends a crash notice to all other instances.
 using CrashNotifier = std::function<void(const CrashNotice&)>;
 
+/// Access to the allotter of customers' rate limits. Thread safe.
+struct QuotaLink {
+    std::function<std::string()> allotter; // name of the control leader; empty: unknown
+    std::function<void(const std::string& allotter, std::string report)> send;
+};
+
 /// The correlation of a relay message has the relay's number in its low bits and the request's id above them.
 constexpr unsigned relayNumberBits = 8;
 constexpr std::uint64_t relayNumberMask = (1ULL << relayNumberBits) - 1;
@@ -60,6 +67,11 @@
     /// Cancels the relay requests of an entry instance to which the link was lost, since their answers cannot be sent.
     void onPeerLost(std::string peer);
 
+    /// Enables the rate limits of customers. Precondition: called before the first table is set.
+    void setQuota(QuotaBounds, QuotaLink);
+    /// Handles the reply of the allotter to a report.
+    void onQuotaReply(QuotaReply);
+
     /// Handles a notice from another instance that a request crashed a leaf.
     void onCrashNotice(std::string peer, CrashNotice);
     /// Sends the crashes that this instance observed to an entry instance that was unknown or has restarted.
@@ -109,6 +121,8 @@
         TimePoint arrivedAt;
         TimePoint waitDeadline;
         std::shared_ptr<const Route> route;
+        bool hasToken = false; // of the customer's rate limit
+        TimePoint tokenDeadline;
         std::uint32_t priority() const { return customer.priority.value_or(route->priority); }
     };
     /// Limit and queue of the requests on all routes with the same first shard, which gather the same shards.
@@ -140,6 +154,11 @@
     bool authorize(CustomerIdentity&, HttpRequest&, const Route&);
     void refuseUnauthorized(const CallerInfo&, const HttpRequest&, const Responder&);
     void abortUnauthorized(Id, const RouteActions&);
+    void admitWithinLimit(WaitingRequest);
+    void rejectOverLimit(const WaitingRequest&);
+    void resumeWaiting(const std::string& customer, std::uint32_t refusals);
+    void checkQuota();
+    void admitToRoute(WaitingRequest);
     void startRequest(WaitingRequest, ConcurrencyLimit*);
     void admit(WaitingRequest, AdmissionQueue&);
     void refuseOverload(const WaitingRequest&, const AdmissionQueue&);
@@ -178,6 +197,7 @@
     const RouteProtocol& m_protocol;
     Counters& m_counters;
     TrafficCounters& m_traffic;
+    std::string m_instance;
     std::string m_zone;
     RoutePolicies m_policies;
     std::shared_ptr<UpstreamClient> m_upstream;
@@ -192,6 +212,9 @@
     std::unordered_map<std::string, TimePoint> m_probedAt; // last probe of leaves that recently lost a request
     std::unordered_map<Id, std::unique_ptr<RunningRequest>> m_running;
     std::map<std::string, AdmissionQueue> m_admissionQueues; // by the first gathered shard
+    std::optional<CustomerQuota> m_quota;                    // absent: customers have no rate limits
+    QuotaLink m_quotaLink;
+    std::unordered_map<std::string, std::deque<WaitingRequest>> m_waitingForToken; // by customer
     TimePoint m_lastBatchLogAt;
     LeafConnection::Timer m_waitTimer; // expires at the next wait deadline of a queued request
     std::unordered_map<Id, std::unique_ptr<RelayedRequest>> m_relayed;
@@ -201,6 +224,7 @@
     Id m_lastId; // of the running and the relayed requests, which share one sequence of ids
     std::atomic<bool> m_canServe { false };
     LeafConnection::Timer m_checkTimer;
+    LeafConnection::Timer m_quotaTimer;
 };
 
 } // namespace citronplank
--- a/daemon/RouteServiceAdmission.cpp
+++ b/daemon/RouteServiceAdmission.cpp
@@ -12,6 +12,16 @@
 
 } // namespace
 
+void RouteService::admitToRoute(WaitingRequest it)
+{
+    if (it.route->shards.empty()) {
+        startRequest(std::move(it), nullptr);
+        return;
+    }
+    auto& queue = m_admissionQueues[it.route->shards.front()];
+    admit(std::move(it), queue);
+}
+
 /// Runs a request, queues it until a slot is free, or refuses it if as many requests wait as may run at the same time.
 void RouteService::admit(WaitingRequest it, AdmissionQueue& queue)
 {
@@ -30,6 +40,8 @@
 
 void RouteService::refuseOverload(const WaitingRequest& it, const AdmissionQueue& queue)
 {
+    if (it.hasToken && m_quota)
+        m_quota->refund(it.customer.name, Clock::now());
     // Callers that retry at the same moment would meet the same load again.
     auto spread = static_cast<double>(m_random()) / static_cast<double>(std::mt19937::max());
     auto retryAfter = std::chrono::duration_cast<milliseconds>(
--- a/daemon/RouteServiceStop.cpp
+++ b/daemon/RouteServiceStop.cpp
@@ -45,6 +45,10 @@
             for (const auto& it : std::exchange(queue.waiting, {}))
                 refuseStopping(it.caller, it.request, it.responder);
         }
+        for (auto& [customer, waiting] : std::exchange(m_waitingForToken, {})) {
+            for (const auto& it : waiting)
+                refuseStopping(it.caller, it.request, it.responder);
+        }
         std::vector<Id> ids;
         for (const auto& [id, it] : m_running)
             ids.push_back(id);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds leavesInterval { 50 };    // batches changes of the directory
 constexpr milliseconds broadcastInterval { 50 }; // between checks for due resends and timeouts
 constexpr milliseconds readinessInterval { 100 };
+constexpr milliseconds quotaInterval { 200 };     // between updates of the instances that may hold leases
 constexpr milliseconds relayLinkInterval { 200 }; // until a link to a new relay peer is opened
 constexpr seconds trafficLogInterval { 10 };      // so that the log alone shows the traffic by purpose
 constexpr milliseconds proposalTimeout { 2500 };  // operators retry after a few seconds without an answer
@@ -65,6 +66,12 @@
             },
             [this](const CrashNotice& notice) { sendToPeers(MessageKind::Suspicion, encodeCrashNotice(notice)); },
             m_counters, m_traffic);
+        if (m_routedSettings.quota.isEnabled())
+            m_routes->setQuota(m_routedSettings.quota,
+                { [this] { return m_controlClient->leader(); },
+                    [this](const std::string& allotter, std::string report) {
+                        sendTo(allotter, MessageKind::QuotaReport, std::move(report));
+                    } });
         HttpServerSettings callers;
         callers.address = m_routedSettings.callerAddress;
         callers.detectsEarlyDisconnects = true;
@@ -72,6 +79,8 @@
             m_routes->onRequest(std::move(request), std::move(responder));
         });
     }
+    if (m_control && m_routedSettings.quota.isEnabled())
+        m_quota = std::make_unique<QuotaService>(m_routedSettings.quota, quotaLeadership(), Clock::now());
     if (!m_routedSettings.readyAddress.empty()) {
         HttpServerSettings ready;
         ready.address = m_routedSettings.readyAddress;
@@ -103,6 +112,8 @@
 {
     runEvery(leavesInterval, [this] { onLeavesTimer(); });
     runEvery(broadcastInterval, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
+    if (m_quota)
+        runEvery(quotaInterval, [this] { asio::post(m_broadcastStrand, [this] { m_quota->onTimer(Clock::now()); }); });
     runEvery(readinessInterval, [this] { updateReadiness(); });
     runEvery(trafficLogInterval, [this] { logTraffic(); });
     runEvery(relayLinkInterval, [this] { keepRelayLinksOpen(); });
@@ -161,12 +172,17 @@
     const auto& document = current->published.document;
     if (m_routes)
         m_routes->setZonesOut(current->rules.zonesOut);
-    if (!m_routes || document.version <= m_decodedVersion)
+    if ((!m_routes && !m_quota) || document.version <= m_decodedVersion)
         return;
     try {
         auto configuration = m_decodeConfiguration(document.content);
-        m_callerServer->setLimits(configuration.callerLimits);
-        m_routes->setTable(std::make_shared<const RouteTable>(std::move(configuration)));
+        if (m_quota)
+            asio::post(m_broadcastStrand,
+                [this, customers = configuration.customers] { m_quota->setCustomers(customers, Clock::now()); });
+        if (m_routes) {
+            m_callerServer->setLimits(configuration.callerLimits);
+            m_routes->setTable(std::make_shared<const RouteTable>(std::move(configuration)));
+        }
         m_decodedVersion = document.version;
     } catch (const Error& error) {
         log(LogLevel::Error, "config",
@@ -199,6 +215,41 @@
     m_routes->setEntryInstances(std::move(entryInstances), std::move(peers));
 }
 
+QuotaLeadership RoutedDaemon::quotaLeadership()
+{
+    auto leader = [this] { return m_configuration.lastNotice().leader; };
+    auto confirmedTerm = [this, leader]() -> std::optional<std::uint64_t> {
+        auto age = m_configuration.freshnessAge(Clock::now());
+        if (!age || *age >= quotaConfirmationTime || leader() != m_settings.name)
+            return std::nullopt;
+        return m_control->status().log.term;
+    };
+    auto entryInstances = [this]() -> std::optional<std::set<std::string>> {
+        if (!m_hasMemberList)
+            return std::nullopt;
+        std::set<std::string> names;
+        for (const auto& it : m_membership->livePeers()) {
+            if (!it.controlMember)
+                names.insert(it.name);
+        }
+        if (m_routes)
+            names.insert(m_settings.name);
+        return names;
+    };
+    return { confirmedTerm, leader, entryInstances };
+}
+
+void RoutedDaemon::onQuotaReport(const Envelope& envelope)
+{
+    try {
+        auto reply = m_quota->onReport(envelope.sender, envelope.incarnation, envelope.body, Clock::now());
+        if (!reply.empty())
+            sendTo(envelope.sender, MessageKind::QuotaReply, std::move(reply));
+    } catch (const Error& error) {
+        log(LogLevel::Warning, "quota", "Dropped a report of " + envelope.sender + ": " + error.what() + ".");
+    }
+}
+
 /// The host of a link address is the name of the instance; see Node::addressOf.
 void RoutedDaemon::onLinkDown(const std::string& address, Channel channel)
 {
@@ -428,6 +479,14 @@
         if (m_routes)
             m_routes->onCrashNotice(envelope.sender, decodeCrashNotice(envelope.body));
         return;
+    case MessageKind::QuotaReport:
+        if (m_quota)
+            asio::post(m_broadcastStrand, [this, envelope] { onQuotaReport(envelope); });
+        return;
+    case MessageKind::QuotaReply:
+        if (m_routes)
+            m_routes->onQuotaReply(decodeQuotaReply(envelope.body));
+        return;
     case MessageKind::RelayRequest:
     case MessageKind::RelayAnswer:
     case MessageKind::RelayCancel:
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -7,6 +7,7 @@
 #include "daemon/ItemBroadcast.h"
 #include "daemon/LogBuffer.h"
 #include "daemon/Node.h"
+#include "daemon/QuotaService.h"
 #include "daemon/RouteService.h"
 #include "daemon/ZoneOrders.h"
 
@@ -42,6 +43,7 @@
     std::string controlAddress; // empty: no control member
     std::string metricsAddress; // for GET /metrics and GET /dump; empty: not served
     SharedBounds bounds;
+    QuotaBounds quota;                              // of customers' rate limits
     milliseconds graceTime { 6000 };                // from SIGTERM to the end of the process
     milliseconds readinessPropagationTime { 2300 }; // until load balancers have noticed that it is not ready
     milliseconds directoryWait { 3000 };            // from the start; then an incomplete directory counts as complete
@@ -99,6 +101,8 @@
     void onDirectoryForward(const Envelope&);
     void forwardChange(const ForwardedChange&, const std::vector<DirectoryItem>&);
     std::vector<std::string> ownZoneEntries() const;
+    QuotaLeadership quotaLeadership();
+    void onQuotaReport(const Envelope&);
     void onLeavesTimer();
     void updateRouteLeaves();
     void updateReadiness();
@@ -125,6 +129,7 @@
     ItemBroadcast m_zoneBroadcast; // of changes that a control member of another zone has sent
     std::set<std::string, std::less<>> m_directoryForwarders; // the peers of m_broadcast that forward changes
     std::map<ForwardedChange, ForwardState> m_forwardedChanges;
+    std::unique_ptr<QuotaService> m_quota; // null if this is no control member or there are no limits
     std::unique_ptr<RouteService> m_routes;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readyServer;
--- a/daemon/Traffic.cpp
+++ b/daemon/Traffic.cpp
@@ -4,10 +4,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 19> kindNames { "unknown", "control", "lease", "part_request", "part_answer",
+constexpr std::array<std::string_view, 21> kindNames { "unknown", "control", "lease", "part_request", "part_answer",
     "part_cancel", "configuration_fetch", "configuration_answer", "directory_fetch", "directory_answer", "freshness",
     "suspicion", "directory_items", "directory_ack", "relay_request", "relay_answer", "relay_cancel", "forward",
-    "directory_forward" };
+    "directory_forward", "quota_report", "quota_reply" };
 constexpr std::array<std::string_view, 2> zoneNames { "own_zone", "other_zone" };
 
 } // namespace
--- a/daemon/Traffic.h
+++ b/daemon/Traffic.h
@@ -23,7 +23,7 @@
     std::string summary() const;
 
 private:
-    static constexpr std::size_t kindCount = static_cast<std::size_t>(MessageKind::DirectoryForward) + 1;
+    static constexpr std::size_t kindCount = static_cast<std::size_t>(MessageKind::QuotaReply) + 1;
     using ByZone = std::array<Counter*, 2>; // own zone, other zones
 
     ByZone m_leaf;
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -362,6 +362,12 @@
     CHECK(settings.node.bootstrap);
     CHECK(settings.node.isControlMember());
     CHECK(settings.callerAddress.empty());
+    CHECK_FALSE(settings.quota.isEnabled());
+    CHECK_FALSE(platform::parseSettings(text + "quota-window-s \nquota-overage \nquota-slack \n").quota.isEnabled());
+    auto limited = platform::parseSettings(text + "quota-window-s 2.5\nquota-overage 0.1\nquota-slack 20\n").quota;
+    CHECK(limited.window == milliseconds(2500));
+    CHECK(limited.overage == 0.1);
+    CHECK(limited.slack == 20);
     CHECK(settings.node.announcementTimeout == milliseconds(6000));
     // A member that is not a seed never creates a cluster.
     CHECK_FALSE(platform::parseSettings("instance 10.0.0.9\n" + text.substr(text.find('\n') + 1)).node.bootstrap);
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -2,6 +2,7 @@
 // io_context that the tests run step by step. Guards against work that is started for callers that have left, and
 // against a request that runs twice.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "coordination/QuotaAllotter.h"
 #include "daemon/RouteService.h"
 #include "platform/RequestProtocol.h"
 
@@ -178,10 +179,10 @@
 
     std::atomic<int> arrivals { 0 }; // requests at the leaf
     /// Sets the customers: one with that key, or none if it is empty.
-    void setKey(const std::string& key)
+    void setKey(const std::string& key, double rate = 0)
     {
         ++configuration.version;
-        configuration.customers = { { "acme", { key } }, { "other", { "other" } } };
+        configuration.customers = { { "acme", { key }, rate }, { "other", { "other" } } };
         routes.setTable(std::make_shared<const RouteTable>(configuration));
         run(milliseconds(5));
     }
@@ -311,3 +312,45 @@
     CHECK(it.arrivals == 1);
     CHECK(it.arrivalsOfCustomer == 0);
 }
+
+// Guards against requests over a customer's limit that run, a limited customer that is not served without a lease, and
+// requests that wait for ever when no allotter answers.
+TEST_CASE("a customer's requests over its limit are rejected with a time, before they run")
+{
+    Fixture it;
+    QuotaBounds bounds { .window = seconds(5), .overage = 0, .slack = 2 };
+    QuotaAllotter allotter(bounds);
+    allotter.beginTerm(false, Clock::now());
+    std::string allotterName = "control";
+    it.routes.setQuota(bounds,
+        { [&] { return allotterName; },
+            [&](const std::string&, const std::string& report) {
+                if (auto reply = allotter.onReport("entry", 1, decodeQuotaReport(report), Clock::now()))
+                    it.routes.onQuotaReply(*reply);
+            } });
+    it.setKey("k1", 0.01);
+    allotter.setLimits(it.configuration.customers, Clock::now());
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 5; ++i)
+        callers.push_back(it.sendRequest("Authorization: Bearer k1\r\n"));
+    it.run(milliseconds(300));
+    CHECK(it.arrivals == 2);
+    int rejected = 0;
+    for (auto& caller : callers) {
+        auto answer = Fixture::readAnswer(caller);
+        rejected += answer.starts_with("HTTP/1.1 429 ") && answer.find("Retry-After: ") != std::string::npos ? 1 : 0;
+    }
+    CHECK(rejected == 3);
+    // A customer without a limit is served.
+    auto other = it.sendRequest("Authorization: Bearer other\r\n");
+    it.run(milliseconds(50));
+    CHECK(it.arrivals == 3);
+    // Without an allotter the wait ends.
+    allotterName.clear();
+    std::this_thread::sleep_for(milliseconds(250));
+    auto last = it.sendRequest("Authorization: Bearer k1\r\n");
+    it.run(milliseconds(300));
+    CHECK(Fixture::readAnswer(last).starts_with("HTTP/1.1 429 "));
+    CHECK(it.arrivals == 3);
+    CHECK(it.routes.runningCount() == 0);
+}
