Export the admissions and leases of customers as metrics

The 20 customers with the most requests at the instance have lines of their own and the rest share one, so that 10,000 customers do not make a page of 50,000 lines. Customers without a rate limit are not counted. Log lines are those of refusals and of a beginning allotter; there is no line yet when a customer reaches its limit or returns below it.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -75,6 +75,7 @@
     , m_sender(std::move(sender))
     , m_notifyCrash(std::move(notifyCrash))
     , m_relayPeers(LockRank::Requests)
+    , m_customerMetrics(LockRank::Requests)
     , m_waitTimer(m_strand)
     , m_lastId(initialRequestId())
     , m_checkTimer(m_strand)
@@ -128,6 +129,7 @@
 {
     recordTimerDelay();
     checkQuota();
+    updateCustomerMetrics();
     m_canServe = m_policies.canServe();
     if (std::exchange(m_relayPeersChanged, false))
         m_relayPeers.with([&](auto& it) { it = m_policies.relayPeers(); });
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -61,6 +61,9 @@
     void setEntryInstances(std::vector<std::string> names, RoutePolicies::PeersByZone peers);
     /// Returns the peers that relay requests are sent to; see RoutePolicies::relayPeers. Updated every 100 ms.
     std::set<std::string> relayPeers() const;
+    /// Lines of the metrics for the customers with the most requests here, and for all others together; see
+    /// docs/OPERATIONS.md. Updated every second.
+    std::string customerMetrics() const;
     /// Handles a relay message from another instance. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const Envelope&);
 
@@ -158,6 +161,7 @@
     void rejectOverLimit(const WaitingRequest&);
     void resumeWaiting(const std::string& customer, std::uint32_t refusals);
     void checkQuota();
+    void updateCustomerMetrics();
     void admitToRoute(WaitingRequest);
     void startRequest(WaitingRequest, ConcurrencyLimit*);
     void admit(WaitingRequest, AdmissionQueue&);
@@ -214,6 +218,9 @@
     std::map<std::string, AdmissionQueue> m_admissionQueues; // by the first gathered shard
     std::optional<CustomerQuota> m_quota;                    // absent: customers have no rate limits
     QuotaLink m_quotaLink;
+    std::unordered_map<std::string, std::uint64_t> m_capacityRejections; // by limited customer
+    TimePoint m_metricsAt;
+    mutable Guarded<std::string> m_customerMetrics;
     std::unordered_map<std::string, std::deque<WaitingRequest>> m_waitingForToken; // by customer
     TimePoint m_lastBatchLogAt;
     LeafConnection::Timer m_waitTimer; // expires at the next wait deadline of a queued request
--- a/daemon/RouteServiceAdmission.cpp
+++ b/daemon/RouteServiceAdmission.cpp
@@ -40,8 +40,10 @@
 
 void RouteService::refuseOverload(const WaitingRequest& it, const AdmissionQueue& queue)
 {
-    if (it.hasToken && m_quota)
+    if (it.hasToken && m_quota) {
         m_quota->refund(it.customer.name, Clock::now());
+        ++m_capacityRejections[it.customer.name];
+    }
     // Callers that retry at the same moment would meet the same load again.
     auto spread = static_cast<double>(m_random()) / static_cast<double>(std::mt19937::max());
     auto retryAfter = std::chrono::duration_cast<milliseconds>(
--- a/daemon/RouteServiceQuota.cpp
+++ b/daemon/RouteServiceQuota.cpp
@@ -1,6 +1,8 @@
 // Rate limits of customers: takes a token for each request, and exchanges reports and replies with the allotter.
 #include "daemon/RouteService.h"
 
+#include <algorithm>
+
 namespace citronplank {
 
 namespace {
@@ -10,6 +12,8 @@
 constexpr double maxTokenWaitShare = 0.2;
 constexpr milliseconds minTokenWait { 25 };
 constexpr milliseconds maxTokenWait { 100 };
+constexpr milliseconds metricsInterval { 1000 };
+constexpr std::size_t maxCustomerLabels = 20;     // bounds the size of the metrics with thousands of customers
 constexpr milliseconds quotaTimerInterval { 25 }; // while requests wait
 
 } // namespace
@@ -112,6 +116,58 @@
     });
 }
 
+std::string RouteService::customerMetrics() const
+{
+    return m_customerMetrics.with([](const std::string& it) { return it; });
+}
+
+void RouteService::updateCustomerMetrics()
+{
+    auto now = Clock::now();
+    if (!m_quota || now < m_metricsAt + metricsInterval)
+        return;
+    m_metricsAt = now;
+    std::vector<std::pair<std::string, QuotaStatus>> all;
+    for (auto& it : m_quota->status(now))
+        all.emplace_back(it);
+    std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
+        return a.second.admitted + a.second.rejected > b.second.admitted + b.second.rejected;
+    });
+    std::string text;
+    auto append = [&](std::string_view name, const std::string& customer, const std::string& value) {
+        text.append("citronplank_customer_").append(name).append("{customer=\"");
+        for (char c : customer)
+            text.append(c == '"' || c == '\\' ? "\\" : "").push_back(c);
+        text.append("\"} ").append(value).append("\n");
+    };
+    auto appendAll = [&](const std::string& customer, const QuotaStatus& it, std::uint64_t capacityRejections) {
+        append("admitted_total", customer, std::to_string(it.admitted));
+        append("rejected_by_limit_total", customer, std::to_string(it.rejected));
+        append("rejected_for_capacity_total", customer, std::to_string(capacityRejections));
+        append("leased_rate", customer, formatDecimal(it.rate));
+        append("leased_tokens", customer, formatDecimal(it.tokens));
+    };
+    QuotaStatus others;
+    std::uint64_t othersCapacity = 0;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const auto& [customer, it] = all[i];
+        auto found = m_capacityRejections.find(customer);
+        auto capacity = found == m_capacityRejections.end() ? 0 : found->second;
+        if (i < maxCustomerLabels) {
+            appendAll(customer, it, capacity);
+            continue;
+        }
+        others.admitted += it.admitted;
+        others.rejected += it.rejected;
+        others.rate += it.rate;
+        others.tokens += it.tokens;
+        othersCapacity += capacity;
+    }
+    if (all.size() > maxCustomerLabels)
+        appendAll("other", others, othersCapacity);
+    m_customerMetrics.with([&](std::string& it) { it = std::move(text); });
+}
+
 void RouteService::onQuotaReply(QuotaReply reply)
 {
     asio::post(m_strand, [this, reply = std::move(reply)] {
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -70,7 +70,7 @@
     /// Applies the settings that can change at run time: the seeds. Thread safe.
     void reload(const Settings&);
     /// All counters in the format of Counters::text. Thread safe.
-    std::string metrics() const { return m_counters.text(); }
+    std::string metrics() const { return m_counters.text() + (m_routes ? m_routes->customerMetrics() : std::string()); }
     /// The state as text with one "name value" per line. Thread safe.
     std::string dump() const;
 
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -341,6 +341,10 @@
         rejected += answer.starts_with("HTTP/1.1 429 ") && answer.find("Retry-After: ") != std::string::npos ? 1 : 0;
     }
     CHECK(rejected == 3);
+    it.run(milliseconds(1100));
+    CHECK(it.routes.customerMetrics().find("customer_admitted_total{customer=\"acme\"} 2\n") != std::string::npos);
+    CHECK(it.routes.customerMetrics().find("customer_rejected_by_limit_total{customer=\"acme\"} 3\n")
+        != std::string::npos);
     // A customer without a limit is served.
     auto other = it.sendRequest("Authorization: Bearer other\r\n");
     it.run(milliseconds(50));
