Test that a single request at the limits of header and body is served

Cause: the memory budget and the bound on header fields must not refuse a caller that keeps to the limits.

--- a/tests/HttpServerTests.cpp
+++ b/tests/HttpServerTests.cpp
@@ -188,6 +188,22 @@
     CHECK(server.http->counters().badRequests == cases.size());
 }
 
+// Guards against a bound on memory or on header fields that refuses a request within the limits.
+TEST_CASE("a single request at the limits of header and body is served")
+{
+    HttpServerSettings settings;
+    settings.maxBodyBytes = 262144;
+    settings.memory = std::make_shared<MemoryBudget>(std::size_t { 16 } << 20U);
+    Server server(settings);
+    std::string request = "POST /full HTTP/1.1\r\nContent-Length: 262144\r\n";
+    for (int i = 0; i < 2500; ++i)
+        request += "a: b\r\n";
+    Caller caller(server);
+    caller.send(request + "\r\n" + std::string(262144, 'x'));
+    CHECK(contains(caller.answer(), "POST/full"));
+    CHECK(eventually([&] { return settings.memory->used() < MemoryBudget::smallBytes; }));
+}
+
 // Guards against incomplete requests that occupy a connection indefinitely or delay the requests of others.
 TEST_CASE("incomplete requests time out while others are served")
 {
