Order waiting gathered requests by priority and customers' shares

Before, a full queue refused the newest request, whoever sent it, and the order was that of arrival within two classes of priority. Now, with customers in the configuration, the queue is ordered by CapacityShares, and a full queue refuses the last in that order. Without customers the order of arrival stays.

Not changed: requests that are forwarded to one leaf have no queue here, so the shares do not apply to them. There is no test of the queue within RouteService yet; the order itself has CapacitySharesTests.

--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -6,6 +6,7 @@
 #include "daemon/OrderedMutex.h"
 #include "daemon/RouteProtocol.h"
 #include "daemon/Traffic.h"
+#include "policy/CapacityShares.h"
 #include "policy/ConcurrencyLimit.h"
 #include "policy/CrashGuard.h"
 #include "policy/CustomerQuota.h"
@@ -126,6 +127,7 @@
         std::shared_ptr<const Route> route;
         bool hasToken = false; // of the customer's rate limit
         TimePoint tokenDeadline;
+        CapacityClaim claim() const { return { priority(), customer.name, arrivedAt }; }
         std::uint32_t priority() const { return customer.priority.value_or(route->priority); }
     };
     /// Limit and queue of the requests on all routes with the same first shard, which gather the same shards.
@@ -163,6 +165,9 @@
     void checkQuota();
     void updateCustomerMetrics();
     void admitToRoute(WaitingRequest);
+    void enqueue(WaitingRequest, AdmissionQueue&);
+    void orderWaiting(AdmissionQueue&);
+    void startQueued(WaitingRequest, AdmissionQueue&);
     void startRequest(WaitingRequest, ConcurrencyLimit*);
     void admit(WaitingRequest, AdmissionQueue&);
     void refuseOverload(const WaitingRequest&, const AdmissionQueue&);
@@ -222,6 +227,7 @@
     TimePoint m_metricsAt;
     mutable Guarded<std::string> m_customerMetrics;
     std::unordered_map<std::string, std::deque<WaitingRequest>> m_waitingForToken; // by customer
+    CapacityShares m_capacityShares;
     TimePoint m_lastBatchLogAt;
     LeafConnection::Timer m_waitTimer; // expires at the next wait deadline of a queued request
     std::unordered_map<Id, std::unique_ptr<RelayedRequest>> m_relayed;
--- a/daemon/RouteServiceAdmission.cpp
+++ b/daemon/RouteServiceAdmission.cpp
@@ -2,6 +2,8 @@
 // them.
 #include "daemon/RouteService.h"
 
+#include <algorithm>
+
 namespace citronplank {
 
 namespace {
@@ -27,17 +29,46 @@
 {
     bool isHighPriority = it.priority() <= maxHighPriorityNumber;
     if (queue.waiting.empty() && queue.limit.tryAcquire(isHighPriority)) {
-        startRequest(std::move(it), &queue.limit);
-        return;
-    }
-    if (static_cast<double>(queue.waiting.size()) >= queue.limit.limit()) {
-        refuseOverload(it, queue);
+        startQueued(std::move(it), queue);
         return;
     }
-    queue.waiting.push_back(std::move(it));
+    enqueue(std::move(it), queue);
     admitWaiting();
 }
 
+/// Adds a request to the queue. If that is full, refuses the request that is last in the order of customers; without
+/// customers that is this one.
+void RouteService::enqueue(WaitingRequest it, AdmissionQueue& queue)
+{
+    bool isFull = static_cast<double>(queue.waiting.size()) >= queue.limit.limit();
+    queue.waiting.push_back(std::move(it));
+    if (!isFull)
+        return;
+    orderWaiting(queue);
+    auto last = std::move(queue.waiting.back());
+    queue.waiting.pop_back();
+    refuseOverload(last, queue);
+}
+
+/// Orders the queue by priority and by the customers' shares of capacity. Without customers the order of arrival stays.
+void RouteService::orderWaiting(AdmissionQueue& queue)
+{
+    if (m_policies.table()->configuration().customers.empty())
+        return;
+    std::stable_sort(queue.waiting.begin(), queue.waiting.end(),
+        [&, now = Clock::now()](const WaitingRequest& a, const WaitingRequest& b) {
+            return m_capacityShares.precedes(a.claim(), b.claim(), now);
+        });
+}
+
+/// Starts a request that holds a slot of the queue's limit.
+void RouteService::startQueued(WaitingRequest it, AdmissionQueue& queue)
+{
+    if (!m_policies.table()->configuration().customers.empty())
+        m_capacityShares.onUse(it.customer.name, static_cast<double>(it.route->shards.size()), Clock::now());
+    startRequest(std::move(it), &queue.limit);
+}
+
 void RouteService::refuseOverload(const WaitingRequest& it, const AdmissionQueue& queue)
 {
     if (it.hasToken && m_quota) {
@@ -61,6 +92,7 @@
     auto now = Clock::now();
     std::optional<TimePoint> nextDeadline;
     for (auto& [shard, queue] : m_admissionQueues) {
+        orderWaiting(queue);
         auto& waiting = queue.waiting;
         for (bool isHighPriority : { true, false }) {
             for (std::size_t i = 0; i < waiting.size();) {
@@ -82,7 +114,7 @@
                 auto it = std::move(waiting[i]);
                 waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
                 if (runs)
-                    startRequest(std::move(it), &queue.limit);
+                    startQueued(std::move(it), queue);
                 else if (isDisconnected)
                     --m_runningCount;
                 else if (isRefused)
