Spread requests over leaves that many instances share

Cause: each instance took the leaf with the least cost by its own observations. With 60 instances these are seconds old and its own count is nearly always 0, so instances of a zone chose the same leaf, an added or returning leaf got all requests, and zones with few slots were overloaded beside idle ones.

Ruled out (docs/design/even-load.md): power of two choices on own counts and rotated subsets (a third and more of the attempts leave their zone), leased slots (fewer slots than instances), counts by gossip (9 kB/s, or too old). Counts on relay messages could gain more and are not built.

Now SpreadChoice draws among leaves of about equal cost, remembers slow leaves for half a minute, does not take an unobserved leaf for an idle one, and moves what the own zone has no slots for, estimated from the own rate. Three counters and a log line every 30 s show it act.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -125,6 +125,7 @@
 void RouteService::checkRoutes()
 {
     recordTimerDelay();
+    reportSpread();
     m_canServe = m_policies.canServe();
     if (std::exchange(m_relayPeersChanged, false))
         m_relayPeers.with([&](auto& it) { it = m_policies.relayPeers(); });
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -54,6 +54,9 @@
     void setEntryInstances(std::vector<std::string> names, RoutePolicies::PeersByZone peers);
     /// Returns the peers that relay requests are sent to; see RoutePolicies::relayPeers. Updated every 100 ms.
     std::set<std::string> relayPeers() const;
+    /// Answers with a JSON object that states where a request to this host and target would go now and why. Nothing is
+    /// sent and no state or budget changes.
+    void explain(std::string host, std::string target, Responder);
     /// Handles a relay message from another instance. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const Envelope&);
 
@@ -121,6 +124,7 @@
     void scheduleChecks();
     void checkRoutes();
     void recordTimerDelay();
+    void reportSpread();
     milliseconds startRetryAfter() const;
     void handleRequest(HttpRequest, Responder, TimePoint arrivedAt);
     static TimePoint deadlineOf(const Route&, const CallerInfo&, TimePoint arrivedAt);
@@ -180,6 +184,9 @@
     std::unordered_map<Id, std::unique_ptr<RunningRequest>> m_running;
     std::map<std::string, AdmissionQueue> m_admissionQueues; // by the first gathered shard
     TimePoint m_lastBatchLogAt;
+    SpreadCounters m_spreadReported; // as last counted
+    SpreadCounters m_spreadLogged;   // as last logged
+    TimePoint m_spreadLoggedAt;
     LeafConnection::Timer m_waitTimer; // expires at the next wait deadline of a queued request
     std::unordered_map<Id, std::unique_ptr<RelayedRequest>> m_relayed;
     std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry instance and correlation
--- a/policy/LeafSelector.cpp
+++ b/policy/LeafSelector.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-constexpr double learnRate = 0.25;    // weight of one observation
-constexpr double maxSlowness = 30;    // so that one very late answer does not exclude a leaf for long
-constexpr double failureCost = 6;     // in usual latencies: a failed attempt costs its own time and that of a retry
-constexpr double failingShare = 0.05; // a failure rate up to this is ignored
+constexpr double learnRate = 0.25;      // weight of one observation
+constexpr double maxSlowness = 30;      // so that one very late answer does not exclude a leaf for long
+constexpr double failureCost = 6;       // in usual latencies: a failed attempt costs its own time and that of a retry
+constexpr double failingShare = 0.05;   // a failure rate up to this is ignored
+constexpr double steadyLearnRate = 0.2; // of the latency over a longer time
+constexpr double maxSteadyRatio = 3;    // so that one late answer does not count for half a minute
 constexpr std::uint32_t maxBackoffDoublings = 5; // enough to reach maxBackoff; keeps the shift in range
 
 double ticksOf(Duration duration) { return static_cast<double>(duration.count()); }
@@ -22,11 +24,23 @@
     return std::exp2(-ticksOf(now - it.updatedAt) / ticksOf(m_settings.slownessHalfLife));
 }
 
+double LeafSelector::steadyDecay(const Observations& it, TimePoint now) const
+{
+    return std::exp2(-ticksOf(now - it.updatedAt) / ticksOf(m_settings.steadyHalfLife));
+}
+
+Duration LeafSelector::costOfZone(const Announcement& leaf, Duration typicalLatency) const
+{
+    if (leaf.zone == m_ownZone)
+        return Duration::zero();
+    return Duration(static_cast<Duration::rep>(
+        ticksOf(m_settings.otherZoneCost) + ticksOf(typicalLatency) * m_settings.otherZoneLatencyShare));
+}
+
 Duration LeafSelector::expectedCost(const Announcement& leaf, Duration typicalLatency, TimePoint now) const
 {
     double usual = ticksOf(typicalLatency);
-    double cost
-        = leaf.zone == m_ownZone ? 0 : ticksOf(m_settings.otherZoneCost) + usual * m_settings.otherZoneLatencyShare;
+    double cost = ticksOf(costOfZone(leaf, typicalLatency));
     auto found = m_leaves.find(leaf.leaf);
     if (found == m_leaves.end())
         return Duration(static_cast<Duration::rep>(usual + cost));
@@ -48,27 +62,33 @@
 std::optional<std::size_t> LeafSelector::choose(
     std::span<const Announcement* const> candidates, Duration typicalLatency, TimePoint now) const
 {
-    std::optional<std::size_t> best;
-    Duration bestCost {};
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (isDown(*candidates[i]))
-            continue;
-        auto cost = expectedCost(*candidates[i], typicalLatency, now);
-        if (best && cost >= bestCost)
-            continue;
-        best = i;
-        bestCost = cost;
+    return LeastCostChoice().choose(estimates(candidates, typicalLatency, now), typicalLatency);
+}
+
+std::vector<LeafEstimate> LeafSelector::estimates(
+    std::span<const Announcement* const> candidates, Duration typicalLatency, TimePoint now) const
+{
+    std::vector<LeafEstimate> all;
+    all.reserve(candidates.size());
+    for (const auto* leaf : candidates) {
+        auto found = m_leaves.find(leaf->leaf);
+        double confidence = 0;
+        double steadyCost = 0;
+        if (found != m_leaves.end()) {
+            confidence = std::min(1.0, decay(found->second, now));
+            steadyCost = found->second.steadyCost * steadyDecay(found->second, now);
+        }
+        all.push_back({ expectedCost(*leaf, typicalLatency, now), leaf->slots, inFlight(leaf->leaf), confidence,
+            steadyCost, leaf->zone == m_ownZone, isDown(*leaf), costOfZone(*leaf, typicalLatency), leaf->zone, 0 });
     }
-    return best;
+    return all;
 }
 
 void LeafSelector::onStart(const Announcement& leaf, std::uint64_t attempt, Duration typicalLatency, TimePoint now)
 {
     auto [it, isNew] = m_leaves.try_emplace(leaf.leaf);
-    if (isNew) {
+    if (isNew)
         it->second.zone = leaf.zone;
-        it->second.updatedAt = now;
-    }
     it->second.running.push_back({ attempt, now, typicalLatency });
 }
 
@@ -78,6 +98,7 @@
     double before = 1 + (it.slowness - 1) * weight;
     it.slowness = before + learnRate * (std::min(slowness, maxSlowness) - before);
     it.failureRate = it.failureRate * weight + learnRate * ((failed ? 1.0 : 0.0) - it.failureRate * weight);
+    it.steadyCost *= steadyDecay(it, now);
     it.updatedAt = now;
 }
 
@@ -87,8 +108,10 @@
 {
     bool isLate = latencyRatio > m_settings.lateFactor;
     bool isStall = isLate && (!it.lateAt || since < *it.lateAt);
-    if (!isStall)
+    if (!isStall) {
         learn(it, latencyRatio, false, now);
+        it.steadyCost += steadyLearnRate * (std::min(latencyRatio, maxSteadyRatio) - 1 - it.steadyCost);
+    }
     it.lateAt = isLate ? std::optional(now) : std::nullopt;
 }
 
--- a/policy/LeafSelector.h
+++ b/policy/LeafSelector.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "policy/LatencyDigest.h"
+#include "policy/LeafChoice.h"
 
 #include <unordered_map>
 
@@ -25,6 +26,9 @@
 
 struct LeafSelectorSettings {
     milliseconds slownessHalfLife { 1500 }; // a slow leaf is tried again after a few half-lives
+    // An instance that shares its leaves with many others sends to each of them every few seconds. It would forget a
+    // slow one with the half-life above before it sends to it again.
+    milliseconds steadyHalfLife { 30000 };
     std::uint32_t unresponsiveAttempts = 2; // in a row, after which a leaf counts as down
     milliseconds firstBackoff { 100 };      // between probes of a leaf that is down; doubles up to the maximum
     milliseconds maxBackoff { 2000 };       // about the time a leaf takes to restart
@@ -50,6 +54,9 @@
     /// such a request.
     std::optional<std::size_t> choose(
         std::span<const Announcement* const> candidates, Duration typicalLatency, TimePoint now) const;
+    /// What a choice knows of each candidate, in their order.
+    std::vector<LeafEstimate> estimates(
+        std::span<const Announcement* const> candidates, Duration typicalLatency, TimePoint now) const;
     /// Expected latency of a request at the leaf, increased by the expected cost of a failure and, for a leaf of
     /// another zone, by the cost of the traffic between zones.
     Duration expectedCost(const Announcement&, Duration typicalLatency, TimePoint now) const;
@@ -90,9 +97,10 @@
     };
     struct Observations {
         std::string zone;
-        double slowness = 1;    // ratio of the latency to the usual one, smoothed
-        double failureRate = 0; // smoothed
-        TimePoint updatedAt;
+        double slowness = 1;             // ratio of the latency to the usual one, smoothed
+        double failureRate = 0;          // smoothed
+        double steadyCost = 0;           // see LeafEstimate; smoothed over a longer time than slowness
+        TimePoint updatedAt;             // of slowness and failureRate
         std::optional<TimePoint> lateAt; // time of the last answer if that was late
         std::uint32_t unresponsiveInRow = 0;
         std::uint32_t failedProbes = 0; // failed connects in a row, including those of requests
@@ -100,6 +108,8 @@
         std::vector<Running> running;
     };
     double decay(const Observations&, TimePoint now) const;
+    double steadyDecay(const Observations&, TimePoint now) const;
+    Duration costOfZone(const Announcement&, Duration typicalLatency) const;
     void learn(Observations&, double slowness, bool failed, TimePoint now) const;
     void learnAnswer(Observations&, TimePoint since, double latencyRatio, TimePoint now) const;
     bool isDown(const Observations& it) const
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -54,6 +54,9 @@
     return budgetShare * m_bounds.extraBurst / static_cast<double>(std::max<std::size_t>(1, m_bounds.instances));
 }
 
+/// Budget of a service that got no request yet.
+double RoutePolicies::firstExtraBurst() const { return firstBurstShare * extraBurst(); }
+
 PercentBudget& RoutePolicies::budgetOf(const std::string& service)
 {
     auto found = m_budgets.find(service);
@@ -61,8 +64,7 @@
         constexpr double percent = 100;
         found = m_budgets
                     .emplace(service,
-                        PercentBudget(
-                            percent * budgetShare * m_bounds.extraRatio, extraBurst(), firstBurstShare * extraBurst()))
+                        PercentBudget(percent * budgetShare * m_bounds.extraRatio, extraBurst(), firstExtraBurst()))
                     .first;
     }
     return found->second;
@@ -86,6 +88,7 @@
         known[entry.announcement.service].push_back(std::move(entry));
     }
     m_leaves = std::move(known);
+    std::erase_if(m_rates, [&](const auto& it) { return !m_leaves.contains(it.first); });
     m_groups.clear();
 }
 
@@ -105,58 +108,6 @@
     }
 }
 
-bool RoutePolicies::isUsable(const KnownLeaf& it) const
-{
-    return !it.excluded && !it.announcement.draining && !m_zonesOut.contains(it.announcement.zone)
-        && !m_notices.isLeaving(it.announcement);
-}
-
-/// A leaf that is warming up gets requests from one instance only, at a limited rate.
-bool RoutePolicies::maySendToCold(const KnownLeaf& it, TimePoint now)
-{
-    if (!m_entryInstances.empty() && rendezvousOwner(it.announcement.leaf, m_entryInstances) != m_instance)
-        return false;
-    double perSecond = m_table->limitsOf(it.announcement.service).coldRequestsPerSecond * m_bounds.coldFactor
-        + m_bounds.coldAllowance;
-    return m_coldStartLimit.allows(it.announcement.leaf, perSecond, now);
-}
-
-const Announcement* RoutePolicies::pick(
-    const std::string& service, std::span<const std::string> tried, Duration typicalLatency, TimePoint now)
-{
-    return choose(service, tried, false, typicalLatency, now);
-}
-
-const Announcement* RoutePolicies::pickForPeer(const std::string& service, Duration typicalLatency, TimePoint now)
-{
-    return choose(service, {}, !dividesConnectionsByZone(service), typicalLatency, now);
-}
-
-const Announcement* RoutePolicies::choose(const std::string& service, std::span<const std::string> tried,
-    bool ownZoneOnly, Duration typicalLatency, TimePoint now)
-{
-    auto found = m_leaves.find(service);
-    if (found == m_leaves.end())
-        return nullptr;
-    std::vector<const Announcement*> warm;
-    std::vector<const Announcement*> cold;
-    for (const auto& it : found->second) {
-        if (ownZoneOnly && it.announcement.zone != m_zone)
-            continue;
-        if (!isUsable(it) || std::find(tried.begin(), tried.end(), it.announcement.leaf) != tried.end())
-            continue;
-        if (!m_notices.accepts(it.announcement, now))
-            continue;
-        if (now >= it.coldUntil)
-            warm.push_back(&it.announcement);
-        else if (maySendToCold(it, now))
-            cold.push_back(&it.announcement);
-    }
-    const auto& candidates = warm.empty() ? cold : warm;
-    auto best = m_selector.choose(candidates, typicalLatency, now);
-    return best ? candidates[*best] : nullptr;
-}
-
 std::vector<std::string> RoutePolicies::leavesIn(const std::string& service, std::string_view zone) const
 {
     std::vector<std::string> names;
@@ -205,6 +156,9 @@
     m_otherZoneInstanceCount = 0;
     m_instances = peers;
     m_instances[m_zone].push_back(m_instance);
+    m_instanceCounts.clear();
+    for (const auto& [zone, names] : m_instances)
+        m_instanceCounts[zone] = names.size();
     m_groups.clear();
     for (const auto& [zone, names] : peers) {
         if (zone == m_zone)
@@ -566,6 +520,8 @@
     m_selector.onStart(leaf, attempt, typicalLatency, now);
     m_notices.onStart(leaf, attempt, now);
     m_coldStartLimit.onSend(leaf.leaf, now);
+    if (m_bounds.spreadSenders > 0)
+        m_rates[leaf.service].add(now);
 }
 
 void RoutePolicies::onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -17,6 +17,31 @@
     double coldFactor = 1.5;   // multiplies the request rate that a leaf accepts while it is warming up
     double coldAllowance = 5;  // requests per second to such a leaf, in addition to that rate
     std::size_t instances = 1; // number of entry instances
+    /// Number of entry instances in a zone from which on they spread their requests over its leaves instead of choosing
+    /// the best leaf each, see SpreadChoice; 0: never.
+    std::size_t spreadSenders = 0;
+};
+
+/// Why a leaf gets no request now.
+enum class LeafExclusion : std::uint8_t {
+    None,
+    OtherZone,
+    Tried,
+    OtherLeafResponds, // see RoutePolicies::exclude
+    Draining,
+    ZoneOut,
+    Leaving,
+    Paused,
+    WarmingUp,
+    Down,
+};
+std::string_view exclusionName(LeafExclusion);
+
+/// Choices since the start of the instance for services whose requests are spread.
+struct SpreadCounters {
+    std::uint64_t choices = 0;
+    std::uint64_t notCheapest = 0;  // of these, those that did not take the leaf with the least cost
+    std::uint64_t toOtherZones = 0; // of these, those that left the own zone because it is short of slots
 };
 
 /// Selects the leaves and relay peers for requests on routes, and limits retries and hedges. `instance` and `zone` are
@@ -28,6 +53,7 @@
         , m_zone(zone)
         , m_selector(std::move(zone))
         , m_notices(m_instance)
+        , m_spreadChoice(std::minstd_rand(static_cast<std::uint32_t>(std::hash<std::string>()(m_instance))))
     {
     }
 
@@ -39,6 +65,9 @@
     {
         m_table = std::move(table);
         m_groups.clear();
+        m_gatheredServices.clear();
+        for (const auto& it : m_table->configuration().routes)
+            m_gatheredServices.insert(it.shards.begin(), it.shards.end());
     }
     /// Sets the zones that are taken out of service. Their leaves get no requests.
     void setZonesOut(std::set<std::string, std::less<>> zones) { m_zonesOut = std::move(zones); }
@@ -61,6 +90,18 @@
     /// Returns the best leaf for a part requested by a peer. Considers only leaves of this zone, unless the connections
     /// of the leaves are divided by zone, because the peer may then be in this zone too.
     const Announcement* pickForPeer(const std::string& service, Duration typicalLatency, TimePoint now);
+    /// What is known of a leaf of a service, and how likely it is to get the next first attempt.
+    struct ExplainedLeaf {
+        Announcement leaf;
+        LeafExclusion exclusion = LeafExclusion::None;
+        LeafEstimate estimate; // its `zone` is not valid
+        double share = 0;      // 0 to 1
+    };
+    /// Decides as `pick` does, without changing anything.
+    std::vector<ExplainedLeaf> explain(const std::string& service, Duration typicalLatency, TimePoint now) const;
+    /// Whether requests for the service are spread, see SharedBounds::spreadSenders.
+    bool spreadsRequests(const std::string& service) const;
+    const SpreadCounters& spreadCounters() const { return m_spreadCounters; }
     /// Returns the names of the leaves of a service in a zone.
     std::vector<std::string> leavesIn(const std::string& service, std::string_view zone) const;
     /// Returns the maximum number of connections of this instance to a leaf. The connections of a leaf are divided
@@ -123,6 +164,13 @@
     /// Takes one extra request from the budget of a service. Returns false if it must not be sent.
     bool tryTakeExtra(const std::string& service) { return budgetOf(service).tryTake(); }
 
+    /// Number of extra requests that the budget of a service allows now.
+    double extraLeft(const std::string& service) const
+    {
+        auto found = m_budgets.find(service);
+        return found == m_budgets.end() ? firstExtraBurst() : found->second.tokens();
+    }
+
     /// Median latency of the parts of a route's requests. With few samples, an estimate.
     Duration typicalLatency(const Route&) const;
     /// Time after which a part without a response is hedged: a high percentile of the recorded latencies, limited by
@@ -151,10 +199,16 @@
         bool excluded = false; // see `exclude`
     };
     bool isServable(const Route&) const;
-    bool isUsable(const KnownLeaf&) const;
+    LeafExclusion unusableBecause(const KnownLeaf&) const;
+    bool isUsable(const KnownLeaf& it) const { return unusableBecause(it) == LeafExclusion::None; }
+    LeafExclusion exclusionOf(
+        const KnownLeaf&, std::span<const std::string> tried, bool ownZoneOnly, TimePoint now) const;
+    std::vector<LeafEstimate> estimatesOf(const std::string& service, std::span<const Announcement* const> candidates,
+        Duration typicalLatency, TimePoint now) const;
     bool maySendToCold(const KnownLeaf&, TimePoint now);
     PercentBudget& budgetOf(const std::string& service);
     double extraBurst() const;
+    double firstExtraBurst() const;
     bool dividesConnectionsByZone(const std::string& service) const;
 
     const Announcement* choose(const std::string& service, std::span<const std::string> tried, bool ownZoneOnly,
@@ -189,6 +243,11 @@
     std::size_t m_rotation = 0;                                            // distributes relays over peers and zones
     ColdStartRateLimit m_coldStartLimit;
     LeafNotices m_notices;
+    SpreadChoice<> m_spreadChoice;
+    SpreadCounters m_spreadCounters;
+    InstanceCounts m_instanceCounts;
+    std::set<std::string, std::less<>> m_gatheredServices; // in a gathering route
+    std::unordered_map<std::string, RequestRate> m_rates;  // attempts of this instance; by service, as m_leaves
 };
 
 } // namespace citronplank
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -381,3 +381,76 @@
     policies.onNotice(leafOf("a", "list"), { .pause = milliseconds(60000) }, *until);
     CHECK(policies.dueProbes(*until + seconds(10)).empty());
 }
+
+namespace {
+
+/// Instances in "atl" with three leaves there and three in "sav".
+RoutePolicies sharedLeaves(const std::string& name, std::size_t instances)
+{
+    RoutePolicies policies(name, "atl");
+    SharedBounds bounds;
+    bounds.spreadSenders = 8;
+    policies.setBounds(bounds);
+    RoutePolicies::PeersByZone peers;
+    for (std::size_t i = 1; i < instances; ++i)
+        peers["atl"].push_back("peer-" + std::to_string(i));
+    policies.setPeers(peers);
+    std::vector<Announcement> leaves;
+    for (const auto* leaf : { "a1", "a2", "a3" })
+        leaves.push_back(leafOf(leaf, "list"));
+    for (const auto* leaf : { "s1", "s2", "s3" })
+        leaves.push_back(leafOf(leaf, "list", "sav"));
+    policies.setLeaves(leaves, start);
+    return policies;
+}
+
+std::map<std::string, int> picks(RoutePolicies& policies, int n)
+{
+    std::map<std::string, int> counts;
+    for (int i = 0; i < n; ++i)
+        ++counts[policies.pick("list", {}, typical, start)->leaf];
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("many instances with the same news spread their requests, an instance whose counts are exact does not")
+{
+    auto many = sharedLeaves("front-1", 40);
+    auto counts = picks(many, 300);
+    CHECK(counts.size() == 3); // all leaves of the own zone and none of the other, which is idle as well
+    for (const auto& [leaf, n] : counts)
+        CHECK(n > 70);
+    CHECK(many.spreadCounters().choices == 300);
+    auto single = sharedLeaves("front-1", 1);
+    CHECK(picks(single, 30).size() == 1);
+    CHECK(single.spreadCounters().choices == 0);
+}
+
+TEST_CASE("spread requests are not sent to leaves that are leaving, paused, draining or down")
+{
+    auto policies = sharedLeaves("front-1", 40);
+    policies.onNotice(leafOf("a1", "list"), { true, {} }, start);
+    policies.onNotice(leafOf("a2", "list"), { false, milliseconds(500) }, start);
+    CHECK(picks(policies, 30) == std::map<std::string, int> { { "a3", 30 } });
+    policies.onStart(leafOf("a3", "list"), 1, typical, start);
+    policies.onEnd("a3", 1, AttemptEnd::Unreachable, start);
+    CHECK(picks(policies, 300).size() == 3);
+    policies.setZonesOut({ "sav" });
+    CHECK(policies.pick("list", {}, typical, start) == nullptr);
+}
+
+TEST_CASE("explain states the shares by which requests are sent, and why other leaves get none")
+{
+    auto policies = sharedLeaves("front-1", 40);
+    policies.onNotice(leafOf("a1", "list"), { true, {} }, start);
+    std::map<std::string, double> shares;
+    for (const auto& it : policies.explain("list", typical, start)) {
+        shares[it.leaf.leaf] = it.share;
+        CHECK((it.exclusion == LeafExclusion::Leaving) == (it.leaf.leaf == "a1"));
+    }
+    CHECK(shares["a1"] == 0);
+    CHECK(shares["a2"] == doctest::Approx(0.5));
+    CHECK(shares["s1"] == 0);
+    CHECK(policies.spreadCounters().choices == 0);
+}
