Add the command explain

Cause: an operator could not see where a request would go and why. `citronplank explain` asks the metrics address of an entry instance of the routed daemon; the answer comes from the same estimates and exclusions as the choice and changes nothing.

--- a/tool/Render.cpp
+++ b/tool/Render.cpp
@@ -83,4 +83,32 @@
     return coverage != answer.end() && coverage->is_object() && coverage->value("whole", false);
 }
 
+std::string renderExplanation(const Json& answer)
+{
+    std::string text;
+    for (const auto& item : answer.items()) {
+        if (item.key() != "services")
+            text.append(item.key()).append(": ").append(plainText(item.value())).append("\n");
+    }
+    const auto services = answer.value("services", Json::array());
+    for (const auto& service : services) {
+        text += "service " + fieldText(service, "service") + ": choice=" + fieldText(service, "choice")
+            + " extra_requests_left=" + fieldText(service, "extra_requests_left");
+        for (const char* name : { "weight", "all_paused_for_ms" }) {
+            if (service.contains(name))
+                text.append(" ").append(name).append("=").append(fieldText(service, name));
+        }
+        text += "\n";
+        for (const auto& leaf : service.value("leaves", Json::array())) {
+            text += "  " + fieldText(leaf, "leaf");
+            for (const auto& item : leaf.items()) {
+                if (item.key() != "leaf")
+                    text.append(" ").append(item.key()).append("=").append(plainText(item.value()));
+            }
+            text += "\n";
+        }
+    }
+    return text;
+}
+
 } // namespace citronplank
--- a/tool/Tool.cpp
+++ b/tool/Tool.cpp
@@ -56,6 +56,10 @@
     FlagSpec { "key", "KEY", "request key of an earlier attempt; without it, a new key is generated and printed", "" },
     customerFlag, deadlineFlag, bodyFlag, jsonFlag };
 constexpr std::array adminFlags { adminFlag, jsonFlag };
+constexpr std::array explainFlags { FlagSpec { "admin-address", "IP:PORT",
+                                        "metrics address of an entry instance of the routed daemon", nullptr },
+    FlagSpec { "host", "NAME", "host of the request", nullptr },
+    FlagSpec { "path", "PATH", "path of the request", "/" }, jsonFlag };
 
 /// HTTP client for an address. Throws UsageError if it has no valid port.
 httplib::Client clientFor(const std::string& address, milliseconds readTimeout)
@@ -180,10 +184,11 @@
     return code;
 }
 
-int runAdmin(const Context& context, const char* path, const std::function<std::string(const Json&)>& render)
+int runAdmin(const Context& context, const std::string& path, const std::function<std::string(const Json&)>& render,
+    const httplib::Headers& headers = {})
 {
     const std::string& address = context.options.at("admin-address");
-    const auto result = clientFor(address, adminTimeout).Get(path);
+    const auto result = clientFor(address, adminTimeout).Get(path, headers);
     if (!result)
         return reportUnreachable(context, address, result.error());
     return reportAnswer(context, *result, render);
@@ -196,6 +201,15 @@
     return runAdmin(context, "/dump", [](const Json& dump) { return dump.dump(2) + "\n"; });
 }
 
+/// Asks an entry instance where a request would go now. The host is sent as that of the request to explain.
+int runExplain(const Context& context)
+{
+    const std::string& path = context.options.at("path");
+    if (!path.starts_with('/'))
+        throw UsageError("--path must begin with '/'");
+    return runAdmin(context, "/explain" + path, renderExplanation, { { "Host", context.options.at("host") } });
+}
+
 /// Parses a rules file as a daemon does and prints the first error with its location.
 int runCheck(const Context& context)
 {
@@ -228,6 +242,8 @@
     Command { "check", " RULESFILE", "Checks a rules file without a daemon.", {}, runCheck },
     Command { "status", "", "Prints a summary of the state of a daemon.", adminFlags, runStatus },
     Command { "dump", "", "Prints the complete state of a daemon.", adminFlags, runDump },
+    Command {
+        "explain", "", "Prints where a request would go now and why, without sending it.", explainFlags, runExplain },
     Command { "version", "", "Prints the version of this tool.", {}, runVersion },
 };
 
