--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -130,6 +130,7 @@
     recordTimerDelay();
     checkQuota();
     updateCustomerMetrics();
+    reportSpread();
     m_canServe = m_policies.canServe();
     if (std::exchange(m_relayPeersChanged, false))
         m_relayPeers.with([&](auto& it) { it = m_policies.relayPeers(); });
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -65,6 +65,9 @@
     /// Lines of the metrics for the customers with the most requests here, and for all others together; see
     /// docs/OPERATIONS.md. Updated every second.
     std::string customerMetrics() const;
+    /// Answers with a JSON object that states where a request to this host and target would go now and why. Nothing is
+    /// sent and no state or budget changes.
+    void explain(std::string host, std::string target, Responder);
     /// Handles a relay message from another instance. Throws Error(BadRequest) if it is malformed.
     void onRelayMessage(const Envelope&);
 
@@ -151,6 +154,7 @@
     void scheduleChecks();
     void checkRoutes();
     void recordTimerDelay();
+    void reportSpread();
     milliseconds startRetryAfter() const;
     void handleRequest(HttpRequest, Responder, TimePoint arrivedAt);
     static TimePoint deadlineOf(const Route&, const CallerInfo&, TimePoint arrivedAt);
@@ -230,6 +234,9 @@
     std::unordered_map<std::string, std::deque<WaitingRequest>> m_waitingForToken; // by customer
     CapacityShares m_capacityShares;
     TimePoint m_lastBatchLogAt;
+    SpreadCounters m_spreadReported; // as last counted
+    SpreadCounters m_spreadLogged;   // as last logged
+    TimePoint m_spreadLoggedAt;
     LeafConnection::Timer m_waitTimer; // expires at the next wait deadline of a queued request
     std::unordered_map<Id, std::unique_ptr<RelayedRequest>> m_relayed;
     std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry instance and correlation
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds httpReportInterval { 1000 };
 /// Added to the incarnation, which is the time of the start in microseconds and so stays below.
 constexpr std::uint64_t firstZoneBroadcast = 1ULL << 62U;
+constexpr std::string_view explainPath = "/explain"; // followed by the path of the request
 
 } // namespace
 
@@ -351,8 +352,10 @@
         responder.answer({ .contentType = "text/plain", .body = metrics() });
     else if (request.target == "/dump")
         responder.answer({ .contentType = "text/plain", .body = dump() });
+    else if (m_routes && request.target.starts_with(explainPath))
+        m_routes->explain(std::string(request.header("Host")), request.target.substr(explainPath.size()), responder);
     else
-        responder.fail(ErrorKind::UnknownService, "unknown path; expected /metrics or /dump");
+        responder.fail(ErrorKind::UnknownService, "unknown path; expected /metrics, /dump or /explain/PATH");
 }
 
 std::string RoutedDaemon::dump() const
