--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -108,6 +108,7 @@
         : m_reply(std::move(reply))
     {
         accept();
+        m_thread = std::jthread([this] { m_io.run(); }); // after accept(), since run() ends at once without work
     }
     ~RawLeaf() { m_io.stop(); }
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
@@ -140,7 +141,7 @@
     asio::io_context m_io;
     tcp::acceptor m_acceptor { m_io, { asio::ip::make_address("127.0.0.1"), 0 } };
     std::atomic<int> m_requests { 0 };
-    std::jthread m_thread { [this] { m_io.run(); } };
+    std::jthread m_thread;
 };
 
 struct Fixture {
