review/8, review/9: let a cold leaf tolerate 4 requests a second

Cause: the example of the pages has a rate of 0, by which an installation may mean no limit. The cases: the configuration states 4 a second, so that 11 are allowed; 60 a second are sent, and the stand-in crashes at more than 33 while cold.

--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -10,15 +10,16 @@
 constexpr milliseconds reportInterval { 1200 };
 constexpr milliseconds coldTime { 3000 };       // `warmup_s` of the service
 constexpr milliseconds coldAgainAfter { 1800 }; // from its start; two reports follow before the first cold time ends
-constexpr int maxPerSecond = 5;                 // 0 a second x 1.5 + 5
-constexpr int coldCrashRate = 15;               // "well above" what it tolerates
-constexpr double callsPerSecond = 30;
+constexpr int coldRate = 4;                     // `warmup_per_s` of the service
+constexpr int maxPerSecond = 11;                // 4 a second x 1.5 + 5
+constexpr int coldCrashRate = 33;               // "well above" what it tolerates
+constexpr double callsPerSecond = 60;
 
 Verdict run(Setup& setup)
 {
     Deployment deployment(setup.root, setup.folder, setup.names, 3);
     deployment.startAll();
-    if (!deployment.putConfiguration(configurationOf(1, "shelf"), std::chrono::seconds(15)))
+    if (!deployment.putConfiguration(configurationOf(1, "shelf", coldRate), std::chrono::seconds(15)))
         return Verdict::CouldNotRun;
     std::this_thread::sleep_for(std::chrono::seconds(3));
     Callers callers(deployment.callerAddresses(), setup.record);
--- a/review/9/Case.cpp
+++ b/review/9/Case.cpp
@@ -9,15 +9,16 @@
 constexpr milliseconds coldTime { 3000 }; // `warmup_s` of the service
 constexpr milliseconds downTime { 1500 };
 constexpr milliseconds reportDelay { 2500 };
-constexpr int maxPerSecond = 5;   // 0 a second x 1.5 + 5
-constexpr int coldCrashRate = 15; // "well above" what it tolerates
-constexpr double callsPerSecond = 30;
+constexpr int coldRate = 4;       // `warmup_per_s` of the service
+constexpr int maxPerSecond = 11;  // 4 a second x 1.5 + 5
+constexpr int coldCrashRate = 33; // "well above" what it tolerates
+constexpr double callsPerSecond = 60;
 
 Verdict run(Setup& setup)
 {
     Deployment deployment(setup.root, setup.folder, setup.names, 3);
     deployment.startAll();
-    if (!deployment.putConfiguration(configurationOf(1, "shelf"), std::chrono::seconds(15)))
+    if (!deployment.putConfiguration(configurationOf(1, "shelf", coldRate), std::chrono::seconds(15)))
         return Verdict::CouldNotRun;
     LeafSettings settings { "shelf-1", "shelf", Deployment::zoneName(1), deployment.leafAddress() };
     settings.coldCrashRate = coldCrashRate;
--- a/review/harness-2/Callers.cpp
+++ b/review/harness-2/Callers.cpp
@@ -60,14 +60,15 @@
     return call;
 }
 
-std::string configurationOf(int version, const std::string& service)
+std::string configurationOf(int version, const std::string& service, int coldRate)
 {
     return R"({"version":)" + std::to_string(version)
         + R"(,"routes":[{"name":"r-one","host":"one.example","path_prefix":"/one/","route_type":"idempotent",)"
         + R"("timeout_ms":1000,"target_latency_ms":200,"priority":1,"service":")" + service
         + R"(","max_attempts":2}],"services":[{"name":")" + service
         + R"(","health_path":"/health","max_connections":39,"protocol":"h1","tls":false,"warmup_s":3.0,)"
-        + R"("warmup_per_s":0.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
+        + R"("warmup_per_s":)" + std::to_string(coldRate)
+        + R"(.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
         + R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
--- a/review/harness-2/Callers.h
+++ b/review/harness-2/Callers.h
@@ -40,8 +40,9 @@
     std::vector<Call> m_calls;
 };
 
-/// Text of a configuration with one route to a service, of the kind that the platform's pages show.
-std::string configurationOf(int version, const std::string& service);
+/// Text of a configuration with one route to a service, of the kind that the platform's pages show. While one of its
+/// leaves is cold, it tolerates `coldRate` requests a second.
+std::string configurationOf(int version, const std::string& service, int coldRate = 0);
 
 /// The parts that a case uses.
 struct Setup {
