review/harness-2: end the processes of a case with its program

Cause: a script that is ended by its time limit would leave the processes running. The child asks for SIGKILL at the end of its parent.

--- a/review/harness-2/Deployment.cpp
+++ b/review/harness-2/Deployment.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -437,6 +438,7 @@
     instance.pid = fork();
     if (instance.pid != 0)
         return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // also if this program is ended before its destructors run
     int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(descriptor, STDOUT_FILENO);
     dup2(descriptor, STDERR_FILENO);
