Tell customers apart in the fingerprint of a request that crashes leaves

Cause: the fingerprint had method, host, target and body, but not the customer, whose name the leaf gets. Each answer to one customer cleared the crashes of the other. Ruled out: lost notices; the instance that saw the crash recorded none.

--- a/daemon/RouteProtocol.h
+++ b/daemon/RouteProtocol.h
@@ -25,6 +25,9 @@
     /// Sets the name of the customer that the leaf receives, whatever the caller sent; empty: none. Precondition:
     /// `takeKey` was called for the request.
     virtual void setCustomer(HttpRequest&, std::string_view name) const = 0;
+    /// Returns what tells a leaf who sent the request, the same in each retry: the name of the customer and the
+    /// credentials that are passed on. Precondition: the request is as the leaf will get it.
+    virtual std::string senderOf(const HttpRequest&) const = 0;
     /// Serializes a request for a leaf. Method, target, body and end-to-end headers are unchanged.
     virtual std::string renderRequest(const HttpRequest&, const Announcement& leaf, milliseconds remaining) const = 0;
     /// Returns whether a reply that arrived for a request of that caller answers that request.
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -409,10 +409,12 @@
     perform(id, found->second->execution->onResult(std::move(result), Clock::now()));
 }
 
-/// Equal for all attempts of a request that a caller sends again unchanged.
-std::uint64_t RouteService::fingerprintOf(const HttpRequest& request)
+/// Equal for all attempts of a request that a caller sends again unchanged. Differs between customers, because a leaf
+/// may crash at the request of one and answer that of another. Precondition: the request is authorized.
+std::uint64_t RouteService::fingerprintOf(const HttpRequest& request) const
 {
-    return hash64(request.body, hash64(request.target, hash64(request.header("Host"), hash64(request.method))));
+    auto sender = hash64(m_protocol.senderOf(request));
+    return hash64(request.body, hash64(request.target, hash64(request.header("Host"), hash64(request.method, sender))));
 }
 
 void RouteService::onTimer(Id id)
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -189,7 +189,7 @@
     void sendToLeaf(const RouteSend&, const HttpRequest&, const CallerInfo&, const UpstreamClient::Callback&);
     void recordNotice(const Announcement& leaf, const LeafNotice&, std::string_view source);
     void sendPart(Id, const RouteSend&);
-    static std::uint64_t fingerprintOf(const HttpRequest&);
+    std::uint64_t fingerprintOf(const HttpRequest&) const;
     void recordAttemptEnd(
         std::uint64_t fingerprint, const CallerInfo&, const Announcement& leaf, AttemptResult::Status);
     void onLeafUnreachable(const std::string& leaf);
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -9,6 +9,7 @@
 #include <asio.hpp>
 #include <atomic>
 #include <doctest/doctest.h>
+#include <future>
 #include <thread>
 
 using namespace citronplank;
@@ -144,6 +145,81 @@
     std::jthread m_thread;
 };
 
+/// A leaf that terminates as soon as it gets a request of the customer "acme", and answers all others.
+class CrashingLeaf {
+public:
+    CrashingLeaf()
+    {
+        listen({ asio::ip::make_address("127.0.0.1"), 0 });
+        m_thread = std::jthread([this] { m_io.run(); });
+    }
+    ~CrashingLeaf() { m_io.stop(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_endpoint.port()); }
+    int crashes() const { return m_crashes; }
+    /// Listens again at its address.
+    void restart()
+    {
+        std::promise<void> done;
+        asio::post(m_io, [&] {
+            listen(m_endpoint);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+private:
+    struct Connection {
+        tcp::socket socket;
+        std::string input;
+    };
+    void listen(const tcp::endpoint& endpoint)
+    {
+        m_acceptor = tcp::acceptor(m_io, endpoint);
+        m_endpoint = m_acceptor.local_endpoint();
+        accept();
+    }
+    void accept()
+    {
+        m_acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
+            if (ec)
+                return;
+            m_connections.push_back(std::make_shared<Connection>(Connection { std::move(socket), {} }));
+            serve(m_connections.back());
+            accept();
+        });
+    }
+    void serve(const std::shared_ptr<Connection>& it)
+    {
+        asio::async_read_until(
+            it->socket, asio::dynamic_buffer(it->input), "\r\n\r\n", [this, it](std::error_code ec, std::size_t n) {
+                if (ec)
+                    return;
+                auto request = it->input.substr(0, n);
+                it->input.erase(0, n);
+                if (request.find("Tenant: acme") != std::string::npos) {
+                    ++m_crashes;
+                    m_acceptor.close();
+                    m_connections.clear();
+                    return;
+                }
+                auto id = request.substr(request.find("Request-Id: "));
+                id.resize(id.find("\r\n"));
+                asio::write(it->socket,
+                    asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer-Stamp: stamp\r\n" + id + "\r\n\r\n"),
+                    ec);
+                serve(it);
+            });
+    }
+
+    asio::io_context m_io;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work { m_io.get_executor() }; // also while it is down
+    tcp::acceptor m_acceptor { m_io };
+    tcp::endpoint m_endpoint;
+    std::vector<std::shared_ptr<Connection>> m_connections;
+    std::atomic<int> m_crashes { 0 };
+    std::jthread m_thread;
+};
+
 struct Fixture {
     /// Without `leafAddress`, the leaves "a" and "b" of the service are one HttpServer of the fixture; otherwise its
     /// only leaf is at that address, and requests must not run twice.
@@ -242,6 +318,7 @@
     std::atomic<int> arrivalsOfCustomer { 0 }; // those with the customer's name and without a key
     std::atomic<bool> isLeafSilent { false };
     std::vector<Responder> silenced;
+    std::vector<CrashNotice> crashNotices; // sent to the other instances
     asio::io_context leafIo;
     asio::executor_work_guard<asio::io_context::executor_type> leafWork { leafIo.get_executor() };
     asio::io_context callerIo;
@@ -253,7 +330,7 @@
     platform::RequestProtocol protocol;
     RouteService routes { io, "entry", "atl", protocol, {},
         [](const std::string&, MessageKind, const std::string&, std::uint64_t, milliseconds) { return false; },
-        [](const CrashNotice&) {}, counters, traffic };
+        [this](const CrashNotice& it) { crashNotices.push_back(it); }, counters, traffic };
     std::thread leafThread { [this] { leafIo.run(); } };
 };
 
@@ -390,6 +467,35 @@
     CHECK(it.arrivalsOfCustomer == 0);
 }
 
+// Guards against a crashing request that is never refused because requests of other customers for its path are
+// answered.
+TEST_CASE("a request that crashes leaves is refused while other customers use its path")
+{
+    CrashingLeaf leaf;
+    Fixture it(leaf.address());
+    it.setKey("k1");
+    auto statusOf = [&](const std::string& key) {
+        auto caller = it.sendRequest("Authorization: Bearer " + key + "\r\n");
+        it.run(milliseconds(100));
+        return Fixture::readAnswer(caller).substr(0, 12);
+    };
+    CHECK(statusOf("other") == "HTTP/1.1 200");
+    CHECK(statusOf("k1") != "HTTP/1.1 503");
+    CHECK(leaf.crashes() == 1);
+    it.run(milliseconds(400));
+    REQUIRE(it.crashNotices.size() == 1);
+    leaf.restart();
+    it.run(milliseconds(1500)); // until a probe finds the leaf
+    CHECK(statusOf("other") == "HTTP/1.1 200");
+    auto fingerprint = it.crashNotices.front().fingerprint;
+    for (const char* id : { "second", "third" })
+        it.routes.onCrashNotice("peer", { fingerprint, id });
+    it.run(milliseconds(10));
+    CHECK(statusOf("other") == "HTTP/1.1 200");
+    CHECK(statusOf("k1") == "HTTP/1.1 503");
+    CHECK(leaf.crashes() == 1);
+}
+
 // Guards against requests over a customer's limit that run, a limited customer that is not served without a lease, and
 // requests that wait for ever when no allotter answers.
 TEST_CASE("a customer's requests over its limit are rejected with a time, before they run")
