Pass on to a starting instance the crashes that others observed

Cause: a starting instance got only what its peers observed themselves, not what it had observed before it stopped. Ruled out: late notices; each further restart forgot again. Four instances, selected by rendezvous hashing, now send all that they know, with its age, so that the retention is not extended.

--- a/daemon/RouteServiceCrashes.cpp
+++ b/daemon/RouteServiceCrashes.cpp
@@ -66,10 +66,10 @@
     });
 }
 
-void RouteService::sendKnownCrashes(std::string peer)
+void RouteService::sendKnownCrashes(std::string peer, bool includesReported)
 {
-    asio::post(m_strand, [this, peer = std::move(peer)] {
-        for (const auto& it : m_crashGuard.sharedNotices(Clock::now()))
+    asio::post(m_strand, [this, peer = std::move(peer), includesReported] {
+        for (const auto& it : m_crashGuard.sharedNotices(Clock::now(), includesReported))
             m_sender(peer, MessageKind::Suspicion, encodeCrashNotice(it), 0, milliseconds(0));
     });
 }
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -229,11 +229,15 @@
         peers[it.zone].push_back(it.name);
         entries[it.name] = it.incarnation;
     }
-    // An entry instance that was unknown or restarted has missed earlier crash notices.
+    // An entry instance that was unknown or restarted has missed earlier crash notices, and has forgotten what it
+    // observed itself.
     auto known = m_knownEntries.with([&](auto& it) { return std::exchange(it, entries); });
     for (const auto& [name, incarnation] : entries) {
-        if (auto found = known.find(name); found == known.end() || found->second != incarnation)
-            m_routes->sendKnownCrashes(name);
+        if (auto found = known.find(name); found != known.end() && found->second == incarnation)
+            continue;
+        auto others = entryInstances;
+        std::erase(others, name);
+        m_routes->sendKnownCrashes(name, CrashGuard::isReporter(m_settings.name, name, std::move(others)));
     }
     log(LogLevel::Info, "members", "senders=" + std::to_string(entryInstances.size()));
     m_routes->setEntryInstances(std::move(entryInstances), std::move(peers));
--- a/policy/CrashGuard.h
+++ b/policy/CrashGuard.h
@@ -21,6 +21,7 @@
 struct CrashNotice {
     std::uint64_t fingerprint = 0; // of the parts of the request that are the same in each retry
     std::string requestId;         // differs for each retry
+    milliseconds age { 0 };        // since the last crash with the fingerprint
     bool operator==(const CrashNotice&) const = default;
 };
 
@@ -38,7 +39,8 @@
     // Answers are kept for one to two windows, or for less if there are more than `maxAnswered`.
     static constexpr seconds answeredWindow { 2 };
     static constexpr std::size_t maxAnswered = 4096;    // fingerprints answered recently; bounds memory
-    static constexpr std::size_t maxSharedNotices = 64; // kept for instances that start later; the latest ones
+    static constexpr std::size_t maxSharedNotices = 64; // sent to an instance that starts later
+    static constexpr std::size_t reporters = 4;         // instances that send one that starts what others have observed
 
     /// An attempt at a leaf ended without an answer and may have run.
     void onAttemptLost(CrashNotice notice, const std::string& leaf, TimePoint now);
@@ -46,8 +48,12 @@
     /// that are new and have to be sent to the other instances: at most `maxNoticesPerSecond`, because a zone failure
     /// ends thousands of attempts at once.
     std::vector<CrashNotice> onLeafUnreachable(const std::string& leaf, TimePoint now);
-    /// Notices returned by onLeafUnreachable() that are still valid, for an instance that has joined since.
-    std::vector<CrashNotice> sharedNotices(TimePoint now) const;
+    /// Notices that are still valid, for an instance that has joined since; those of the fingerprints with most
+    /// crashes first. They include what other instances have reported only if `includesReported` is set.
+    std::vector<CrashNotice> sharedNotices(TimePoint now, bool includesReported) const;
+    /// Whether `self` is one of the `reporters` for `peer`. `instances` are the entry instances without `peer`. Thread
+    /// safe.
+    static bool isReporter(std::string_view self, std::string_view peer, std::vector<std::string> instances);
     /// A leaf answered a request with the fingerprint, which clears it.
     void onAnswered(std::uint64_t fingerprint, TimePoint now);
     /// Records a notice of this or another instance. Returns false if it adds nothing, because it is known or the
@@ -58,25 +64,23 @@
 
 private:
     void rotateAnswered(TimePoint now);
+    bool record(const CrashNotice&, bool isObserved, TimePoint now);
 
     struct Loss {
         CrashNotice notice;
         std::string leaf;
         TimePoint at;
     };
-    struct SharedNotice {
-        CrashNotice notice;
-        TimePoint at;
-    };
     struct Suspect {
         std::set<std::string> requests; // ids, at most crashesToBlock
-        TimePoint until;
+        TimePoint crashedAt;            // the last time
+        bool isObserved = false;        // by this instance, at least once
+        TimePoint until() const { return crashedAt + retentionTime; }
     };
 
     std::deque<Loss> m_losses;                              // in order of time
     TimePoint m_noticesSince;                               // start of the second that m_notices refers to
     std::size_t m_notices = 0;                              // returned in that second
-    std::deque<SharedNotice> m_sharedNotices;               // in order of time, at most maxSharedNotices
     std::unordered_set<std::uint64_t> m_answered;           // since m_answeredSince
     std::unordered_set<std::uint64_t> m_previouslyAnswered; // in the answeredWindow before m_answeredSince
     TimePoint m_answeredSince;
