Keep an empty list of customers apart from an absent one

The list is optional now; present, also if empty, it means that requests need a key. A null is refused as invalid.

--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -164,7 +164,7 @@
 {
     asio::post(m_strand, [this, table = std::move(table)]() mutable {
         if (m_quota)
-            m_quota->setLimits(table->configuration().customers, Clock::now());
+            m_quota->setLimits(table->customers(), Clock::now());
         m_policies.setTable(std::move(table));
         m_relayPeersChanged = true;
     });
--- a/daemon/RouteServiceAdmission.cpp
+++ b/daemon/RouteServiceAdmission.cpp
@@ -53,7 +53,7 @@
 /// Orders the queue by priority and by the customers' shares of capacity. Without customers the order of arrival stays.
 void RouteService::orderWaiting(AdmissionQueue& queue)
 {
-    if (m_policies.table()->configuration().customers.empty())
+    if (!m_policies.table()->requiresKeys())
         return;
     std::stable_sort(queue.waiting.begin(), queue.waiting.end(),
         [&, now = Clock::now()](const WaitingRequest& a, const WaitingRequest& b) {
@@ -64,7 +64,7 @@
 /// Starts a request that holds a slot of the queue's limit.
 void RouteService::startQueued(WaitingRequest it, AdmissionQueue& queue)
 {
-    if (!m_policies.table()->configuration().customers.empty())
+    if (m_policies.table()->requiresKeys())
         m_capacityShares.onUse(it.customer.name, static_cast<double>(it.route->shards.size()), Clock::now());
     startRequest(std::move(it), &queue.limit);
 }
--- a/daemon/RouteServiceCustomers.cpp
+++ b/daemon/RouteServiceCustomers.cpp
@@ -3,15 +3,15 @@
 
 namespace citronplank {
 
-/// Returns whether the configuration in force allows the request, and updates its customer. Without customers in the
-/// configuration every request is allowed and unchanged. Costs one comparison of pointers if the same configuration has
-/// authorized the request before.
+/// Returns whether the configuration in force allows the request, and updates its customer. If the
+/// configuration has no list of customers, every request is allowed and unchanged. Costs one comparison of pointers if
+/// the same configuration has authorized the request before.
 bool RouteService::authorize(CustomerIdentity& it, HttpRequest& request, const Route& route)
 {
     const auto& table = m_policies.table();
     if (it.authorizedBy == table)
         return true;
-    if (!table->configuration().customers.empty()) {
+    if (table->requiresKeys()) {
         bool isFirst = !std::exchange(it.isKeyTaken, true);
         if (isFirst)
             it.key = m_protocol.takeKey(request);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -201,8 +201,10 @@
     try {
         auto configuration = m_decodeConfiguration(document.content.text());
         if (m_quota)
-            asio::post(m_broadcastStrand,
-                [this, customers = configuration.customers] { m_quota->setCustomers(customers, Clock::now()); });
+            asio::post(
+                m_broadcastStrand, [this, customers = configuration.customers.value_or(std::vector<Customer>())] {
+                    m_quota->setCustomers(customers, Clock::now());
+                });
         if (m_routes) {
             m_callerServer->setLimits(configuration.callerLimits);
             m_routes->setTable(std::make_shared<const RouteTable>(std::move(configuration)));
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -301,7 +301,9 @@
     std::vector<Route> routes;
     std::map<std::string, ServiceLimits, std::less<>> services;
     CallerLimits callerLimits;
-    std::vector<Customer> customers; // empty: requests need no key
+    // Absent: requests need no key. Otherwise they need one of these customers, also if there are none, except on
+    // public routes.
+    std::optional<std::vector<Customer>> customers;
 };
 
 // ---------------------------------------------------------------------------------------------------------------
--- a/query/RouteTable.cpp
+++ b/query/RouteTable.cpp
@@ -98,7 +98,8 @@
         if (!hostsAndPrefixes.emplace(lowerCase(route.host), route.pathPrefix).second)
             throwInvalidRoute(route, "has the host and path prefix of another route");
     }
-    checkCustomers(configuration.customers);
+    if (configuration.customers)
+        checkCustomers(*configuration.customers);
 }
 
 RouteTable::RouteTable(ServingConfiguration configuration)
@@ -106,7 +107,7 @@
 {
     for (const auto& it : m_configuration.routes)
         m_hosts[lowerCase(it.host)].emplace(it.pathPrefix, std::make_shared<const Route>(it));
-    for (const auto& customer : m_configuration.customers) {
+    for (const auto& customer : customers()) {
         for (const auto& key : customer.keys) {
             m_customers.emplace(key, &customer);
             m_longestKey = std::max(m_longestKey, key.size());
--- a/query/RouteTable.h
+++ b/query/RouteTable.h
@@ -30,6 +30,12 @@
     /// Returns the customer with that key, or null. Costs at most one hash of a text that is no longer than the longest
     /// key, whatever the number of customers.
     const Customer* findCustomer(std::string_view key) const;
+    /// Whether requests need the key of a customer, except on public routes.
+    bool requiresKeys() const { return m_configuration.customers.has_value(); }
+    std::span<const Customer> customers() const
+    {
+        return requiresKeys() ? std::span<const Customer>(*m_configuration.customers) : std::span<const Customer>();
+    }
     const ServingConfiguration& configuration() const { return m_configuration; }
 
 private:
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -107,16 +107,29 @@
     const auto& configuration = table.configuration();
     CHECK(configuration.routes[0].isPublic);
     CHECK_FALSE(configuration.routes[1].isPublic);
-    CHECK(configuration.customers[7].ratePerSecond == 2.5);
-    CHECK(configuration.customers[7].burst == 4);
-    CHECK(configuration.customers[7].priority == 3U);
-    CHECK_FALSE(configuration.customers[6].priority);
+    CHECK((*configuration.customers)[7].ratePerSecond == 2.5);
+    CHECK((*configuration.customers)[7].burst == 4);
+    CHECK((*configuration.customers)[7].priority == 3U);
+    CHECK_FALSE((*configuration.customers)[6].priority);
     for (int i : { 0, 7, 9999 })
-        CHECK(table.findCustomer("other-" + std::to_string(i)) == &configuration.customers[i]);
+        CHECK(table.findCustomer("other-" + std::to_string(i)) == &(*configuration.customers)[i]);
     for (const auto& key : { std::string(), std::string("key-8"), std::string("c7"), std::string(100000, 'k') })
         CHECK(table.findCustomer(key) == nullptr);
 }
 
+// Guards against an empty list of customers that is taken for none, by which all routes would need no key.
+TEST_CASE("an empty list of customers differs from an absent one")
+{
+    auto object = validConfiguration();
+    CHECK_FALSE(platform::decodeConfiguration(object.dump()).customers);
+    object["tenants"] = json::array();
+    auto configuration = platform::decodeConfiguration(object.dump());
+    REQUIRE(configuration.customers);
+    CHECK(configuration.customers->empty());
+    object["tenants"] = nullptr;
+    CHECK_THROWS_AS(platform::decodeConfiguration(object.dump()), Error);
+}
+
 // Guards against an ambiguous or empty key that is accepted, and against a key in an error message or log line.
 TEST_CASE("invalid customers are refused without quoting a key")
 {
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -301,7 +301,7 @@
     void setKey(const std::string& key, double rate = 0)
     {
         ++configuration.version;
-        configuration.customers = { { "acme", { key }, rate }, { "other", { "other" } } };
+        configuration.customers = std::vector<Customer> { { "acme", { key }, rate }, { "other", { "other" } } };
         routes.setTable(std::make_shared<const RouteTable>(configuration));
         run(milliseconds(5));
     }
@@ -454,6 +454,23 @@
     CHECK(it.routes.runningCount() == 0);
 }
 
+// Guards against a configuration that takes away the last customer and thereby opens all routes to everybody.
+TEST_CASE("with an empty list of customers no request runs, except on public routes")
+{
+    Fixture it;
+    it.setKey("k1");
+    ++it.configuration.version;
+    it.configuration.customers = std::vector<Customer>();
+    it.routes.setTable(std::make_shared<const RouteTable>(it.configuration));
+    it.run(milliseconds(5));
+    for (const char* header : { "", "Authorization: Bearer k1\r\n", "Authorization: Bearer never\r\n" }) {
+        auto caller = it.sendRequest(header);
+        it.run(milliseconds(50));
+        CHECK(Fixture::readAnswer(caller).starts_with("HTTP/1.1 401 "));
+    }
+    CHECK(it.arrivals == 0);
+}
+
 // Guards against a public route that needs a key, passes one on, or believes the name that the caller states.
 TEST_CASE("a public route is served without a key and without a customer's name")
 {
@@ -512,7 +529,7 @@
                     it.routes.onQuotaReply(*reply);
             } });
     it.setKey("k1", 0.01);
-    allotter.setLimits(it.configuration.customers, Clock::now());
+    allotter.setLimits(*it.configuration.customers, Clock::now());
     std::vector<tcp::socket> callers;
     callers.reserve(5);
     for (int i = 0; i < 5; ++i)
