Publish an announcement that prolongs the warm-up of a leaf

Cause: of the warm-up time, the directory compared only whether there is any, so the second one was not published. Ruled out: RoutePolicies, which applies a new announcement. The directory now keeps the end of the warm-up that the instances know and publishes a later one.

LeafDirectoryTests "a longer warm-up is published and applied, its passing is not" failed before (0 of 1 items) and passes now.

--- a/coordination/LeafDirectory.cpp
+++ b/coordination/LeafDirectory.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::uint32_t renewalsToTakeOver = 3;         // consecutive
 constexpr milliseconds departureCheckInterval { 1000 }; // between checks for departures to forget
+/// Differences of the end of a warm-up up to this are due to the delays of announcements.
+constexpr milliseconds warmupTolerance { 50 };
 
 } // namespace
 
@@ -87,13 +89,16 @@
     if (isLaterStart) {
         entry.state = received;
         entry.confirmed = LeafPhase::Ready;
+        entry.coldUntil = {};
     } else {
         merge(entry.state, received);
     }
     const bool isRenewal = isLaterStart
         || (before.announcement.boot == announcement.boot && before.announcement.sequence <= announcement.sequence
             && before.phase != LeafPhase::Gone);
-    const bool hasNewContent = isNew || !hasSameContent(before, entry.state);
+    const bool isLater = isLaterStart || (isRenewal && before.announcement.sequence < announcement.sequence);
+    const bool isLongerCold = isLater && extendsWarmup(entry, announcement, now);
+    const bool hasNewContent = isNew || isLongerCold || !hasSameContent(before, entry.state);
     if (isRenewal) {
         const bool isNext = entry.lastRenewal && announcement.sequence == before.announcement.sequence + 1;
         entry.consecutiveRenewals = isNext && hasRecentRenewal(entry, now) ? entry.consecutiveRenewals + 1 : 1;
@@ -111,6 +116,18 @@
     return out;
 }
 
+/// Whether an announcement ends the warm-up of its leaf later than the instances know. They then learn it from the item
+/// that is published.
+bool LeafDirectory::extendsWarmup(Entry& entry, const Announcement& announcement, TimePoint now)
+{
+    const bool isCold = announcement.warmupLeft > milliseconds::zero();
+    const auto until = isCold ? now + announcement.warmupLeft : TimePoint();
+    if (isCold && until <= entry.coldUntil + warmupTolerance)
+        return false;
+    entry.coldUntil = until;
+    return isCold;
+}
+
 /// Whether a leaf that started later has announced the same address. The announcement is then a delayed one of a leaf
 /// that has exited.
 bool LeafDirectory::isAddressTakenOver(const Announcement& announcement) const
@@ -205,7 +222,10 @@
     const bool isOlder = !isLaterStart
         && (!isSameStart || isDepartureOverwritten || received.announcement.sequence < before.announcement.sequence);
     const bool isWitness = hasRecentRenewal(entry, now);
-    out.changed = isNew || !hasSameContent(before, entry.state);
+    // A second copy of an item arrives later and says nothing new.
+    const bool isLater = isLaterStart || (isSameStart && received.announcement.sequence > before.announcement.sequence);
+    const bool isLongerCold = isLater && extendsWarmup(entry, received.announcement, now);
+    out.changed = isNew || isLongerCold || !hasSameContent(before, entry.state);
     if (isOlder && isWitness) {
         // A registrar with an older announcement has overwritten this daemon's item, or has missed a change that this
         // daemon has received.
--- a/coordination/LeafDirectory.h
+++ b/coordination/LeafDirectory.h
@@ -108,6 +108,7 @@
         std::uint32_t consecutiveRenewals = 0;       // direct announcements without a gap in their sequence
         std::optional<TimePoint> registrarLostSince; // since when the leaf has no live registrar
         LeafPhase confirmed = LeafPhase::Ready;      // the last notice that the peers have confirmed to this daemon
+        TimePoint coldUntil;                         // end of the warm-up, as the instances know it
     };
     struct Departure { // of a leaf that is not listed
         std::uint64_t boot = 0;
@@ -129,6 +130,7 @@
     void applyDeparture(const LeafDeparture&, TimePoint now, Output&);
     void setRegistrar(Entry&, std::string registrar, TimePoint now);
     Entries::iterator erase(Entries::iterator, TimePoint now, Output&);
+    static bool extendsWarmup(Entry&, const Announcement&, TimePoint now);
     bool isAddressTakenOver(const Announcement&) const;
     void removeEarlierLeavesAt(const Announcement&, TimePoint now, Output&);
     void scheduleRepair(const LeafState& overwrittenBy, TimePoint now);
--- a/tests/LeafDirectoryTests.cpp
+++ b/tests/LeafDirectoryTests.cpp
@@ -53,6 +53,36 @@
     CHECK(directory.contentHash() != hash);
 }
 
+// Guards against a leaf that becomes cold again while it is cold, and gets all requests at the end of its first
+// warm-up.
+TEST_CASE("a longer warm-up is published and applied, its passing is not")
+{
+    LeafDirectory registrar("a");
+    LeafDirectory member("b"); // gets renewals too
+    LeafDirectory entry("c");
+    auto cold = [](std::uint64_t sequence, int left) {
+        auto it = announcementOf(1, sequence);
+        it.warmupLeft = milliseconds(left);
+        return it;
+    };
+    auto apply
+        = [](const LeafDirectory::Output& out, LeafDirectory& to, int ms) { return applyItems(out, to, at(ms)); };
+    auto first = registrar.announce(cold(1, 3000), at(0));
+    CHECK(apply(first, entry, 10));
+    CHECK(apply(first, member, 10));
+    CHECK(registrar.announce(cold(2, 1800), at(1210)).items.empty()); // arrives a little late
+    CHECK(member.announce(cold(3, 600), at(2400)).items.empty());
+    // Cold again for 3 s since 2.5 s; another member gets the report.
+    auto again = member.announce(cold(4, 1900), at(3600));
+    REQUIRE(again.items.size() == 1);
+    CHECK(apply(again, entry, 3610));
+    CHECK_FALSE(apply(again, entry, 4600)); // a second copy, by gossip
+    CHECK(entry.leaf("atl-1")->warmupLeft == milliseconds(1900));
+    CHECK(entry.leaf("atl-1")->sequence == 4);
+    CHECK(member.announce(cold(5, 700), at(4800)).items.empty());
+    CHECK(member.announce(cold(6, 0), at(6000)).items.size() == 1);
+}
+
 // Guards against a delayed announcement from before a leaf's restart that replaces the current one.
 TEST_CASE("an announcement with an older boot is ignored, whatever its sequence")
 {
