Take what starts at the address of an ended leaf for cold

Cause: a leaf that is down is put back into use by a connect, and only announcements said that a leaf is cold. Ruled out: the allowance of cold leaves; with an announcement in time the rule held.

UpstreamClient reports that the process of a leaf has ended: the leaf ended a connection, and soon after its address refuses a new one while no other is open. RoutePolicies takes what is reached there later for cold, for the warm-up time of the service, unless a new start is announced.

Before: RouteServiceTests "a leaf that was seen to end gets few requests until its warm-up time is over", with the call of onProcessEnded left out: 21 answers, 3 allowed. After: it passes, with all tests of RouteServiceTests, RoutePoliciesTests, PlatformTests and RoutedDaemonTests.

--- a/backend/LeafConnection.cpp
+++ b/backend/LeafConnection.cpp
@@ -86,6 +86,7 @@
         if (!ec)
             self->m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
         if (ec) {
+            self->m_wasRefused = ec == asio::error::connection_refused;
             self->close();
         } else {
             self->m_phase = Phase::Idle;
@@ -179,6 +180,7 @@
     if (m_phase == Phase::Idle) {
         // The leaf closed the connection or sent bytes outside an exchange, which would be read as the next response.
         const auto callback = std::exchange(m_idleEnded, nullptr);
+        m_endedByLeaf = bool(ec);
         close();
         if (callback)
             callback();
--- a/backend/LeafConnection.h
+++ b/backend/LeafConnection.h
@@ -92,6 +92,11 @@
     bool isReusable() const { return m_phase == Phase::Idle && m_keepAlive && m_written; }
     /// Number of exchanges started; above 1, the connection was reused.
     std::uint64_t exchanges() const { return m_exchanges; }
+    /// Whether the leaf's address refused the connection, which shows that no process listens there or that it accepts
+    /// no further connection.
+    bool wasRefused() const { return m_wasRefused; }
+    /// Whether the leaf ended the connection while it was idle.
+    bool endedByLeaf() const { return m_endedByLeaf; }
     /// Time at which data of a response was last received, or at which the connection was established.
     TimePoint lastReceived() const { return m_lastReceived; }
 
@@ -119,6 +124,8 @@
     std::size_t m_maxAnswerBytes;
     bool m_acceptsCloseDelimited;
     bool m_isHead = false;
+    bool m_wasRefused = false;
+    bool m_endedByLeaf = false;
     Phase m_phase = Phase::Connecting;
     bool m_keepAlive = true;
     bool m_written = true;      // the request of the last exchange was written
--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -125,7 +125,7 @@
             self->start(attempt);
             return;
         }
-        ++self->m_counters.connectFailures;
+        self->onConnectFailed(found->second.poolName, found->second.connection);
         // A leaf with other open connections is running, so this takes the failure to mean that the leaf accepts no
         // more connections.
         auto pool = self->m_pools.find(found->second.poolName);
@@ -136,6 +136,19 @@
     });
 }
 
+/// A process that has no room for a connection keeps its others open, so a refusal shows its end only after the leaf
+/// has ended those of this instance too.
+void UpstreamClient::onConnectFailed(const std::string& poolName, const Connection& connection)
+{
+    ++m_counters.connectFailures;
+    auto pool = m_pools.find(poolName);
+    if (pool == m_pools.end() || !connection->wasRefused() || pool->second.open > 1 || !m_processEnded)
+        return;
+    auto endedAt = pool->second.endedByLeafAt;
+    if (endedAt && Clock::now() - *endedAt <= m_settings.processEndWindow)
+        m_processEnded(poolName.substr(0, poolName.rfind('@')));
+}
+
 /// Ends an attempt that must not be sent any more once its connection is open, and keeps the connection.
 void UpstreamClient::endUnsent(std::uint64_t attempt)
 {
@@ -171,6 +184,8 @@
         reply.end = LeafReply::End::Malformed;
     else if (reply.end == LeafReply::End::Complete && exchange.request.onReply)
         exchange.request.onReply(reply);
+    if (auto pool = m_pools.find(exchange.poolName); pool != m_pools.end() && reply.end == LeafReply::End::Lost)
+        pool->second.endedByLeafAt = Clock::now();
     if (exchange.connection)
         reuse(exchange.poolName, exchange.connection, reply);
     if (exchange.callback)
@@ -236,6 +251,8 @@
     auto n = std::erase_if(pool->second.idle, [&](const Idle& it) { return it.connection == connection; });
     pool->second.open -= static_cast<std::uint32_t>(n);
     m_counters.idleEnded += n;
+    if (connection->endedByLeaf())
+        pool->second.endedByLeafAt = Clock::now();
 }
 
 void UpstreamClient::setLimit(const Announcement& leaf, std::uint32_t limit)
@@ -294,7 +311,8 @@
         ++m_counters.connectAttempts;
         connection->connect(pool.endpoint, m_settings.connectTimeout,
             [self = shared_from_this(), poolName = poolNameOf(leaf), connection, done = std::move(done)](bool ok) {
-                self->m_counters.connectFailures += ok ? 0 : 1;
+                if (!ok)
+                    self->onConnectFailed(poolName, connection);
                 self->keepOrClose(poolName, connection, ok, self->m_settings.idleTimeout);
                 done(ok);
             });
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -19,6 +19,8 @@
     /// An idle connection is closed after this part of the leaf's Keep-Alive timeout; below 1 because the leaf's timer
     /// starts earlier.
     double idleShare = 0.75;
+    /// Time after the end of a connection within which a refused one means that the process of the leaf has ended.
+    milliseconds processEndWindow { 5000 };
     std::size_t maxAnswerBytes = std::size_t { 4 } << 20U; // of a body
     std::size_t maxReplyBytes = std::size_t { 16 } << 20U; // of all replies that are being received, see ReplyMemory
 };
@@ -65,6 +67,12 @@
     {
     }
 
+    /// Sets what is called when the process of a leaf has ended: its connections did, and its address refuses new ones.
+    /// It may be called several times for one process. Precondition: called before the first send or probe.
+    void setProcessEndHandler(std::function<void(const std::string& leaf)> handler)
+    {
+        m_processEnded = std::move(handler);
+    }
     /// Sends a request on an idle or a new connection; `limit` is the maximum number of connections to the leaf.
     /// `callback` runs once, after this call returns, unless the attempt is cancelled. If no connection is available,
     /// the end of the reply is NotWritten, or NoFreeConnection if the limit is reached or if the leaf accepts no
@@ -106,6 +114,7 @@
         std::uint32_t limit = std::numeric_limits<std::uint32_t>::max(); // maximum of `open`
         bool namesRequests = false;                                      // a reply said which request it answers
         bool isRemoved = false;                                          // by keepOnly; erased with its last connection
+        std::optional<TimePoint> endedByLeafAt;                          // when the leaf last ended a connection
     };
     struct Exchange {
         std::string poolName;
@@ -129,12 +138,14 @@
     void keepOrClose(const std::string& poolName, const Connection&, bool isReusable, Duration idleTimeout);
     void onGraceExpired(std::uint64_t attempt, const std::function<void(CancelResult)>& done);
     void onIdleEnded(const std::string& poolName, const Connection&);
+    void onConnectFailed(const std::string& poolName, const Connection&);
     void closeUnresponsive(const std::string& poolName, TimePoint since);
 
     Strand m_strand;
     UpstreamSettings m_settings;
     std::shared_ptr<ReplyMemory> m_replyMemory;
     UpstreamCounters m_counters;
+    std::function<void(const std::string&)> m_processEnded;  // may be empty
     std::unordered_map<std::string, Pool> m_pools;           // by "LEAF@ADDRESS"
     std::unordered_map<std::uint64_t, Exchange> m_exchanges; // by attempt
 };
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -81,6 +81,10 @@
     , m_quotaTimer(m_strand)
 {
     m_policies.setBounds(bounds);
+    m_upstream->setProcessEndHandler([this](const std::string& leaf) {
+        if (m_policies.onProcessEnded(leaf))
+            log(LogLevel::Info, "leaf", "leaf=" + leaf + " has ended; what starts at its address counts as cold");
+    });
     scheduleChecks();
 }
 
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -274,6 +274,7 @@
 struct ServiceLimits {
     std::uint32_t connections = 1;    // connections that a leaf accepts from all instances together
     double coldRequestsPerSecond = 0; // request rate that a leaf can handle while it is warming up
+    milliseconds warmupTime { 0 };    // from the start of a leaf
     bool operator==(const ServiceLimits&) const = default;
 };
 
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -3,6 +3,7 @@
 #include "coordination/ZoneLease.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace citronplank {
 
@@ -76,12 +77,14 @@
     m_coldStartLimit.trim(now);
     std::unordered_map<std::string, std::vector<KnownLeaf>> known;
     for (auto& it : leaves) {
-        KnownLeaf entry { std::move(it), {}, false };
+        KnownLeaf entry { .announcement = std::move(it) };
         entry.coldUntil = now + entry.announcement.warmupLeft;
         for (const auto& old : m_leaves[entry.announcement.service]) {
             if (old.announcement.leaf != entry.announcement.leaf || old.announcement.boot != entry.announcement.boot)
                 continue;
             entry.excluded = old.excluded;
+            entry.hasEnded = old.hasEnded;
+            entry.restartColdUntil = old.restartColdUntil;
             // `warmupLeft` counts from the arrival of an announcement, and this announcement arrived earlier.
             if (old.announcement.sequence == entry.announcement.sequence)
                 entry.coldUntil = old.coldUntil;
@@ -89,10 +92,53 @@
         known[entry.announcement.service].push_back(std::move(entry));
     }
     m_leaves = std::move(known);
+    m_endedLeaves.clear();
+    for (const auto& [service, all] : m_leaves) {
+        for (const auto& it : all) {
+            if (it.hasEnded)
+                m_endedLeaves.insert(it.announcement.leaf);
+        }
+    }
     std::erase_if(m_rates, [&](const auto& it) { return !m_leaves.contains(it.first); });
     m_groups.clear();
 }
 
+bool RoutePolicies::onProcessEnded(const std::string& leaf)
+{
+    bool isNew = false;
+    for (auto& [service, leaves] : m_leaves) {
+        for (auto& it : leaves) {
+            if (it.announcement.leaf != leaf || it.hasEnded)
+                continue;
+            it.hasEnded = true;
+            isNew = true;
+            m_endedLeaves.insert(leaf);
+        }
+    }
+    return isNew;
+}
+
+/// Something accepts connections, or answers, at the address of the leaf.
+void RoutePolicies::onReached(const std::string& leaf, TimePoint now)
+{
+    if (m_endedLeaves.erase(leaf) == 0)
+        return;
+    for (auto& [service, leaves] : m_leaves) {
+        for (auto& it : leaves) {
+            if (it.announcement.leaf != leaf || !std::exchange(it.hasEnded, false))
+                continue;
+            it.restartColdUntil = now + m_table->limitsOf(service).warmupTime;
+        }
+    }
+}
+
+void RoutePolicies::onProbe(const std::string& leaf, bool reached, TimePoint now)
+{
+    m_selector.onProbe(leaf, reached, now);
+    if (reached)
+        onReached(leaf, now);
+}
+
 void RoutePolicies::setEntryInstances(std::vector<std::string> names)
 {
     m_entryInstances = std::move(names);
@@ -219,7 +265,7 @@
     if (found == m_leaves.end())
         return zones;
     for (const auto& it : found->second) {
-        if (isUsable(it) && now >= it.coldUntil && !m_selector.isDown(it.announcement))
+        if (isUsable(it) && !it.isCold(now) && !m_selector.isDown(it.announcement))
             zones.push_back(it.announcement.zone);
     }
     return zones;
@@ -361,8 +407,7 @@
 {
     auto found = m_leaves.find(service);
     return found != m_leaves.end() && std::any_of(found->second.begin(), found->second.end(), [&](const KnownLeaf& it) {
-        return it.announcement.zone == zone && isUsable(it) && now >= it.coldUntil
-            && !m_selector.isDown(it.announcement)
+        return it.announcement.zone == zone && isUsable(it) && !it.isCold(now) && !m_selector.isDown(it.announcement)
             && std::find(tried.begin(), tried.end(), it.announcement.leaf) == tried.end();
     });
 }
@@ -536,6 +581,8 @@
 void RoutePolicies::onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now)
 {
     m_selector.onEnd(leaf, attempt, end, now);
+    if (end == AttemptEnd::Answered || end == AttemptEnd::Refused)
+        onReached(leaf, now);
     auto noticeEnd = end == AttemptEnd::Answered ? LeafNotices::End::Answered
         : end == AttemptEnd::Refused             ? LeafNotices::End::Refused
                                                  : LeafNotices::End::Other;
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -192,7 +192,12 @@
     void onEnd(const std::string& leaf, std::uint64_t attempt, AttemptEnd end, TimePoint now);
     /// Returns the usable leaves that are down, due for a probe and not paused.
     std::vector<Announcement> dueProbes(TimePoint now);
-    void onProbe(const std::string& leaf, bool reached, TimePoint now) { m_selector.onProbe(leaf, reached, now); }
+    /// Records whether the leaf could be connected to.
+    void onProbe(const std::string& leaf, bool reached, TimePoint now);
+    /// The process of the leaf has ended. What is reached at its address later has started since: until the leaf is
+    /// announced with another boot, it counts as warming up for the warm-up time of its service. Returns whether the
+    /// end was unknown.
+    bool onProcessEnded(const std::string& leaf);
     const LeafSelector& selector() const { return m_selector; }
     /// Returns the number of entry instances, including this one.
     std::size_t entryInstanceCount() const { return std::max<std::size_t>(1, m_bounds.instances); }
@@ -200,8 +205,11 @@
 private:
     struct KnownLeaf {
         Announcement announcement;
-        TimePoint coldUntil;   // end of the warm-up
-        bool excluded = false; // see `exclude`
+        TimePoint coldUntil;        // end of the warm-up as announced
+        TimePoint restartColdUntil; // end of the warm-up after an observed restart, see onProcessEnded
+        bool hasEnded = false;      // its process, and nothing has been reached at its address since
+        bool excluded = false;      // see `exclude`
+        bool isCold(TimePoint now) const { return hasEnded || now < coldUntil || now < restartColdUntil; }
     };
     struct RoundRobin {              // weighted, over the targets of a route
         std::vector<double> weights; // of the targets when `current` was reset
@@ -215,6 +223,7 @@
     std::vector<LeafEstimate> estimatesOf(const std::string& service, std::span<const Announcement* const> candidates,
         Duration typicalLatency, TimePoint now) const;
     bool maySendToCold(const KnownLeaf&, TimePoint now);
+    void onReached(const std::string& leaf, TimePoint now);
     PercentBudget& budgetOf(const std::string& service);
     double extraBurst() const;
     double firstExtraBurst() const;
@@ -237,6 +246,7 @@
     SharedBounds m_bounds;
     std::shared_ptr<const RouteTable> m_table = std::make_shared<const RouteTable>(ServingConfiguration {});
     std::set<std::string, std::less<>> m_zonesOut;
+    std::set<std::string, std::less<>> m_endedLeaves; // those with KnownLeaf::hasEnded
     std::vector<std::string> m_entryInstances;
     std::unordered_map<std::string, std::vector<KnownLeaf>> m_leaves; // by service
     std::unordered_map<std::string, PercentBudget> m_budgets;         // by service
--- a/query/RoutePoliciesChoice.cpp
+++ b/query/RoutePoliciesChoice.cpp
@@ -111,7 +111,7 @@
     for (const auto& it : found->second) {
         if (exclusionOf(it, tried, ownZoneOnly, now) != LeafExclusion::None)
             continue;
-        if (now >= it.coldUntil)
+        if (!it.isCold(now))
             warm.push_back(&it.announcement);
         else if (maySendToCold(it, now))
             cold.push_back(&it.announcement);
@@ -142,7 +142,7 @@
     for (const auto& it : found->second) {
         leaves.push_back(&it.announcement);
         all.push_back({ it.announcement, exclusionOf(it, {}, false, now), {}, 0 });
-        hasWarm |= all.back().exclusion == LeafExclusion::None && now >= it.coldUntil;
+        hasWarm |= all.back().exclusion == LeafExclusion::None && !it.isCold(now);
     }
     auto estimates = estimatesOf(service, leaves, typicalLatency, now);
     for (std::size_t i = 0; i < all.size(); ++i) {
@@ -150,7 +150,7 @@
         all[i].estimate.zone = {}; // refers to an announcement that may be replaced
         if (all[i].exclusion == LeafExclusion::None && estimates[i].isDown)
             all[i].exclusion = LeafExclusion::Down;
-        if (all[i].exclusion == LeafExclusion::None && now < found->second[i].coldUntil && hasWarm)
+        if (all[i].exclusion == LeafExclusion::None && found->second[i].isCold(now) && hasWarm)
             all[i].exclusion = LeafExclusion::WarmingUp;
         estimates[i].isDown = all[i].exclusion != LeafExclusion::None;
     }
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -488,3 +488,39 @@
     CHECK(shares["s1"] == 0);
     CHECK(policies.spreadCounters().choices == 0);
 }
+
+// Guards against a leaf that counts as warm after a restart because nothing newer than its earlier start is announced.
+TEST_CASE("a leaf whose process has ended is cold for the warm-up time of its service")
+{
+    ServingConfiguration configuration;
+    configuration.services["list"] = { 25, 4, seconds(3) };
+    RoutePolicies policies("front-1", "atl");
+    policies.setTable(std::make_shared<const RouteTable>(configuration));
+    auto leaf = leafOf("a", "list");
+    leaf.sequence = 1;
+    policies.setLeaves({ leaf }, start);
+    auto picks = [&](TimePoint now) {
+        std::uint64_t n = 0;
+        for (; n < 20 && policies.pick("list", {}, typical, now); ++n)
+            policies.onStart(leaf, n + 1, typical, now);
+        return n;
+    };
+    constexpr std::uint64_t whileCold = 5; // half of 4 x 1.5 + 5
+    CHECK(picks(start) == 20);
+    CHECK(policies.onProcessEnded("a"));
+    CHECK_FALSE(policies.onProcessEnded("a"));
+    CHECK(picks(start + seconds(2)) == whileCold);
+    policies.onProbe("a", true, start + seconds(4));
+    CHECK(picks(start + seconds(5)) == whileCold);
+    // A late announcement of the earlier start says nothing about the process that runs now.
+    leaf.sequence = 2;
+    policies.setLeaves({ leaf }, start + milliseconds(6500));
+    CHECK(picks(start + milliseconds(6600)) == whileCold);
+    SUBCASE("until the time is over") { CHECK(picks(start + seconds(8)) == 20); }
+    SUBCASE("or the leaf announces its restart")
+    {
+        leaf.boot = 2;
+        policies.setLeaves({ leaf }, start + milliseconds(6600));
+        CHECK(picks(start + milliseconds(6700)) == 20);
+    }
+}
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -156,6 +156,7 @@
     ~CrashingLeaf() { m_io.stop(); }
     std::string address() const { return "127.0.0.1:" + std::to_string(m_endpoint.port()); }
     int crashes() const { return m_crashes; }
+    int answers() const { return m_answers; }
     /// Listens again at its address.
     void restart()
     {
@@ -202,6 +203,7 @@
                     m_connections.clear();
                     return;
                 }
+                ++m_answers;
                 auto id = request.substr(request.find("Request-Id: "));
                 id.resize(id.find("\r\n"));
                 asio::write(it->socket,
@@ -217,6 +219,7 @@
     tcp::endpoint m_endpoint;
     std::vector<std::shared_ptr<Connection>> m_connections;
     std::atomic<int> m_crashes { 0 };
+    std::atomic<int> m_answers { 0 };
     std::jthread m_thread;
 };
 
@@ -513,6 +516,34 @@
     CHECK(leaf.crashes() == 1);
 }
 
+// Guards against a leaf that restarts under its name, announces itself late and gets all requests while it is cold.
+TEST_CASE("a leaf that was seen to end gets few requests until its warm-up time is over")
+{
+    CrashingLeaf leaf;
+    Fixture it(leaf.address());
+    it.configuration.services["service"].warmupTime = milliseconds(1500);
+    it.setKey("k1");
+    auto send = [&](const std::string& key) {
+        auto caller = it.sendRequest("Authorization: Bearer " + key + "\r\n");
+        it.run(milliseconds(20));
+    };
+    send("other"); // leaves an idle connection
+    REQUIRE(leaf.answers() == 1);
+    send("k1");
+    REQUIRE(leaf.crashes() == 1);
+    it.run(milliseconds(300));
+    leaf.restart();
+    it.run(milliseconds(700)); // until a probe finds the leaf
+    for (int i = 0; i < 20; ++i)
+        send("other");
+    CHECK(leaf.answers() <= 1 + 2); // half of the allowance of 5 a second
+    it.run(milliseconds(1500));
+    auto before = leaf.answers();
+    for (int i = 0; i < 20; ++i)
+        send("other");
+    CHECK(leaf.answers() == before + 20);
+}
+
 // Guards against requests over a customer's limit that run, a limited customer that is not served without a lease, and
 // requests that wait for ever when no allotter answers.
 TEST_CASE("a customer's requests over its limit are rejected with a time, before they run")
