--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -81,8 +81,8 @@
 
     /// Handles a notice from another instance that a request crashed a leaf.
     void onCrashNotice(std::string peer, CrashNotice);
-    /// Sends the crashes that this instance observed, or all that it knows, to an entry instance that was unknown or has
-    /// restarted.
+    /// Sends the crashes that this instance observed, or all that it knows, to an entry instance that was unknown or
+    /// has restarted.
     void sendKnownCrashes(std::string peer, bool includesReported);
 
     /// Whether at least half of the recent requests could be answered now; see RoutePolicies::canServe. Updated every
