Own the connections of an HttpServer in its table

Callers that sent many requests ahead on one connection got a reset and no answer.

Cause: the table held weak pointers, and only pending operations kept a connection alive. While a request is handled and the buffer for the next ones is full, nothing is pending. Ruled out: the limit on connections, which only shows the wrong count.

The table owns a connection from accept to close. At a shutdown the ownership passes to the posted calls that close it.

After: HttpServerTests passes (11 cases), and ClientCrowdTests "requests sent ahead without reading", which also checks that the count returns to 0.

--- a/tests/ClientCrowdTests.cpp
+++ b/tests/ClientCrowdTests.cpp
@@ -97,6 +97,7 @@
             CHECK(eventually(waitTime, [this] { return get(controlAddress, "/-/config") == 200; }));
         }
         CHECK(maxOpenFds <= maxFds);
+        CHECK(eventually(waitTime, [] { return countedConnections() == 0; }));
         CHECK(statusValue(*entry, "VmHWM") <= memoryMb * kilobytesPerMb);
         CHECK(statusValue(*control, "VmHWM") <= memoryMb * kilobytesPerMb);
         CHECK(eventually(waitTime, [this] {
@@ -131,6 +132,15 @@
     {
         return testing::httpGet(address, path).status;
     }
+    /// Connections of callers that the entry instance counts as open, or nothing if its metrics are not available.
+    static std::optional<int> countedConnections()
+    {
+        const std::string metric = "citronplank_http_callers_connections ";
+        auto body = testing::httpGet("127.50.1.11:" + std::to_string(port(3) + 2), "/metrics").body;
+        auto found = body.find("\n" + metric);
+        return found == std::string::npos ? std::nullopt
+                                          : std::optional(std::stoi(body.substr(found + 1 + metric.size())));
+    }
     static int put(const std::string& path, const std::string& body)
     {
         httplib::Client client("127.50.1.1", port(0));
--- a/tests/HttpServerTests.cpp
+++ b/tests/HttpServerTests.cpp
@@ -160,6 +160,45 @@
     CHECK(caller.isClosed());
 }
 
+// Guards against a connection that nothing owns while a request is handled and no more input fits: it was reset, its
+// requests were lost, and it was counted as open for ever.
+TEST_CASE("many requests sent ahead are answered in order, and their connection leaves the count")
+{
+    Server server;
+    int requests = 0;
+    SUBCASE("400") { requests = 400; }
+    SUBCASE("4000") { requests = 4000; }
+    std::string ahead;
+    for (int i = 0; i < requests; ++i)
+        ahead += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: server\r\n\r\n";
+    auto answersAll = [&](Caller& caller) {
+        for (int i = 0; i < requests; ++i) {
+            if (!contains(caller.answer(), "GET/" + std::to_string(i) + ":"))
+                return false;
+        }
+        return true;
+    };
+    {
+        Caller caller(server);
+        caller.send(ahead);
+        CHECK(answersAll(caller));
+    }
+    {
+        Caller behindSlowRequest(server);
+        behindSlowRequest.send("GET /wait HTTP/1.1\r\n\r\n" + ahead);
+        const Responder slow = server.nextWaiting();
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(slow.answer({ .body = "slow" }));
+        CHECK(contains(behindSlowRequest.answer(), "slow"));
+        CHECK(answersAll(behindSlowRequest));
+    }
+    {
+        Caller neverReads(server);
+        neverReads.send(ahead);
+    }
+    CHECK(eventually([&] { return server.http->counters().connections == 0; }));
+}
+
 // Guards against requests beyond a limit that are buffered or run, or whose connection is reset without a response.
 TEST_CASE("oversized and malformed requests get the response of the error table and the connection ends")
 {
--- a/transport/HttpServer.cpp
+++ b/transport/HttpServer.cpp
@@ -105,12 +105,12 @@
             m_perPeer.begin(), m_perPeer.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     std::vector<StalledConnection> list;
     for (const auto& [id, entry] : m_connections) {
-        const auto connection = entry.peer == from->first ? entry.connection.lock() : nullptr;
-        if (auto state = connection ? connection->stalled() : std::nullopt)
+        const bool isCandidate = entry.peer == from->first && entry.connection;
+        if (auto state = isCandidate ? entry.connection->stalled() : std::nullopt)
             list.push_back(*state);
     }
     const auto id = citronplank::connectionToReplace(list, now);
-    return id ? m_connections.at(*id).connection.lock() : nullptr;
+    return id ? m_connections.at(*id).connection : nullptr;
 }
 
 void HttpServer::Shared::accepted(Socket&& socket)
@@ -120,6 +120,8 @@
     std::shared_ptr<Connection> replaced;
     {
         const std::lock_guard lock(m_mutex);
+        if (m_stopped)
+            return; // closes the socket
         const auto peer = m_acceptedPeer.address();
         if (isBeyondLimit(peer))
             replaced = connectionToReplace(peer, Clock::now());
@@ -197,8 +199,8 @@
     std::vector<std::shared_ptr<Connection>> list;
     const std::lock_guard lock(m_mutex);
     for (const auto& [id, entry] : m_connections) {
-        if (auto connection = entry.connection.lock())
-            list.push_back(std::move(connection));
+        if (entry.connection)
+            list.push_back(entry.connection);
     }
     return list;
 }
@@ -225,7 +227,14 @@
 {
     m_stopped = true;
     closeAcceptor();
-    for (const auto& connection : connections())
+    auto list = connections();
+    {
+        // The calls below may never run, and a connection owns this object.
+        const std::lock_guard lock(m_mutex);
+        for (auto& [id, entry] : m_connections)
+            entry.connection.reset();
+    }
+    for (const auto& connection : list)
         asio::post(connection->strand(), [connection] { connection->close(); });
 }
 
--- a/transport/HttpServerImpl.h
+++ b/transport/HttpServerImpl.h
@@ -48,8 +48,9 @@
     void beginDrain() { m_draining = true; }
 
 private:
+    /// Owns a connection from its accept until it is closed, whether or not an operation of it is pending.
     struct Entry {
-        std::weak_ptr<Connection> connection;
+        std::shared_ptr<Connection> connection; // null after `shutDown`, whose posted calls own it
         asio::ip::address peer;
     };
 
