Wait for the last relay of a part until the deadline

Cause: a relay with the last attempt of a part was given up when the answer was due; the part could not be sent again, so the request could not reach its coverage any more. Ruled out: refusals by leaves, services without a leaf.

Before: RouteExecutionTests "a relay is waited for until the deadline if its parts may not be sent again" failed (55 ms, then an error); after: it passes, with all of RouteExecutionTests and RelayTests.

--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -309,13 +309,19 @@
     part.running = 0;
 }
 
+/// Whether a part may be sent again after `ran` attempts that ran or may have run, and `arrived` that reached a leaf.
+bool RouteExecution::maySendAgain(std::uint32_t ran, std::uint32_t arrived) const
+{
+    return ran < m_route->attempts && (m_route->idempotent || ran == 0) && arrived < maxArrivals;
+}
+
 /// Whether a part without a running attempt is to be requested again. Marks it as exhausted if that is not allowed.
 bool RouteExecution::mayRetry(std::uint32_t index)
 {
     auto& part = m_parts[index];
     if (part.answered || part.running > 0)
         return false;
-    part.isExhausted = !mayRunAgain(part) || part.arrived >= maxArrivals;
+    part.isExhausted = !maySendAgain(part.ran, part.arrived);
     return !part.isExhausted;
 }
 
@@ -339,7 +345,7 @@
             auto unanswered = std::find_if(
                 part.relays.begin(), part.relays.end(), [&](std::uint32_t it) { return !m_relays[it].hasBatch; });
             if (unanswered != part.relays.end()) {
-                abandonRelay(*unanswered, true, actions, now);
+                onRelayLate(*unanswered, actions, now);
                 continue;
             }
             // Running attempts count as having run.
