--- a/tests/CrashGuardTests.cpp
+++ b/tests/CrashGuardTests.cpp
@@ -185,9 +185,9 @@
 // Guards against a start that each of hundreds of instances answers with all that it knows.
 TEST_CASE("few instances report the crashes that others observed")
 {
-    std::vector<std::string> names;
-    for (int i = 0; i < 300; ++i)
-        names.push_back("front-" + std::to_string(i));
+    std::vector<std::string> names(300);
+    for (std::size_t i = 0; i < names.size(); ++i)
+        names[i] = "front-" + std::to_string(i);
     auto isReporter = [&](const std::string& it) { return CrashGuard::isReporter(it, "peer", names); };
     CHECK(std::count_if(names.begin(), names.end(), isReporter) == CrashGuard::reporters);
 }
