--- a/query/RouteExecution.cpp
+++ b/query/RouteExecution.cpp
@@ -309,19 +309,13 @@
     part.running = 0;
 }
 
-/// Whether a part may be sent again after `ran` attempts that ran or may have run, and `arrived` that reached a leaf.
-bool RouteExecution::maySendAgain(std::uint32_t ran, std::uint32_t arrived) const
-{
-    return ran < m_route->attempts && (m_route->idempotent || ran == 0) && arrived < maxArrivals;
-}
-
 /// Whether a part without a running attempt is to be requested again. Marks it as exhausted if that is not allowed.
 bool RouteExecution::mayRetry(std::uint32_t index)
 {
     auto& part = m_parts[index];
     if (part.answered || part.running > 0)
         return false;
-    part.isExhausted = !maySendAgain(part.ran, part.arrived);
+    part.isExhausted = !mayRunAgain(part) || part.arrived >= maxArrivals;
     return !part.isExhausted;
 }
 
@@ -345,7 +339,7 @@
             auto unanswered = std::find_if(
                 part.relays.begin(), part.relays.end(), [&](std::uint32_t it) { return !m_relays[it].hasBatch; });
             if (unanswered != part.relays.end()) {
-                onRelayLate(*unanswered, actions, now);
+                abandonRelay(*unanswered, true, actions, now);
                 continue;
             }
             // Running attempts count as having run.
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -54,7 +54,7 @@
     std::uint32_t relay = 0; // index within the request
     std::string peer;
     RelayRequest request;
-    milliseconds wait { 0 }; // an answer after this time is not used
+    milliseconds wait { 0 }; // the parts are requested elsewhere if the peer has not answered by then
 };
 
 /// Response to the caller.
@@ -160,9 +160,7 @@
     struct Relay {
         std::string peer;
         std::vector<std::uint32_t> parts;
-        bool hasBatch = false;      // the first answer of the peer has arrived, or none is expected
-        bool isLastAttempt = false; // of at least one of the parts
-        bool isLate = false;        // last attempts only: the peer did not answer in time
+        bool hasBatch = false; // the first answer of the peer has arrived, or none is expected
         bool ended = false;
     };
     enum class Again : std::uint8_t { Hedge, Retry };
@@ -177,7 +175,6 @@
         RoutePolicies::RelayPlan, milliseconds batchAfter, Duration wait, RelayBudget, RouteActions&, TimePoint now);
     void requestAgain(std::vector<std::uint32_t> parts, Again, RouteActions&, TimePoint now);
     std::vector<std::uint32_t> relayAgain(std::span<const std::uint32_t> parts, Again, RouteActions&, TimePoint now);
-    void onRelayLate(std::uint32_t relay, RouteActions&, TimePoint now);
     void abandonRelay(std::uint32_t relay, bool mayHaveArrived, RouteActions&, TimePoint now);
     void acceptRelayed(Part&, std::string signature, RouteActions&);
     bool failRelayed(std::uint32_t part, std::uint32_t relay, bool hasArrived, bool mayHaveRun);
@@ -187,7 +184,10 @@
     bool isAvailable(const Part&, TimePoint now) const;
     bool waitForPause(Part&, TimePoint now);
     milliseconds retryAfter(milliseconds minimum, TimePoint now) const;
-    bool maySendAgain(std::uint32_t ran, std::uint32_t arrived) const;
+    bool mayRunAgain(const Part& it) const
+    {
+        return it.ran < m_route->attempts && (m_route->idempotent || it.ran == 0);
+    }
     void endAttempt(Attempt&, AttemptEnd, TimePoint now);
     void accept(Part&, Attempt&, AttemptResult&, RouteActions&, TimePoint now);
     RouteActions completeActions(RouteActions, TimePoint now);
--- a/query/RouteExecutionRelays.cpp
+++ b/query/RouteExecutionRelays.cpp
@@ -47,10 +47,7 @@
 {
     auto number = static_cast<std::uint32_t>(m_relays.size());
     bool hasBatch = batchAfter <= milliseconds::zero();
-    bool isLast = std::any_of(plan.shardIndices.begin(), plan.shardIndices.end(),
-        [&](auto it) { return !maySendAgain(m_parts[it].ran + 1, m_parts[it].arrived + 1); });
-    auto usefulFor = isLast ? std::max<Duration>(wait, m_deadline - now) : wait;
-    RelaySend send { number, plan.peer, {}, std::chrono::ceil<milliseconds>(usefulFor) };
+    RelaySend send { number, plan.peer, {}, std::chrono::ceil<milliseconds>(wait) };
     for (auto index : plan.shardIndices) {
         auto& part = m_parts[index];
         part.relays.push_back(number);
@@ -68,7 +65,7 @@
     send.request.remaining = leafTimeout(now);
     send.request.batchAfter = batchAfter;
     send.request.budget = budget;
-    m_relays.push_back({ plan.peer, std::move(plan.shardIndices), hasBatch, isLast });
+    m_relays.push_back({ plan.peer, std::move(plan.shardIndices), hasBatch });
     actions.relays.push_back(std::move(send));
 }
 
@@ -204,17 +201,6 @@
     return completeActions(std::move(actions), now);
 }
 
-/// Handles a relay whose peer did not answer in time. The last attempt of a part is not abandoned, because that would
-/// fail the part while its answer can still arrive.
-void RouteExecution::onRelayLate(std::uint32_t number, RouteActions& actions, TimePoint now)
-{
-    auto& relay = m_relays[number];
-    if (!relay.isLastAttempt)
-        abandonRelay(number, true, actions, now);
-    else if (!std::exchange(relay.isLate, true))
-        m_policies.onPeerResult(relay.peer, false, now);
-}
-
 /// Ends a relay whose peer failed or did not answer in time, and requests its parts elsewhere. A later batch is ignored
 /// because it would count these parts twice.
 void RouteExecution::abandonRelay(std::uint32_t number, bool mayHaveArrived, RouteActions& actions, TimePoint now)
