--- a/daemon/Settings.cpp
+++ b/daemon/Settings.cpp
@@ -204,7 +204,8 @@
         if (given.wantsHelp)
             return { std::nullopt, exitSuccess, settingsHelp() };
         if (given.wantsVersion)
-            return { std::nullopt, exitSuccess, std::string("citronplankd ") + versionText() + "\n" };
+            return { std::nullopt, exitSuccess,
+                std::string("citronplankd ") + versionText() + " sources=" + sourcesDigest() + "\n" };
         addEnvironment(given, environment);
         Settings settings = assignAll(given);
         checkConsistency(settings);
--- a/tool/Tool.cpp
+++ b/tool/Tool.cpp
@@ -231,7 +231,7 @@
 
 int runVersion(const Context& context)
 {
-    context.out << "citronplank " << versionText() << "\n";
+    context.out << "citronplank " << versionText() << " sources=" << sourcesDigest() << "\n";
     return exitOk;
 }
 
