Refuse a configuration that leaves in doubt who may call, and log what is in use

A list of customers that is misspelled or in another place had no effect, so that all routes were open; of a repeated list or "public" the last one won; a null took away a customer's limit; no log line told whether keys were asked for.

The decoder refuses these, and names the fields that have no effect. A configuration that comes into use is logged with its source, digest, routes, customers (or "absent") and unknown fields; a request's line tells whether a key was asked for. PlatformTests "a configuration that leaves in doubt who may call is refused" fails without the check.

--- a/daemon/DaemonConfiguration.cpp
+++ b/daemon/DaemonConfiguration.cpp
@@ -47,7 +47,7 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Configuration
 
-void Daemon::Impl::onConfiguration()
+void Daemon::Impl::onConfiguration(const std::string& /*source*/)
 {
     auto configuration = m_configuration.current();
     if (!configuration->rulesError.empty())
--- a/daemon/DaemonImpl.h
+++ b/daemon/DaemonImpl.h
@@ -43,7 +43,7 @@
     void sendZoneMessage(const std::string& member, const ZoneMessage&);
 
     // Configuration and readiness (DaemonConfiguration.cpp)
-    void onConfiguration() override;
+    void onConfiguration(const std::string& source) override;
     void onItem(const GossipItem&) override;
     void onSuspicion(const SuspicionEvent&);
     void applySuspicion(std::string_view bytes);
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -105,7 +105,7 @@
     handlers.send
         = [this](const std::string& name, std::string bytes) { sendTo(name, MessageKind::Control, std::move(bytes)); };
     handlers.published = [this](const PublishedDifference& difference) {
-        onPublished(difference);
+        onPublished(difference, "control_log");
         if (m_control && m_control->isLeader())
             sendToPeers(MessageKind::ConfigurationAnswer, compressed(encode(difference)));
     };
@@ -189,7 +189,7 @@
     case MessageKind::ConfigurationFetch:
         return onConfigurationFetch(envelope);
     case MessageKind::ConfigurationAnswer:
-        return onPublished(decodePublishedDifference(decompressed(envelope.body, maxDecodedBytes)));
+        return onPublished(decodePublishedDifference(decompressed(envelope.body, maxDecodedBytes)), envelope.sender);
     case MessageKind::DirectoryFetch:
         return onDirectoryFetch(envelope);
     case MessageKind::DirectoryAnswer:
@@ -307,13 +307,13 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Configuration and directory
 
-void Node::onPublished(const PublishedDifference& difference)
+void Node::onPublished(const PublishedDifference& difference, const std::string& source)
 {
     if (m_configuration.apply(difference)) {
         log(LogLevel::Info, "config",
-            "version=" + std::to_string(difference.version)
-                + " document=" + std::to_string(m_configuration.current()->published.document.version) + " in force");
-        onConfiguration();
+            "version=" + std::to_string(difference.version) + " document="
+                + std::to_string(m_configuration.current()->published.document.version) + " in force source=" + source);
+        onConfiguration(source);
     }
 }
 
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -37,10 +37,11 @@
 
     // Hooks
     virtual void onMessage(const Envelope&); // of a kind that Node does not handle; throws Error(BadRequest)
-    virtual void onConfiguration() { }       // a new version of the published state is in force
-    virtual void onItem(const GossipItem&);  // a gossip item that is neither a leaf nor a freshness notice
-    virtual void onMembers() { }             // the live members have changed
-    virtual void onDirectory() { }           // the leaf directory has changed
+    /// A new version of the published state is in force. `source`: "control_log" or the name of the peer that sent it.
+    virtual void onConfiguration(const std::string& source) { static_cast<void>(source); }
+    virtual void onItem(const GossipItem&); // a gossip item that is neither a leaf nor a freshness notice
+    virtual void onMembers() { }            // the live members have changed
+    virtual void onDirectory() { }          // the leaf directory has changed
     virtual void onLinkDown(const std::string& /*address*/, Channel) { } // a channel to a peer was lost
     virtual void onViews(const std::vector<ZoneView>&) { }               // on the control thread
     virtual void onControlTick() { }                                     // on the control thread, every 20 ms
@@ -88,7 +89,7 @@
     void onControlMessage(const Envelope&);
     bool sendProposal(const std::string& member, const Propose&);
     std::unique_ptr<ControlService> makeControl();
-    void onPublished(const PublishedDifference&);
+    void onPublished(const PublishedDifference&, const std::string& source);
     void onFreshness(const Freshness&);
     void onFreshnessNotice(std::string_view bytes);
     void onMembersChanged();
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -221,7 +221,8 @@
     log(LogLevel::Info, "query",
         "request id=" + caller.id + " target=" + request.target
             + " outcome=" + std::string(errorAnswer(outcome.error).name) + " reason=\"" + outcome.reason
-            + "\" config=" + std::to_string(m_policies.table()->configuration().version));
+            + "\" config=" + std::to_string(m_policies.table()->configuration().version)
+            + (m_policies.table()->requiresKeys() ? " keys=required" : " keys=not_required"));
     m_counters.counter("route_refusals_total").add();
     responder.answer(m_protocol.renderOutcome(std::move(outcome), caller));
     --m_runningCount;
@@ -511,6 +512,7 @@
     if (counters.relayed > 0)
         text += " relayed=" + std::to_string(counters.relayed)
             + " broken_relays=" + std::to_string(counters.brokenRelays);
+    text += " key=" + std::string(keyCheckOf(running.customer, route));
     text += " attempts=" + std::to_string(route.attempts) + (route.idempotent ? "" : " non_idempotent");
     if (running.caller.remaining)
         text += " caller_waits_ms=" + std::to_string(running.caller.remaining->count());
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -162,6 +162,7 @@
     bool takesWhileStopping(const Route&, const CallerInfo&, TimePoint arrivedAt) const;
     void refuseStopping(const CallerInfo&, const HttpRequest&, const Responder&);
     bool authorize(CustomerIdentity&, HttpRequest&, const Route&);
+    static std::string_view keyCheckOf(const CustomerIdentity&, const Route&);
     void refuseUnauthorized(const CallerInfo&, const HttpRequest&, const Responder&);
     void abortUnauthorized(Id, const RouteActions&);
     void admitWithinLimit(WaitingRequest);
--- a/daemon/RouteServiceCustomers.cpp
+++ b/daemon/RouteServiceCustomers.cpp
@@ -25,9 +25,18 @@
         it.name = std::move(name);
     }
     it.authorizedBy = table;
+    m_counters.counter("route_key_" + std::string(keyCheckOf(it, route)) + "_total").add();
     return true;
 }
 
+/// What the configuration that authorized a request asked of its caller, for the log.
+std::string_view RouteService::keyCheckOf(const CustomerIdentity& it, const Route& route)
+{
+    if (!it.authorizedBy || !it.authorizedBy->requiresKeys())
+        return "not_asked";
+    return route.isPublic ? "public" : "asked";
+}
+
 void RouteService::refuseUnauthorized(const CallerInfo& caller, const HttpRequest& request, const Responder& responder)
 {
     m_counters.counter("route_unauthorized_total").add();
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -1,9 +1,12 @@
 #include "daemon/RoutedDaemon.h"
 
 #include "daemon/Logging.h"
+#include "daemon/Version.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <sstream>
 
 namespace citronplank {
 
@@ -147,8 +150,9 @@
     runEvery(httpReportInterval, [this] { m_httpReports.update(*m_httpBounds.memory); });
     startNode();
     log(LogLevel::Info, "start",
-        "instance=" + m_settings.name + " zone=" + m_settings.zone + " callers=" + m_routedSettings.callerAddress
-            + " control=" + m_routedSettings.controlAddress + " data=" + m_settings.dataDir.string());
+        "sources=" + std::string(sourcesDigest()) + " instance=" + m_settings.name + " zone=" + m_settings.zone
+            + " callers=" + m_routedSettings.callerAddress + " control=" + m_routedSettings.controlAddress
+            + " data=" + m_settings.dataDir.string());
 }
 
 void RoutedDaemon::stopGracefully()
@@ -190,7 +194,36 @@
 // ---------------------------------------------------------------------------------------------------------------
 // Configuration, membership and readiness
 
-void RoutedDaemon::onConfiguration()
+/// States on what grounds requests are served: which configuration is in use, where it came from, and whether it asks
+/// for keys.
+void RoutedDaemon::logConfiguration(
+    const ServingConfiguration& configuration, std::string_view text, const std::string& source)
+{
+    std::ostringstream line;
+    line << "document=" << configuration.version << " in use source=" << source << " digest=" << std::hex
+         << hash64(text) << std::dec << " bytes=" << text.size() << " routes=" << configuration.routes.size()
+         << " public="
+         << std::count_if(
+                configuration.routes.begin(), configuration.routes.end(), [](auto& it) { return it.isPublic; })
+         << " customers="
+         << (configuration.customers ? std::to_string(configuration.customers->size()) : std::string("absent"));
+    auto level = LogLevel::Info;
+    if (!configuration.unknownFields.empty()) {
+        line << " unknown_fields=";
+        for (const auto& it : configuration.unknownFields)
+            line << (&it == &configuration.unknownFields.front() ? "" : ",") << it;
+        m_counters.counter("configuration_unknown_fields_total").add(configuration.unknownFields.size());
+        level = LogLevel::Warning;
+    }
+    bool requiresKeys = configuration.customers.has_value();
+    if (m_requiredKeys.exchange(requiresKeys) && !requiresKeys) {
+        line << "; requests need no key any more";
+        level = LogLevel::Warning;
+    }
+    log(level, "config", line.str());
+}
+
+void RoutedDaemon::onConfiguration(const std::string& source)
 {
     auto current = m_configuration.current();
     const auto& document = current->published.document;
@@ -199,7 +232,9 @@
     if ((!m_routes && !m_quota) || document.version <= m_decodedVersion)
         return;
     try {
-        auto configuration = m_decodeConfiguration(document.content.text());
+        const auto& text = document.content.text();
+        auto configuration = m_decodeConfiguration(text);
+        logConfiguration(configuration, text, source);
         if (m_quota)
             asio::post(
                 m_broadcastStrand, [this, customers = configuration.customers.value_or(std::vector<Customer>())] {
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -78,7 +78,7 @@
 
 private:
     void onMessage(const Envelope&) override;
-    void onConfiguration() override;
+    void onConfiguration(const std::string& source) override;
     void onMembers() override;
     void onLinkDown(const std::string& address, Channel) override;
     void onDirectory() override;
@@ -95,6 +95,7 @@
         TimePoint startedAt;
         bool isConfirmed = false; // the entry instances of this zone have the change
     };
+    void logConfiguration(const ServingConfiguration&, std::string_view text, const std::string& source);
     static void refuseNotice(const std::string& leaf, const std::function<void(bool)>& done);
     void handleControlRequest(const HttpRequest&, const Responder&);
     void answerRead(std::uint64_t index, TimePoint deadline, std::function<void(std::optional<StoredDocument>)> done);
@@ -124,6 +125,7 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leavesChanged { true };
     std::atomic<std::uint64_t> m_decodedVersion { 0 }; // of the configuration that the routes use; 0: none yet
+    std::atomic<bool> m_requiredKeys { false };        // whether the configuration in use asks for keys
     std::atomic<std::size_t> m_submittedBytes { 0 };   // of configurations that are not answered yet
     Guarded<std::map<std::string, std::uint64_t>> m_knownEntries; // incarnations of the live entry instances
     /// Acknowledgements that are not sent yet: peer and broadcast number.
--- a/include/citronplank.h
+++ b/include/citronplank.h
@@ -305,6 +305,7 @@
     // Absent: requests need no key. Otherwise they need one of these customers, also if there are none, except on
     // public routes.
     std::optional<std::vector<Customer>> customers;
+    std::vector<std::string> unknownFields; // names of fields that have no effect, for the log; never a key
 };
 
 // ---------------------------------------------------------------------------------------------------------------
--- a/tests/PlatformTests.cpp
+++ b/tests/PlatformTests.cpp
@@ -130,6 +130,38 @@
     CHECK_THROWS_AS(platform::decodeConfiguration(object.dump()), Error);
 }
 
+// Guards against a configuration that opens all routes because its list of customers is repeated, misspelled or in
+// another place, and against a null that lifts a limit.
+TEST_CASE("a configuration that leaves in doubt who may call is refused")
+{
+    const std::string list = R"([{"name":"c","api_keys":["k"]}])";
+    auto with = [](const std::string& fields) {
+        auto text = validConfiguration().dump();
+        return text.substr(0, text.size() - 1) + "," + fields + "}";
+    };
+    CHECK(platform::decodeConfiguration(with("\"tenants\":" + list)).customers->size() == 1);
+    for (const auto& fields : std::vector<std::string> { "\"Tenants\":" + list, "\"tenants \":" + list,
+             "\"tenants_\":" + list, R"("access":{"tenants":)" + list + "}", "\"tenants\":" + list + R"(,"tenants":[])",
+             R"("tenants":[{"name":"c","api_keys":["k"],"rate_per_s":null}])",
+             R"("tenants":[{"name":"c","api_keys":["k"],"burst":null}])" }) {
+        CAPTURE(fields);
+        CHECK_THROWS_AS(platform::decodeConfiguration(with(fields)), Error);
+    }
+    auto text = validConfiguration().dump();
+    text.insert(text.find("\"path_prefix\""), R"("public":false,"public":true,)");
+    CHECK_THROWS_AS(platform::decodeConfiguration(text), Error);
+}
+
+// Guards against a field that has no effect and is passed over in silence, and against a key among the names.
+TEST_CASE("the names of unknown fields are reported")
+{
+    auto object = validConfiguration();
+    object["routes"][0]["homes"] = 1;
+    object["tenants"] = json::parse(R"([{"name":"c","api_keys":["k"],"secret-key":1}])");
+    CHECK(platform::decodeConfiguration(object.dump()).unknownFields
+        == std::vector<std::string> { "routes.homes", "tenants.*", "unknown" });
+}
+
 // Guards against an ambiguous or empty key that is accepted, and against a key in an error message or log line.
 TEST_CASE("invalid customers are refused without quoting a key")
 {
--- a/tests/RoutedSystemTests.cpp
+++ b/tests/RoutedSystemTests.cpp
@@ -716,6 +716,56 @@
     CHECK(logged.grep("leaf: attempt id=id/one/refused").empty());
 }
 
+// Guards against a list of customers that an instance loses on one of the ways by which it learns a configuration: an
+// empty one would open all routes. The padding makes the text larger than one message without compression.
+TEST_CASE("requests need keys whether the configuration comes from a caller, a peer or the disk, large or small")
+{
+    LogCapture logged;
+    Leaves leaves;
+    System system;
+    system.startControl();
+    system.start(entry, false);
+    auto address = leaves.add("c");
+    int version = 0;
+    int sequence = 0;
+    auto check = [&](const char* way, std::size_t customers) {
+        CAPTURE(way);
+        CAPTURE(customers);
+        REQUIRE(eventually([&] { return system.announce("c", "single", "zone1", address, ++sequence) == 200; }));
+        auto used = "config: document=" + std::to_string(version) + " in use";
+        CHECK(eventually([&] { return contains(logged.grep(used), " customers=" + std::to_string(customers)); }));
+        CHECK(eventually([&] { return system.query(entry, "/one/x")->status == 401; }));
+        CHECK(leaves.count("c") == 0);
+    };
+    for (std::size_t padding : { 0, 100000 }) {
+        for (std::size_t customers : { 1, 0 }) {
+            auto configuration = configurationOf(++version);
+            configuration["comment"] = std::string(padding, 'x');
+            configuration["tenants"] = json::array();
+            if (customers > 0)
+                configuration["tenants"].push_back({ { "name", "c" }, { "api_keys", { "k" } } });
+            REQUIRE(eventually([&] { return system.put(configuration) == 200; }));
+            check("change", customers);
+            system.stop(entry);
+            system.start(entry, false);
+            check("peer", customers);
+        }
+        system.stop(entry);
+        for (const char* ip : { "127.40.1.1", "127.40.2.1", "127.40.3.1" })
+            system.stop(ip);
+        system.startControl();
+        system.start(entry, false);
+        check("disk", 0);
+    }
+    CHECK(contains(logged.grep("config: document=1"), "source="));
+    // Only an absent list opens the routes, and the log says so.
+    REQUIRE(eventually([&] { return system.put(configurationOf(++version)) == 200; }));
+    CHECK(eventually([&] { return system.query(entry, "/one/x")->status == 200; }));
+    auto line = logged.grep("config: document=" + std::to_string(version));
+    CHECK(contains(line, "customers=absent"));
+    CHECK(contains(line, "requests need no key any more"));
+}
+
 // Guards against a process that ends because of an error that its authors did not expect.
 TEST_CASE(
     "an entry instance survives an unexpected exception while it applies a configuration, and applies the next one")
