Log signal, address and stack of a process that ends by a fault

The handler writes the buffered lines, then one line with signal, address, digest of the sources and stack, and ends the process by the same signal. It neither allocates nor waits: the modules are listed when it is installed, and a locked buffer is left alone. Only the stack overflow of the main thread can be reported, since the others have no second stack.

--- a/daemon/LogBuffer.cpp
+++ b/daemon/LogBuffer.cpp
@@ -25,6 +25,18 @@
         m_lines += "log: dropped_lines=" + std::to_string(m_dropped) + "\n";
         m_dropped = 0;
     }
+    write(descriptor);
+}
+
+void LogBuffer::tryFlush(int descriptor)
+{
+    if (std::unique_lock lock(m_mutex, std::try_to_lock); lock)
+        write(descriptor);
+}
+
+/// Precondition: m_mutex is held.
+void LogBuffer::write(int descriptor)
+{
     constexpr std::size_t pipeChunk = 4096; // a pipe that polls writable accepts this many bytes without blocking
     while (!m_lines.empty()) {
         pollfd ready { descriptor, POLLOUT, 0 };
--- a/daemon/LogBuffer.h
+++ b/daemon/LogBuffer.h
@@ -21,8 +21,13 @@
     void add(std::string_view line);
     /// Writes as much as possible without blocking and keeps the rest. Reports the number of dropped lines in the log.
     void flush(int descriptor);
+    /// As `flush`, but does nothing if another call is in progress, so that a handler of a fault does not wait for the
+    /// thread that it has interrupted. Does not allocate.
+    void tryFlush(int descriptor);
 
 private:
+    void write(int descriptor);
+
     std::mutex m_mutex; // no other mutex is acquired under it
     std::string m_lines;
     std::uint32_t m_linesSinceFlush = 0;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,11 +1,13 @@
 // citronplankd: reads the settings, runs one instance until SIGTERM or SIGINT, then stops it gracefully.
 #include "daemon/Daemon.h"
+#include "daemon/FaultReport.h"
 #include "daemon/Logging.h"
 #include "daemon/Settings.h"
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <unistd.h>
 
 namespace {
 
@@ -33,6 +35,7 @@
         std::fputs(outcome.output.c_str(), outcome.exitCode == exitSuccess ? stdout : stderr);
         return outcome.exitCode;
     }
+    installFaultReport(STDERR_FILENO, nullptr);
     startLogging(outcome.settings->logLevel);
     int exitCode = exitSuccess;
     try {
