Send nothing on a connection that nng has freed

A socket has one connection in its life now, nothing is sent once nng has reported its end, and the socket is closed then. The timer of Links runs on a strand, because `stop` cancels it beside its handler (thread sanitizer).

--- a/tests/LinksTests.cpp
+++ b/tests/LinksTests.cpp
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <random>
 #include <thread>
 
 using namespace citronplank;
@@ -484,3 +485,74 @@
         CHECK(ran.get_future().wait_for(waitTimeout) == std::future_status::ready);
     }
 }
+
+/// Accepts connections of links, reads for a few milliseconds and resets them. Its destructor ends it.
+class ResettingPeer {
+public:
+    explicit ResettingPeer(unsigned seed)
+        : m_acceptor(m_io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_random(seed)
+        , m_thread([this] { run(); })
+    {
+    }
+    ~ResettingPeer()
+    {
+        m_stopped = true;
+        std::error_code ignored;
+        asio::ip::tcp::socket(m_io).connect(m_acceptor.local_endpoint(), ignored); // ends `accept`
+        m_thread.join();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    int resets() const { return m_resets; }
+
+private:
+    void run()
+    {
+        while (!m_stopped) {
+            std::error_code ec;
+            asio::ip::tcp::socket socket(m_io);
+            m_acceptor.accept(socket, ec);
+            constexpr std::array<char, 8> pullHandshake { 0, 'S', 'P', 0, 0, 0x51, 0, 0 };
+            asio::write(socket, asio::buffer(pullHandshake), ec);
+            std::array<char, 100> buf {};
+            if (!ec)
+                socket.read_some(asio::buffer(buf), ec); // what is not read makes the close a reset
+            std::this_thread::sleep_for(milliseconds(m_random() % 8));
+            ++m_resets;
+        }
+    }
+
+    asio::io_context m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::mt19937 m_random;
+    std::atomic<bool> m_stopped { false };
+    std::atomic<int> m_resets { 0 };
+    std::thread m_thread;
+};
+
+// Guards against a process that ends with SIGSEGV, because a message is sent on a connection that nng has freed, or
+// because a socket of nng connects a second time.
+TEST_CASE("connections that are reset while messages are sent corrupt no memory")
+{
+    LinkSettings settings;
+    settings.heartbeatInterval = milliseconds(20);
+    settings.heartbeatTimeout = milliseconds(60);
+    settings.idleTimeout = milliseconds(80);
+    settings.sendQueueLength = 8;
+    Node node("a", settings);
+    std::vector<std::unique_ptr<ResettingPeer>> peers;
+    for (unsigned i = 0; i < 24; ++i)
+        peers.push_back(std::make_unique<ResettingPeer>(i));
+    std::mt19937 random(1);
+    for (auto end = Clock::now() + seconds(8); Clock::now() < end;) {
+        node.links->send(peers[random() % peers.size()]->address(),
+            random() % 2 == 0 ? Channel::Part : Channel::Control,
+            { .kind = 3, .body = std::string(random() % 3000, 'x') });
+        std::this_thread::sleep_for(std::chrono::microseconds(random() % 400));
+    }
+    for (const auto& it : peers)
+        CHECK(it->resets() > 0);
+    Node working("b", settings);
+    CHECK(node.links->send(working.links->address(), Channel::Part, { .kind = 3 }));
+    CHECK(working.waitFor([&] { return !working.received.empty(); }));
+}
--- a/transport/Links.cpp
+++ b/transport/Links.cpp
@@ -27,6 +27,24 @@
 
 } // namespace
 
+bool Dialer::trySend(nng_msg* message)
+{
+    const std::lock_guard lock(m_sendMutex);
+    return !m_sendsEnded && nng_sendmsg(socket, message, NNG_FLAG_NONBLOCK) == 0;
+}
+
+bool Dialer::admitPipe()
+{
+    const std::lock_guard lock(m_sendMutex);
+    return !m_sendsEnded && !std::exchange(m_hadPipe, true);
+}
+
+void Dialer::endSends()
+{
+    const std::lock_guard lock(m_sendMutex);
+    m_sendsEnded = true;
+}
+
 void Links::Impl::bind()
 {
     requireNng(nng_pull0_open(&m_pull), "cannot open the link listener");
@@ -51,7 +69,7 @@
 void Links::Impl::start()
 {
     receiveNext();
-    scheduleTick();
+    asio::post(m_timer.get_executor(), [self = shared_from_this()] { self->scheduleTick(); });
 }
 
 void Links::Impl::stop()
@@ -64,7 +82,7 @@
         dialers.swap(m_dialers);
         m_keyOfId.clear();
     }
-    asio::post(m_io, [self = shared_from_this()] { self->m_timer.cancel(); });
+    asio::post(m_timer.get_executor(), [self = shared_from_this()] { self->m_timer.cancel(); });
     if (m_receiveAio)
         nng_aio_stop(m_receiveAio);
     for (auto& [key, dialer] : dialers)
@@ -379,10 +397,18 @@
 
 // ---- connecting
 
-void Links::Impl::pipeCallback(nng_pipe, nng_pipe_ev event, void* argument)
+void Links::Impl::pipeCallback(nng_pipe pipe, nng_pipe_ev event, void* argument)
 {
     const auto id = reinterpret_cast<std::uintptr_t>(argument);
-    if (const auto owner = std::static_pointer_cast<Impl>(pipeRegistry().find(id)))
+    const auto dialer = std::static_pointer_cast<Dialer>(pipeRegistry().find(id));
+    if (event == NNG_PIPE_EV_ADD_PRE) {
+        if (!dialer || !dialer->admitPipe())
+            nng_pipe_close(pipe);
+        return;
+    }
+    if (event == NNG_PIPE_EV_REM_POST && dialer)
+        dialer->endSends();
+    if (const auto owner = dialer ? std::static_pointer_cast<Impl>(dialer->links.lock()) : nullptr)
         owner->pipeChanged(id, event);
 }
 
@@ -405,7 +431,6 @@
         dialer->hasPipe = event == NNG_PIPE_EV_ADD_POST;
         inUse = Clock::now() - dialer->lastUse < m_settings.idleTimeout;
         if (!dialer->hasPipe) {
-            // nng would reconnect automatically and deliver queued messages late, so the next tick replaces the socket.
             dialer->lostPipe = true;
             wentDown = dialer->state != Dialer::State::Down;
             dialer->state = Dialer::State::Down;
@@ -413,9 +438,10 @@
     }
     if (wentDown)
         reportState(key, false);
-    if (event == NNG_PIPE_EV_ADD_POST) {
+    if (event == NNG_PIPE_EV_ADD_POST)
         asio::post(m_io, [self = shared_from_this(), key, dialer, inUse] { self->sendHeartbeat(key, *dialer, inUse); });
-    }
+    else // nng would go on to connect it again
+        asio::post(m_io, [self = shared_from_this(), dialer] { self->closeDialer(*dialer); });
 }
 
 /// Opens a socket without connecting it. Returns null if nng cannot open one.
@@ -424,7 +450,8 @@
     auto dialer = std::make_shared<Dialer>();
     if (nng_push0_open(&dialer->socket) != 0)
         return nullptr;
-    dialer->id = pipeRegistry().add(std::weak_ptr<void>(std::static_pointer_cast<void>(shared_from_this())));
+    dialer->id = pipeRegistry().add(std::weak_ptr<void>(std::static_pointer_cast<void>(dialer)));
+    dialer->links = std::static_pointer_cast<void>(shared_from_this());
     dialer->epoch = epoch;
     dialer->openedAt = Clock::now();
     nng_socket_set_int(dialer->socket, NNG_OPT_SENDBUF, m_settings.sendQueueLength);
@@ -432,8 +459,8 @@
     nng_socket_set_ms(dialer->socket, NNG_OPT_RECONNMAXT, dialRetryMilliseconds);
     // NOLINTNEXTLINE(performance-no-int-to-ptr): nng passes one pointer-sized argument, here a number.
     void* argument = reinterpret_cast<void*>(static_cast<std::uintptr_t>(dialer->id));
-    nng_pipe_notify(dialer->socket, NNG_PIPE_EV_ADD_POST, &Impl::pipeCallback, argument);
-    nng_pipe_notify(dialer->socket, NNG_PIPE_EV_REM_POST, &Impl::pipeCallback, argument);
+    for (const nng_pipe_ev event : { NNG_PIPE_EV_ADD_PRE, NNG_PIPE_EV_ADD_POST, NNG_PIPE_EV_REM_POST })
+        nng_pipe_notify(dialer->socket, event, &Impl::pipeCallback, argument);
     return dialer;
 }
 
@@ -466,8 +493,8 @@
     return winner;
 }
 
-/// Closes the socket of a dialer and drops its queued messages. If nng_dial is running, `dial` closes the socket
-/// afterwards, so that nng_dial and nng_close never overlap.
+/// Closes the socket of a dialer, unless that was done, and drops its queued messages. If nng_dial is running, `dial`
+/// closes the socket afterwards, so that nng_dial and nng_close never overlap.
 void Links::Impl::closeDialer(Dialer& dialer)
 {
     {
@@ -476,7 +503,10 @@
             dialer.closeAfterDial = true;
             return;
         }
+        if (std::exchange(dialer.isClosed, true))
+            return;
     }
+    dialer.endSends();
     pipeRegistry().remove(dialer.id);
     closeSocket(dialer.socket, milliseconds(0));
 }
@@ -533,8 +563,9 @@
     }
 }
 
-/// Queues an envelope on the socket without blocking. Returns false if it is too large or the queue is full.
-bool Links::Impl::push(const DialerKey& key, const Dialer& dialer, Envelope&& envelope)
+/// Queues an envelope on the socket without blocking. Returns false if it is too large, the queue is full or the
+/// connection has ended.
+bool Links::Impl::push(const DialerKey& key, Dialer& dialer, Envelope&& envelope)
 {
     envelope.from = m_address;
     envelope.sender = m_settings.sender;
@@ -543,8 +574,7 @@
     nng_msg* message = nullptr;
     if (bytes.size() > m_settings.maxMessageBytes || nng_msg_alloc(&message, 0) != 0)
         return false;
-    if (nng_msg_append(message, bytes.data(), bytes.size()) != 0
-        || nng_sendmsg(dialer.socket, message, NNG_FLAG_NONBLOCK) != 0) {
+    if (nng_msg_append(message, bytes.data(), bytes.size()) != 0 || !dialer.trySend(message)) {
         nng_msg_free(message);
         return false;
     }
--- a/transport/LinksImpl.h
+++ b/transport/LinksImpl.h
@@ -17,26 +17,45 @@
 
 constexpr std::size_t channelCount = 2;
 
-/// One outgoing connection to one peer. The fields except `socket`, `id` and `epoch` are guarded by the mutex of Impl.
+/// One outgoing connection to one peer. The fields except `socket`, `id`, `epoch` and `links` are guarded by the mutex
+/// of Impl.
+///
+/// In nng 1.5 a push socket may keep a connection that has ended in its list of those ready to send, until and after it
+/// has freed it. The next send, or the next connection of the same socket, then uses freed memory. So a socket has one
+/// connection in its life, and nothing is sent once nng has reported its end, which it does before it frees it.
 struct Dialer {
+    /// Whether a connection that nng has established may be used. Thread safe.
+    bool admitPipe();
+    /// Sends without blocking, and takes the message if it returns true. Thread safe.
+    bool trySend(nng_msg*);
+    /// Returns once no call of `trySend` is in progress; later ones return false. Thread safe.
+    void endSends();
+
     enum class State : std::uint8_t {
         Opening, // first connection attempt: sends are queued until the heartbeat timeout
         Up,
         Down, // sends are refused until a heartbeat is answered
     };
     nng_socket socket {};
-    std::uint64_t id = 0;    // key in the PipeRegistry; the argument of nng's pipe callbacks
-    std::uint64_t epoch = 0; // see WireEnvelope
+    std::uint64_t id = 0;      // key in the PipeRegistry; the argument of nng's pipe callbacks
+    std::uint64_t epoch = 0;   // see WireEnvelope
+    std::weak_ptr<void> links; // the Impl that has opened it
     State state = State::Opening;
     bool isDialling = true; // set before the dialer is visible to other threads, cleared when nng_dial has returned
     bool closeAfterDial = false;
+    bool isClosed = false;
     bool hasPipe = false;  // connected
-    bool lostPipe = false; // the connection has ended; the next tick replaces the socket
+    bool lostPipe = false; // the connection has ended; the next tick replaces the dialer
     TimePoint openedAt;
     TimePoint lastAnswer;
     TimePoint lastUse;     // last send by the daemon
     TimePoint lastPeerUse; // last heartbeat by which the peer reported that it uses the channel
     PeerClock peerClock;   // of the process at the other end of this connection
+
+private:
+    std::mutex m_sendMutex; // held across sends into nng; no other mutex is acquired under it
+    bool m_hadPipe = false;
+    bool m_sendsEnded = false;
 };
 
 /// Newest connection of a peer for one channel. Messages of older ones of the same incarnation are dropped.
@@ -66,7 +85,7 @@
     Impl(asio::io_context& io, LinkSettings settings)
         : m_io(io)
         , m_settings(std::move(settings))
-        , m_timer(io)
+        , m_timer(asio::make_strand(io))
         , m_stateStrand(asio::make_strand(io))
     {
     }
@@ -84,7 +103,7 @@
 
 private:
     static void receiveCallback(void* self) { static_cast<Impl*>(self)->received(); }
-    static void pipeCallback(nng_pipe, nng_pipe_ev event, void* id);
+    static void pipeCallback(nng_pipe pipe, nng_pipe_ev event, void* id);
 
     static void inboundPipeCallback(nng_pipe, nng_pipe_ev event, void* id);
 
@@ -104,7 +123,7 @@
     void dial(const DialerKey&, Dialer&);
     void discard(Dialer&);
     void redial(const DialerKey&, const std::shared_ptr<Dialer>& old);
-    bool push(const DialerKey&, const Dialer&, Envelope&&);
+    bool push(const DialerKey&, Dialer&, Envelope&&);
     void sendHeartbeat(const DialerKey&, Dialer&, bool inUse);
     void reportState(const DialerKey&, bool up);
     void scheduleTick();
@@ -116,7 +135,7 @@
     Handler m_handler;
     StateHandler m_stateHandler;
     std::string m_address;
-    asio::steady_timer m_timer;
+    asio::steady_timer m_timer; // used on its strand, because `stop` may run beside its handler
     Strand m_stateStrand;
     nng_socket m_pull {};
     std::uint64_t m_pullId = 0; // key of m_pull in the PipeRegistry
