Keep the groups of a gather while the zones of its shards stay the same

RoutePoliciesTests "the gatherers after any change are those of an instance that has just started" guards the cache: it fails if a change of the zones does not drop the groups. Paths: setLeaves, setTable, setPeers; groups of routes that only requests of an earlier table use are dropped with the next change.

--- a/backend/UpstreamClient.cpp
+++ b/backend/UpstreamClient.cpp
@@ -338,7 +338,7 @@
     m_counters.unresponsiveClosed += n;
 }
 
-void UpstreamClient::keepOnly(const std::set<std::string, std::less<>>& leaves)
+void UpstreamClient::keepOnly(const std::unordered_set<std::string_view>& leaves)
 {
     for (auto it = m_pools.begin(); it != m_pools.end();) {
         auto name = std::string_view(it->first).substr(0, it->first.rfind('@'));
--- a/backend/UpstreamClient.h
+++ b/backend/UpstreamClient.h
@@ -10,6 +10,7 @@
 
 #include <limits>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace citronplank {
 
@@ -96,7 +97,7 @@
     void probe(const Announcement& leaf, std::function<void(bool reached)> done);
     /// Closes the connections of all leaves except those named in `leaves`: idle ones now, busy ones after their
     /// exchange.
-    void keepOnly(const std::set<std::string, std::less<>>& leaves);
+    void keepOnly(const std::unordered_set<std::string_view>& leaves);
     /// Closes all connections; callbacks of running exchanges are not called.
     void closeAll();
     const UpstreamCounters& counters() const { return m_counters; }
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -182,7 +182,7 @@
 void RouteService::setLeaves(std::vector<Announcement> leaves)
 {
     asio::post(m_strand, [this, leaves = std::move(leaves)]() mutable {
-        std::set<std::string, std::less<>> names;
+        std::unordered_set<std::string_view> names(leaves.size());
         for (const auto& it : leaves)
             names.insert(it.leaf);
         m_upstream->keepOnly(names);
--- a/query/RoutePolicies.cpp
+++ b/query/RoutePolicies.cpp
@@ -75,7 +75,7 @@
 {
     m_notices.keepOnly(leaves, now);
     m_coldStartLimit.trim(now);
-    std::unordered_map<std::string, std::vector<KnownLeaf>> known;
+    LeavesByService known;
     for (auto& it : leaves) {
         KnownLeaf entry { .announcement = std::move(it) };
         entry.coldUntil = now + entry.announcement.warmupLeft;
@@ -91,6 +91,8 @@
         }
         known[entry.announcement.service].push_back(std::move(entry));
     }
+    bool hasSameZones = std::all_of(m_gatheredServices.begin(), m_gatheredServices.end(),
+        [&](const std::string& it) { return haveSameZones(m_leaves, known, it); });
     m_leaves = std::move(known);
     m_endedLeaves.clear();
     for (const auto& [service, all] : m_leaves) {
@@ -100,7 +102,42 @@
         }
     }
     std::erase_if(m_rates, [&](const auto& it) { return !m_leaves.contains(it.first); });
-    m_groups.clear();
+    if (hasSameZones)
+        dropUnusedGroups();
+    else
+        m_groups.clear();
+}
+
+/// Whether the leaves of a service are in the same zones in two sets of leaves, listed in the same order.
+bool RoutePolicies::haveSameZones(const LeavesByService& a, const LeavesByService& b, const std::string& service)
+{
+    auto zonesIn = [&](const LeavesByService& leaves) {
+        std::vector<std::string_view> zones;
+        if (auto found = leaves.find(service); found != leaves.end()) {
+            for (const auto& it : found->second)
+                zones.push_back(it.announcement.zone);
+        }
+        return zones;
+    };
+    return zonesIn(a) == zonesIn(b);
+}
+
+void RoutePolicies::setTable(std::shared_ptr<const RouteTable> table)
+{
+    m_table = std::move(table);
+    m_gatheredServices.clear();
+    for (const auto& it : m_table->configuration().routes)
+        m_gatheredServices.insert(it.shards.begin(), it.shards.end());
+    dropUnusedGroups();
+}
+
+/// Drops the groups of routes that only requests of an earlier table use.
+void RoutePolicies::dropUnusedGroups()
+{
+    const auto& routes = m_table->configuration().routes;
+    std::erase_if(m_groups, [&](const auto& it) {
+        return std::none_of(routes.begin(), routes.end(), [&](const Route& route) { return route.shards == it.first; });
+    });
 }
 
 bool RoutePolicies::onProcessEnded(const std::string& leaf)
@@ -334,7 +371,8 @@
     return plans;
 }
 
-/// Returns the groups of the route's shards. The reference is valid until the leaves, peers or routes change.
+/// Returns the groups of the route's shards, which depend on the zones of their leaves and on the instances. The
+/// reference is valid until the leaves, peers or routes change.
 const GatherGroups& RoutePolicies::groupsOf(const Route& route)
 {
     auto found = m_groups.find(route.shards);
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -62,14 +62,7 @@
     /// Replaces the leaves of all services.
     void setLeaves(std::vector<Announcement> leaves, TimePoint now);
     /// Replaces the routes and the limits of the services. Precondition: `table` is not null.
-    void setTable(std::shared_ptr<const RouteTable> table)
-    {
-        m_table = std::move(table);
-        m_groups.clear();
-        m_gatheredServices.clear();
-        for (const auto& it : m_table->configuration().routes)
-            m_gatheredServices.insert(it.shards.begin(), it.shards.end());
-    }
+    void setTable(std::shared_ptr<const RouteTable>);
     /// Sets the zones that are taken out of service. Their leaves get no requests.
     void setZonesOut(std::set<std::string, std::less<>> zones) { m_zonesOut = std::move(zones); }
     /// Sets the names of all entry instances, including this one.
@@ -215,6 +208,8 @@
         std::vector<double> weights; // of the targets when `current` was reset
         std::vector<double> current;
     };
+    using LeavesByService = std::unordered_map<std::string, std::vector<KnownLeaf>>;
+    static bool haveSameZones(const LeavesByService&, const LeavesByService&, const std::string& service);
     bool isServable(const Route&) const;
     LeafExclusion unusableBecause(const KnownLeaf&) const;
     bool isUsable(const KnownLeaf& it) const { return unusableBecause(it) == LeafExclusion::None; }
@@ -237,6 +232,7 @@
     bool isBackedOff(const std::string& peer, TimePoint now) const;
     std::string peerIn(const std::string& zone, std::size_t turn, TimePoint now) const;
     const GatherGroups& groupsOf(const Route&);
+    void dropUnusedGroups();
     std::vector<std::pair<std::string, std::string>> gatherersFor(
         const GatherGroups&, std::size_t group, TimePoint now) const;
 
@@ -248,18 +244,18 @@
     std::set<std::string, std::less<>> m_zonesOut;
     std::set<std::string, std::less<>> m_endedLeaves; // those with KnownLeaf::hasEnded
     std::vector<std::string> m_entryInstances;
-    std::unordered_map<std::string, std::vector<KnownLeaf>> m_leaves; // by service
-    std::unordered_map<std::string, PercentBudget> m_budgets;         // by service
-    std::unordered_map<std::string, LatencyDigest> m_latencies;       // by route name
-    std::unordered_map<std::string, RoundRobin> m_currentWeights;     // by route name
-    std::unordered_map<std::string, double> m_partBytes;              // smoothed, by route name
-    std::unordered_map<std::string, double> m_requestCounts;          // recent requests, decayed, by route name
-    PeersByZone m_peers;                                              // in other zones, selected ones only
-    PeersByZone m_instances;                                          // all entry instances, including this one
-    std::map<std::vector<std::string>, GatherGroups> m_groups;        // see groupsOf; by the gathered shards
-    std::size_t m_otherZoneInstanceCount = 0;                         // number of entry instances in other zones
-    std::unordered_map<std::string, TimePoint> m_peerBackoffs;        // end of the backoff by peer
-    std::size_t m_rotation = 0;                                       // distributes relays over peers and zones
+    LeavesByService m_leaves;
+    std::unordered_map<std::string, PercentBudget> m_budgets;     // by service
+    std::unordered_map<std::string, LatencyDigest> m_latencies;   // by route name
+    std::unordered_map<std::string, RoundRobin> m_currentWeights; // by route name
+    std::unordered_map<std::string, double> m_partBytes;          // smoothed, by route name
+    std::unordered_map<std::string, double> m_requestCounts;      // recent requests, decayed, by route name
+    PeersByZone m_peers;                                          // in other zones, selected ones only
+    PeersByZone m_instances;                                      // all entry instances, including this one
+    std::map<std::vector<std::string>, GatherGroups> m_groups;    // see groupsOf; by the gathered shards
+    std::size_t m_otherZoneInstanceCount = 0;                     // number of entry instances in other zones
+    std::unordered_map<std::string, TimePoint> m_peerBackoffs;    // end of the backoff by peer
+    std::size_t m_rotation = 0;                                   // distributes relays over peers and zones
     DelayEstimate m_answerDelay;
     ColdStartRateLimit m_coldStartLimit;
     LeafNotices m_notices;
--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -5,6 +5,7 @@
 #include "query/RoutePolicies.h"
 
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace citronplank;
 
@@ -524,3 +525,82 @@
         CHECK(picks(start + milliseconds(6700)) == 20);
     }
 }
+
+// Guards against groups of shards that are kept though the zones of their leaves, the instances or the routes have
+// changed: entry instances with different groups would gather through different instances.
+TEST_CASE("the gatherers after any change are those of an instance that has just started")
+{
+    const std::vector<std::string> zones { "atl", "sav", "mac", "aug" };
+    std::mt19937 random(11);
+    std::map<std::string, Announcement> leaves; // by name
+    RoutePolicies::PeersByZone peers;
+    ServingConfiguration configuration;
+    configuration.version = 1;
+    auto addRoute = [&](const std::string& name, std::size_t shards) {
+        Route route { .name = name, .host = "h", .pathPrefix = "/" + name + "/", .topRecords = 5 };
+        for (std::size_t i = 0; i < shards; ++i) {
+            auto service = name + std::to_string(i);
+            route.shards.push_back(service);
+            for (std::size_t zone = 0; zone < 3; ++zone) {
+                auto leaf = leafOf(service + "-" + std::to_string(zone), service, zones[(i + zone) % zones.size()]);
+                leaves[leaf.leaf] = leaf;
+            }
+        }
+        configuration.routes.push_back(route);
+    };
+    addRoute("a", 40);
+    addRoute("b", 60);
+    for (int i = 0; i < 48; ++i)
+        peers[zones[i % zones.size()]].push_back("front-" + std::to_string(i));
+    auto setLeaves = [&](RoutePolicies& policies) {
+        std::vector<Announcement> list;
+        for (const auto& [name, it] : leaves)
+            list.push_back(it);
+        policies.setLeaves(std::move(list), start);
+    };
+    auto setAll = [&](RoutePolicies& policies) {
+        policies.setTable(std::make_shared<const RouteTable>(configuration));
+        policies.setPeers(peers);
+        setLeaves(policies);
+    };
+    RoutePolicies kept("self", "atl");
+    setAll(kept);
+    for (int round = 0; round < 60; ++round) {
+        CAPTURE(round);
+        auto leaf = std::next(leaves.begin(), static_cast<std::ptrdiff_t>(random() % leaves.size()));
+        switch (random() % 6) {
+        case 0:
+            leaves.erase(leaf);
+            break;
+        case 1:
+            leaf->second.zone = zones[random() % zones.size()];
+            break;
+        case 2:
+            leaf->second.draining = !leaf->second.draining;
+            break;
+        case 3:
+            peers[zones[random() % zones.size()]].pop_back();
+            kept.setPeers(peers);
+            break;
+        case 4: // other shards, some of which leaves of the earlier route served
+            std::swap(configuration.routes[0].shards[random() % 40], configuration.routes[1].shards[random() % 60]);
+            kept.setTable(std::make_shared<const RouteTable>(configuration));
+            break;
+        default:
+            break;
+        }
+        setLeaves(kept);
+        RoutePolicies fresh("self", "atl");
+        setAll(fresh);
+        CHECK(kept.relayPeers() == fresh.relayPeers());
+        for (const auto& route : configuration.routes) {
+            auto before = kept.planRelays(route, start);
+            auto after = fresh.planRelays(route, start);
+            REQUIRE(before.size() == after.size());
+            for (std::size_t i = 0; i < before.size(); ++i) {
+                CHECK(before[i].peer == after[i].peer);
+                CHECK(before[i].shardIndices == after[i].shardIndices);
+            }
+        }
+    }
+}
