Resend a directory change after doubling times

A change that a peer did not acknowledge was sent again every 250 ms for 5 s, also while its acknowledgement waited to be read.

The first resend is at 250 ms as before, the next at twice the age each. RoutedDaemonTests "a peer that does not acknowledge a directory change gets few copies of it" failed with 20 copies and passes.

--- a/daemon/ItemBroadcast.cpp
+++ b/daemon/ItemBroadcast.cpp
@@ -47,7 +47,7 @@
     auto number = ++m_lastNumber;
     auto& it = m_broadcasts[number];
     std::set<std::string, std::less<>> names(peers.begin(), peers.end());
-    it = { encodeItems(items), names, names, now, now, std::move(done) };
+    it = { encodeItems(items), names, names, now, firstResendAge, std::move(done) };
     for (const auto& peer : peers)
         m_sender(peer, number, it.body);
     if (peers.empty())
@@ -102,8 +102,9 @@
             m_broadcasts.erase(number);
             continue;
         }
-        if (now - it.sentAt >= resendInterval) {
-            it.sentAt = now;
+        if (now - it.startedAt >= it.resendAge) {
+            while (it.resendAge <= now - it.startedAt)
+                it.resendAge *= 2;
             for (const auto& peer : it.waiting)
                 m_sender(peer, number, it.body);
         }
--- a/daemon/ItemBroadcast.h
+++ b/daemon/ItemBroadcast.h
@@ -22,7 +22,9 @@
     /// Sends encoded items to a peer, which acknowledges them with the broadcast's `number`.
     using Sender = std::function<void(const std::string& peer, std::uint64_t number, const std::string& body)>;
 
-    static constexpr milliseconds resendInterval { 250 }; // exceeds a round trip to a busy instance
+    /// Age of a broadcast at its first resend; exceeds a round trip to a busy instance. It doubles with each resend:
+    /// peers that acknowledge late because they or this instance are overloaded get few copies.
+    static constexpr milliseconds firstResendAge { 250 };
     static constexpr milliseconds confirmTimeout { 700 }; // leaves wait 1 s for their acknowledgement
     /// Items are resent, also to new peers, for this time; after it only gossip spreads them.
     static constexpr seconds lifetime { 5 };
@@ -58,7 +60,7 @@
         std::set<std::string, std::less<>> peers;   // peers that it was sent to
         std::set<std::string, std::less<>> waiting; // those that have not acknowledged yet
         TimePoint startedAt;
-        TimePoint sentAt;
+        Duration resendAge;
         Done done; // null once it has run
     };
     static void finish(PendingBroadcast&, bool confirmed);
--- a/tests/RoutedDaemonTests.cpp
+++ b/tests/RoutedDaemonTests.cpp
@@ -605,6 +605,24 @@
     CHECK_THROWS_AS(decodeItems("x"), Error);
 }
 
+// Guards against an overload that keeps itself up: late acknowledgements cause resends, which delay them further.
+TEST_CASE("a peer that does not acknowledge a directory change gets few copies of it")
+{
+    std::vector<TimePoint> sent;
+    auto now = at(0);
+    ItemBroadcast broadcast([&](const std::string&, std::uint64_t, const std::string&) { sent.push_back(now); });
+    std::vector<DirectoryItem> items { { "leaf/a", "payload", false } };
+    broadcast.start(items, { "p1" }, now, [](bool) {});
+    for (int ms = 50; ms <= 6000; ms += 50) {
+        now = at(ms);
+        broadcast.onTimer({ "p1" }, now);
+    }
+    REQUIRE(sent.size() >= 2);
+    CHECK(sent[1] <= at(300)); // a copy that was lost with a link is replaced soon
+    CHECK(sent.size() <= 6);
+    CHECK(broadcast.isIdle());
+}
+
 // Guards against entry instances that are overloaded by hundreds of messages when the leaves of many shards start
 // together.
 TEST_CASE("simultaneous directory changes are sent in one message, and all are confirmed")
