--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -510,8 +510,8 @@
         + std::to_string(counters.retries) + " refusals=" + std::to_string(counters.refusals) + " failures="
         + std::to_string(counters.failures) + " config=" + std::to_string(m_policies.table()->configuration().version);
     if (counters.relayed > 0)
-        text += " relayed=" + std::to_string(counters.relayed)
-            + " broken_relays=" + std::to_string(counters.brokenRelays);
+        text += " relayed=" + std::to_string(counters.relayed) + " broken_relays="
+            + std::to_string(counters.brokenRelays) + " unsent_relays=" + std::to_string(counters.unsentRelays);
     text += " key=" + std::string(keyCheckOf(running.customer, route));
     text += " attempts=" + std::to_string(route.attempts) + (route.idempotent ? "" : " non_idempotent");
     if (running.caller.remaining)
--- a/query/RouteExecution.h
+++ b/query/RouteExecution.h
@@ -90,6 +90,7 @@
     std::uint32_t failures = 0;     // attempts that ran or may have run without a usable response
     std::uint32_t relayed = 0;      // parts requested from peers
     std::uint32_t brokenRelays = 0; // relays whose peer failed or did not answer in time
+    std::uint32_t unsentRelays = 0; // of these, those that could not be sent
 };
 
 /// State machine of one request on a route.
--- a/query/RouteExecutionRelays.cpp
+++ b/query/RouteExecutionRelays.cpp
@@ -207,6 +207,7 @@
 {
     m_relays[number].ended = true;
     ++m_counters.brokenRelays;
+    m_counters.unsentRelays += mayHaveArrived ? 0 : 1;
     m_policies.onPeerResult(m_relays[number].peer, false, now);
     actions.relayCancels.emplace_back(m_relays[number].peer, number);
     std::vector<std::uint32_t> retries;
