--- a/tests/RoutePoliciesTests.cpp
+++ b/tests/RoutePoliciesTests.cpp
@@ -554,6 +554,7 @@
         peers[zones[i % zones.size()]].push_back("front-" + std::to_string(i));
     auto setLeaves = [&](RoutePolicies& policies) {
         std::vector<Announcement> list;
+        list.reserve(leaves.size());
         for (const auto& [name, it] : leaves)
             list.push_back(it);
         policies.setLeaves(std::move(list), start);
