--- a/coordination/ControlStorage.cpp
+++ b/coordination/ControlStorage.cpp
@@ -248,11 +248,23 @@
         if (m_disk == 0)
             create();
         openLog();
+        makeReadDurable();
     } catch (const std::filesystem::filesystem_error& e) {
         throw StorageError(e.what());
     }
 }
 
+/// Makes durable what was read at startup: a process that was killed may have written it without a sync, and this
+/// member confirms it to others from now on. Needs no free space, so that a member starts on a full disk.
+void FileControlStorage::makeReadDurable()
+{
+    // A crash between the replacement of the snapshot and that of the log leaves only entries that no one needs.
+    if (m_entries.empty() && m_operations.truncate(m_log.get(), 0) != 0)
+        fail("cannot truncate file log");
+    syncDescriptor(m_log.get(), logFile);
+    syncFolder();
+}
+
 void FileControlStorage::lockFolder()
 {
     auto path = m_folder / lockFile;
@@ -298,9 +310,13 @@
         auto entry = decodeLogEntry(reader.body());
         // A record whose index is already present replaces that entry and all after it.
         dropReplacedEntries(entry.index);
-        bool follows = m_entries.empty() ? entry.index <= firstAllowed : entry.index == m_entries.back().index + 1;
-        if (!follows)
+        bool follows = !m_entries.empty() && entry.index == m_entries.back().index + 1;
+        bool followsSnapshot = m_snapshot && entry.index == firstAllowed && entry.term >= m_snapshot->term;
+        if (!follows && entry.index > firstAllowed)
             throw CorruptionError("log entry " + std::to_string(entry.index) + " does not follow its predecessor");
+        // The records before this one are older than the snapshot: a crash kept the log from being rewritten.
+        if (!follows || followsSnapshot)
+            m_entries.clear();
         // Of an entry that the snapshot contains only index and term are needed below.
         if (entry.index < firstAllowed)
             entry.command = NoOp {};
@@ -399,6 +415,7 @@
 void FileControlStorage::saveSnapshot(const SnapshotHeader& header, std::string_view data)
 {
     requireUsable();
+    dropContradicted(header);
     replaceFile(snapshotFile, { encode(header), data });
     m_snapshot = header;
     m_entries = entriesAfterSnapshot(std::move(m_entries), header);
@@ -406,6 +423,18 @@
     rewriteLog();
 }
 
+/// Removes the entries that contradict a snapshot before it is stored, since a start that finds them beside it cannot
+/// always tell them from entries that were appended after it.
+void FileControlStorage::dropContradicted(const SnapshotHeader& header)
+{
+    auto at = std::find_if(
+        m_entries.begin(), m_entries.end(), [&](const LogEntry& it) { return it.index == header.index; });
+    if (at == m_entries.end() || at->term == header.term)
+        return;
+    dropReplacedEntries(header.index);
+    rewriteLog();
+}
+
 void FileControlStorage::rewriteLog()
 {
     replaceFileWith(logFile, [this](auto& records) {
--- a/coordination/ControlStorage.h
+++ b/coordination/ControlStorage.h
@@ -102,6 +102,9 @@
 /// bytes), body; integers are little-endian. The checksum of the length distinguishes a torn last record of the log,
 /// which was being written at a crash and is truncated, from a damaged length. Any other mismatch is corruption: all
 /// data files are moved to a subfolder `set-aside-N` and the storage starts empty with a new disk identity.
+///
+/// Records that are older than the snapshot are no corruption, also if the entries after the snapshot do not follow
+/// them: a crash while a snapshot is stored leaves them in the log. What is read at startup is synced before use.
 class FileControlStorage {
 public:
     /// Opens or creates the folder and locks it until destruction. Throws StorageError if the folder cannot be read or
@@ -134,6 +137,8 @@
     void create();
     void setAside(const std::string& reason);
     void openLog();
+    void makeReadDurable();
+    void dropContradicted(const SnapshotHeader&);
     void dropReplacedEntries(std::uint64_t firstIndex);
     void rewriteLog();
     void truncateTornRecord(std::uintmax_t validBytes);
--- a/tests/ControlStorageTests.cpp
+++ b/tests/ControlStorageTests.cpp
@@ -140,6 +140,33 @@
     CHECK(storage.load().entries.empty());
 }
 
+// Guards against a member that sets aside its data folder, or drops entries from it, because an earlier program that
+// was killed while it installed a snapshot has appended to the log that it replaced.
+TEST_CASE("entries that follow the snapshot are kept whatever stands before them in the log")
+{
+    for (std::uint64_t lastOld : { 3, 6, 9 }) {
+        CAPTURE(lastOld);
+        TemporaryFolder earlier;
+        {
+            FileControlStorage storage(earlier.path);
+            storage.append(entries(1, lastOld));
+        }
+        TemporaryFolder folder;
+        DiskIdentity identity = 0;
+        {
+            FileControlStorage storage(folder.path);
+            identity = storage.disk();
+            storage.saveSnapshot(header(6, 2), "state");
+            storage.append(entries(7, 8, 2));
+        }
+        write(folder.path / "log", read(earlier.path / "log") + read(folder.path / "log"));
+        FileControlStorage storage(folder.path);
+        CHECK(storage.setAsideReason().empty());
+        CHECK(storage.disk() == identity);
+        CHECK(storage.load().entries == entries(7, 8, 2));
+    }
+}
+
 // Guards against an acknowledged entry that is dropped, or a torn one that is read, at every point of a crash.
 TEST_CASE("a torn last record of any length is truncated")
 {
