Refuse a delayed order after a later one for the same zone, also if that changed nothing

A zone in service had no line, so no version at all.

Evidence: the new case of ZoneOrdersTests failed in all three forms (out again, in again, in without an evacuation before). Ruled out: the check of the caller at the entry; what a leader has appended outlives it.

Why it works: each order writes the line of its zone, with a comment of its own.

What the case checks is the same.

--- a/daemon/ZoneOrders.cpp
+++ b/daemon/ZoneOrders.cpp
@@ -75,8 +75,10 @@
     edit.author = editAuthor;
     edit.baseVersion = version;
     auto key = "zone " + order.zone;
-    RuleLine line { key, "out", std::string(editAuthor) + ": zone taken out" };
-    edit.changes.push_back({ key, order.out ? std::optional(line) : std::nullopt });
+    // The comment makes each line unique, so that the control log always writes it, and the line of a zone that is in
+    // service stays, since a line that does not exist has no version.
+    auto comment = std::string(editAuthor) + ": order " + edit.submissionId;
+    edit.changes.push_back({ key, RuleLine { key, order.out ? "out" : "in", comment } });
     return edit;
 }
 
--- a/daemon/ZoneOrders.h
+++ b/daemon/ZoneOrders.h
@@ -4,7 +4,8 @@
 // An order must therefore have no effect once its caller has stopped waiting: this member may have been suspended with
 // the order in its socket. So a member reads the version of the rules, then checks that the caller still waits, and
 // then submits an edit based on that version. A later order of the same operator comes after the check, so it changes
-// the line after that version, and the control log refuses the older edit as a conflict wherever it was delayed.
+// the line after that version, and the control log refuses the older edit as a conflict wherever it was delayed. For
+// this each order writes the line of its zone, also if the zone is already as it should be.
 #pragma once
 
 #include "daemon/ControlClient.h"
--- a/tests/ZoneOrdersTests.cpp
+++ b/tests/ZoneOrdersTests.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "coordination/ControlState.h"
 #include "daemon/ZoneOrders.h"
+#include "rules/RulesFile.h"
 
 #include <doctest/doctest.h>
 
@@ -20,7 +21,13 @@
             handler({ ProposeStatus::Committed, index, std::move(result) });
         }
     }
-    bool isOut(const std::string& zone) const { return state.lines().contains("zone " + zone); }
+    bool isOut(const std::string& zone) const
+    {
+        std::vector<RuleLine> lines;
+        for (const auto& [key, it] : state.lines())
+            lines.push_back(it.line);
+        return toRules(lines).zonesOut.contains(zone);
+    }
 
     ControlState state;
     std::vector<std::pair<EditRules, ControlClient::Handler>> held;
@@ -44,7 +51,8 @@
     {
         knownVersion = log.state.rulesVersion();
         order(out);
-        log.release();
+        while (!outcome && !log.held.empty())
+            log.release(); // again after a conflict
         return outcome.value_or(false);
     }
 
@@ -100,6 +108,32 @@
     }
 }
 
+// Guards against a delayed order that takes effect after a later one was acknowledged that changed nothing.
+TEST_CASE("an order that is delayed does not undo a later order that found its zone as it should be")
+{
+    for (bool wasOrdered : { true, false }) {
+        for (bool isOut : { true, false }) {
+            if (isOut && !wasOrdered)
+                continue; // the zone would be in service
+            CAPTURE(wasOrdered);
+            CAPTURE(isOut);
+            Fixture it;
+            if (wasOrdered)
+                REQUIRE(it.member.orderNow(isOut));
+            it.late.knownVersion = it.log.state.rulesVersion();
+            it.late.order(!isOut);
+            auto delayed = std::exchange(it.log.held, {});
+            it.late.isCallerWaiting = false;
+            REQUIRE(it.member.orderNow(isOut));
+            it.log.state.restore(it.log.state.snapshot());
+            it.log.held = std::move(delayed);
+            it.log.release();
+            CHECK(it.late.outcome == false);
+            CHECK(it.log.isOut("atl") == isOut);
+        }
+    }
+}
+
 TEST_CASE("an order that conflicts with an earlier one is carried out while its caller waits")
 {
     Fixture it;
