Begin a term of the allotter only with the customers that were limited before it

Cause: the restarted member allotted before it had the configuration and then took its customers for new ones, with a full bucket each. Beside it, a notice from before the restart that named this member as the leader counted as a confirmation.

Evidence: a new case of QuotaTests gets 40 tokens without the condition, at most 6 are allowed. Ruled out: the use that instances report, which is asked only for customers that are known at the start of a term.

Why it works: a confirmation comes from the control log of this process, with its term and the version of the configuration in force, and no term begins before the customers of that version are known.

--- a/coordination/ControlLogReplication.h
+++ b/coordination/ControlLogReplication.h
@@ -96,7 +96,7 @@
     if (ownTermCommitted() && (!m_freshnessAt || m_now - *m_freshnessAt >= freshnessInterval)) {
         m_freshnessAt = m_now;
         m_freshnessMs = std::max(m_freshnessMs + 1, last.wallMs);
-        m_out.freshness = Freshness { m_freshnessMs, m_commitIndex };
+        m_out.freshness = Freshness { m_term, m_freshnessMs, m_commitIndex };
     }
     completeReads();
     startRoundForReads();
--- a/coordination/ControlLogTypes.h
+++ b/coordination/ControlLogTypes.h
@@ -98,6 +98,7 @@
 /// A quorum confirmed that this member was the leader at the timestamp, so a state that has applied `commitIndex` is at
 /// least as recent as the timestamp.
 struct Freshness {
+    std::uint64_t term = 0;        // of the leader
     std::uint64_t timestampMs = 0; // leader's wall clock, ms since 1970; increases
     std::uint64_t commitIndex = 0; // the leader's state at this index holds everything committed by then
 };
--- a/coordination/QuotaAllotter.h
+++ b/coordination/QuotaAllotter.h
@@ -19,7 +19,8 @@
     {
     }
 
-    /// Replaces the limits. A customer that gets its first limit during a term holds no leases yet.
+    /// Replaces the limits. A customer that gets its first limit during a term holds no leases yet; so the term must
+    /// not have begun before the customers were set that were limited at its beginning.
     void setLimits(std::span<const Customer> customers, TimePoint now);
     /// Begins a term as the allotter; leases of an earlier one may be in force. `hasHandoverTokens` is false if an
     /// earlier allotter may have granted its handover tokens within the last window.
--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -327,6 +327,7 @@
     if (m_freshnessNotices++ % noticesPerGossipItem == 0)
         m_membership->publish(std::string(freshnessKey), bytes);
     sendToPeers(MessageKind::Freshness, bytes);
+    onLeadershipConfirmed(freshness.term);
 }
 
 void Node::onFreshnessNotice(std::string_view bytes)
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -45,6 +45,9 @@
     virtual void onLinkDown(const std::string& /*address*/, Channel) { } // a channel to a peer was lost
     virtual void onViews(const std::vector<ZoneView>&) { }               // on the control thread
     virtual void onControlTick() { }                                     // on the control thread, every 20 ms
+    /// On the control thread: a quorum has confirmed this process as the leader, which has applied all that was
+    /// committed before its term.
+    virtual void onLeadershipConfirmed(std::uint64_t /*term*/) { }
 
     // Messages. Thread safe.
     /// Link address of an instance; empty if unknown.
--- a/daemon/QuotaService.cpp
+++ b/daemon/QuotaService.cpp
@@ -29,21 +29,28 @@
         m_leader = std::move(leader);
         m_leaderChangedAt = now;
     }
-    auto term = m_leadership.confirmedTerm();
-    if (!term) {
+    auto confirmation = m_leadership.confirmation();
+    if (!confirmation || m_configuration < confirmation->configuration) {
         m_allotter.endTerm();
         return;
     }
-    bool isContinued = m_allotter.isInTerm() && *term == m_term && now - m_confirmedAt < quotaConfirmationTime;
+    auto term = confirmation->term;
+    bool isContinued = m_allotter.isInTerm() && term == m_term && now - m_confirmedAt < quotaConfirmationTime;
     m_confirmedAt = now;
     if (isContinued)
         return;
-    m_term = *term;
+    m_term = term;
     m_leaderChangedAt = now;
     m_allotter.beginTerm(now - changedAt >= m_bounds.window, now);
     log(LogLevel::Info, "quota", "This member allots the customers' rate limits; term=" + std::to_string(m_term));
 }
 
+void QuotaService::setCustomers(std::span<const Customer> customers, std::uint64_t configuration, TimePoint now)
+{
+    m_allotter.setLimits(customers, now);
+    keepCustomers(configuration);
+}
+
 void QuotaService::onTimer(TimePoint now)
 {
     followLeadership(now);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -236,9 +236,10 @@
         auto configuration = m_decodeConfiguration(text);
         logConfiguration(configuration, text, source);
         if (m_quota)
-            asio::post(
-                m_broadcastStrand, [this, customers = configuration.customers.value_or(std::vector<Customer>())] {
-                    m_quota->setCustomers(customers, Clock::now());
+            asio::post(m_broadcastStrand,
+                [this, version = document.version,
+                    customers = configuration.customers.value_or(std::vector<Customer>())] {
+                    m_quota->setCustomers(customers, version, Clock::now());
                 });
         if (m_routes) {
             m_callerServer->setLimits(configuration.callerLimits);
@@ -249,6 +250,8 @@
         log(LogLevel::Error, "config",
             "document=" + std::to_string(document.version)
                 + " cannot be decoded; the previous one stays in force: " + error.what());
+        if (m_quota)
+            asio::post(m_broadcastStrand, [this, version = document.version] { m_quota->keepCustomers(version); });
     }
 }
 
@@ -280,14 +283,29 @@
     m_routes->setEntryInstances(std::move(entryInstances), std::move(peers));
 }
 
+void RoutedDaemon::onLeadershipConfirmed(std::uint64_t term)
+{
+    if (!m_quota)
+        return;
+    auto configuration = m_configuration.current()->published.document.version;
+    asio::post(m_broadcastStrand, [this, term, configuration, at = Clock::now()] {
+        if (m_leadership && m_leadership->term == term)
+            m_leadership->at = at;
+        else
+            m_leadership = { term, configuration, at };
+    });
+}
+
 QuotaLeadership RoutedDaemon::quotaLeadership()
 {
     auto leader = [this] { return m_configuration.lastNotice().leader; };
-    auto confirmedTerm = [this, leader]() -> std::optional<std::uint64_t> {
-        auto age = m_configuration.freshnessAge(Clock::now());
-        if (!age || *age >= quotaConfirmationTime || leader() != m_settings.name)
+    // A notice that names this member is no confirmation: it may be from before a restart.
+    auto confirmation = [this, leader]() -> std::optional<LeadershipConfirmation> {
+        if (!m_leadership || Clock::now() - m_leadership->at >= quotaConfirmationTime || leader() != m_settings.name)
             return std::nullopt;
-        return m_control->status().log.term;
+        auto log = m_control->status().log;
+        bool isLeader = log.role == ControlRole::Leader && log.term == m_leadership->term;
+        return isLeader ? m_leadership : std::nullopt;
     };
     auto entryInstances = [this]() -> std::optional<std::set<std::string>> {
         if (!m_hasMemberList)
@@ -301,7 +319,7 @@
             names.insert(m_settings.name);
         return names;
     };
-    return { confirmedTerm, leader, entryInstances };
+    return { confirmation, leader, entryInstances };
 }
 
 void RoutedDaemon::onQuotaReport(const Envelope& envelope)
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -79,6 +79,7 @@
 private:
     void onMessage(const Envelope&) override;
     void onConfiguration(const std::string& source) override;
+    void onLeadershipConfirmed(std::uint64_t term) override;
     void onMembers() override;
     void onLinkDown(const std::string& address, Channel) override;
     void onDirectory() override;
@@ -136,7 +137,8 @@
     ItemBroadcast m_zoneBroadcast; // of changes that a control member of another zone has sent
     std::set<std::string, std::less<>> m_directoryForwarders; // the peers of m_broadcast that forward changes
     std::map<ForwardedChange, ForwardState> m_forwardedChanges;
-    std::unique_ptr<QuotaService> m_quota; // null if this is no control member or there are no limits
+    std::optional<LeadershipConfirmation> m_leadership; // the last one of this process
+    std::unique_ptr<QuotaService> m_quota;              // null if this is no control member or there are no limits
     std::unique_ptr<RouteService> m_routes;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readyServer;
--- a/tests/QuotaTests.cpp
+++ b/tests/QuotaTests.cpp
@@ -416,7 +416,7 @@
 TEST_CASE("a control member allots only while it is confirmed as the leader, and knows nothing after a pause")
 {
     TimePoint now(std::chrono::hours(1));
-    std::optional<std::uint64_t> term;
+    std::optional<LeadershipConfirmation> term;
     QuotaService service(bounds,
         { [&] { return term; }, [] { return std::string("a"); },
             [] {
@@ -431,9 +431,9 @@
             = service.onReport("i", 1, encode(QuotaReport { ++number, { { .customer = name, .wanted = 1 } } }), now);
         return reply.empty() ? -1 : decodeQuotaReply(reply).grants.at(0).tokens;
     };
-    service.setCustomers({ &customer, 1 }, now);
+    service.setCustomers({ &customer, 1 }, 1, now);
     CHECK(tokens() == -1);
-    term = 3;
+    term = { 3, 1, now };
     CHECK(tokens() == 0); // leases of an earlier leader may be in force
     now += seconds(1);
     CHECK(tokens() == 0);
@@ -450,3 +450,35 @@
     term.reset();
     CHECK(tokens() == -1);
 }
+
+// Guards against a leader that was restarted and grants a full burst to customers that it does not know yet, although
+// they were served before.
+TEST_CASE("a control member allots only once it knows the customers that were limited when its term began")
+{
+    TimePoint now(std::chrono::hours(1));
+    std::optional<LeadershipConfirmation> leadership { { 3, 7, now } };
+    QuotaService service(bounds,
+        { [&] { return leadership; }, [] { return std::string("a"); }, [] { return std::set<std::string> { "i" }; } },
+        now);
+    Customer customer { .name = name, .ratePerSecond = 20, .burst = 20 };
+    Customer added { .name = "added", .ratePerSecond = 20, .burst = 20 };
+    std::uint64_t number = 0;
+    auto tokens = [&](const Customer& it) {
+        service.onTimer(now += milliseconds(10));
+        auto reply = service.onReport(
+            "i", 1, encode(QuotaReport { ++number, { { .customer = it.name, .wanted = 100 } } }), now);
+        return reply.empty() ? -1 : decodeQuotaReply(reply).grants.at(0).tokens;
+    };
+    CHECK(tokens(customer) == -1);
+    service.setCustomers({}, 6, now); // an older configuration
+    CHECK(tokens(customer) == -1);
+    service.setCustomers({ &customer, 1 }, 7, now);
+    CHECK(tokens(customer) <= bounds.handoverTokens()); // this process may be too young to know all instances
+    std::vector<Customer> both { customer, added };
+    service.setCustomers(both, 8, now);
+    CHECK(tokens(added) > 20); // has used nothing before the configuration that limits it
+    leadership = { { 4, 9, now } };
+    CHECK(tokens(added) == -1);
+    service.keepCustomers(9);
+    CHECK(tokens(added) <= bounds.handoverTokens());
+}
