Wait for news of a peer after a pause of the process before leaves are chosen

Cause: the instance chose leaves by what it knew before the freeze; the news were in its sockets beside the requests.

Evidence: RouteServiceTests "requests that arrive while the process stands still ..." fails without the wait: 10 arrivals at once, 0 allowed.

Why it works: the pause is noticed by the clock before any leaf is chosen, requests wait until a directory that was requested after it has arrived, and whatever else is sent meanwhile keeps to the rate of leaves that are warming up.

--- a/daemon/Node.cpp
+++ b/daemon/Node.cpp
@@ -367,6 +367,14 @@
     onMembers();
 }
 
+void Node::requestNews()
+{
+    for (const auto& it : sampleControlMembers()) {
+        fetchConfiguration(it); // first, so that its answer arrives first
+        fetchDirectory(it, true);
+    }
+}
+
 void Node::fetchMissingState()
 {
     auto notice = m_configuration.lastNotice();
@@ -472,6 +480,7 @@
     m_membership->importDirectory(std::move(answer.directory), [this, isComplete = answer.isComplete] {
         if (isComplete)
             m_hasDirectory = true;
+        onDirectoryAnswered();
     });
 }
 
--- a/daemon/Node.h
+++ b/daemon/Node.h
@@ -42,6 +42,7 @@
     virtual void onItem(const GossipItem&); // a gossip item that is neither a leaf nor a freshness notice
     virtual void onMembers() { }            // the live members have changed
     virtual void onDirectory() { }          // the leaf directory has changed
+    virtual void onDirectoryAnswered() { }  // the directory of a peer has been merged into the own one
     virtual void onLinkDown(const std::string& /*address*/, Channel) { } // a channel to a peer was lost
     virtual void onViews(const std::vector<ZoneView>&) { }               // on the control thread
     virtual void onControlTick() { }                                     // on the control thread, every 20 ms
@@ -61,6 +62,8 @@
     /// Runs `task` on the workers every `interval`, first after one interval; runs of one task do not overlap.
     void runEvery(milliseconds interval, std::function<void()> task);
 
+    /// Requests configuration and directory from some control members.
+    void requestNews();
     /// Requests a missing or outdated configuration from a peer of the own zone and some control members, and a missing
     /// directory from one of them.
     void fetchMissingState();
--- a/daemon/RouteService.cpp
+++ b/daemon/RouteService.cpp
@@ -131,6 +131,7 @@
 void RouteService::checkRoutes()
 {
     recordTimerDelay();
+    checkView();
     checkQuota();
     updateCustomerMetrics();
     reportSpread();
@@ -244,6 +245,10 @@
         --m_runningCount;
         return;
     }
+    if (!checkView()) {
+        m_waitingForView.push_back({ std::move(request), std::move(responder), arrivedAt });
+        return;
+    }
     const auto& table = m_policies.table();
     if (table->configuration().version == 0) {
         refuse(caller, request, responder,
@@ -398,6 +403,7 @@
 
 void RouteService::onReply(Id id, std::uint64_t attempt, const Announcement& leaf, LeafReply reply)
 {
+    checkView();
     auto found = m_running.find(id);
     if (found == m_running.end())
         return;
@@ -424,6 +430,7 @@
 
 void RouteService::onTimer(Id id)
 {
+    checkView();
     auto* running = findConnected(id);
     if (!running)
         return;
@@ -544,6 +551,7 @@
         m_waitTimer.cancel();
         m_quotaTimer.cancel();
         m_waitingForToken.clear();
+        m_waitingForView.clear();
         m_running.clear();
         m_relayed.clear();
         m_upstream->closeAll();
--- a/daemon/RouteService.h
+++ b/daemon/RouteService.h
@@ -10,6 +10,7 @@
 #include "policy/ConcurrencyLimit.h"
 #include "policy/CrashGuard.h"
 #include "policy/CustomerQuota.h"
+#include "policy/PauseDetector.h"
 #include "policy/StopAdmission.h"
 #include "query/RelayedGather.h"
 #include "transport/Links.h"
@@ -79,6 +80,12 @@
     /// Handles the reply of the allotter to a report.
     void onQuotaReply(QuotaReply);
 
+    /// Sets what requests news of leaves, peers and the configuration; it runs after each pause of the process, on the
+    /// strand, and must not block. Requests that arrive then wait for `onNews`, see PauseDetector.
+    void onPauseEnded(std::function<void()> requestNews);
+    /// News that were requested after a pause have arrived, and have been passed on by the setters above.
+    void onNews();
+
     /// Handles a notice from another instance that a request crashed a leaf.
     void onCrashNotice(std::string peer, CrashNotice);
     /// Sends the crashes that this instance observed, or all that it knows, to an entry instance that was unknown or
@@ -134,6 +141,12 @@
         CapacityClaim claim() const { return { priority(), customer.name, arrivedAt }; }
         std::uint32_t priority() const { return customer.priority.value_or(route->priority); }
     };
+    /// A request that waits for news of a peer after a pause.
+    struct UnreadRequest {
+        HttpRequest request;
+        Responder responder;
+        TimePoint arrivedAt;
+    };
     /// Limit and queue of the requests on all routes with the same first shard, which gather the same shards.
     struct AdmissionQueue {
         ConcurrencyLimit limit;
@@ -152,6 +165,7 @@
     };
     using Id = std::uint64_t;
 
+    bool checkView();
     void scheduleChecks();
     void checkRoutes();
     void recordTimerDelay();
@@ -244,6 +258,9 @@
     std::map<std::pair<std::string, std::uint64_t>, Id> m_relayedIds; // by entry instance and correlation
     std::atomic<std::size_t> m_runningCount { 0 };
     TimePoint m_startedAt = Clock::now();
+    PauseDetector m_pauses { m_startedAt };
+    std::function<void()> m_requestNews;
+    std::vector<UnreadRequest> m_waitingForView;
     Id m_lastId; // of the running and the relayed requests, which share one sequence of ids
     std::atomic<bool> m_canServe { false };
     LeafConnection::Timer m_checkTimer;
--- a/daemon/RouteServiceAdmission.cpp
+++ b/daemon/RouteServiceAdmission.cpp
@@ -89,6 +89,7 @@
 /// passed.
 void RouteService::admitWaiting()
 {
+    checkView();
     auto now = Clock::now();
     std::optional<TimePoint> nextDeadline;
     for (auto& [shard, queue] : m_admissionQueues) {
--- a/daemon/RouteServiceQuota.cpp
+++ b/daemon/RouteServiceQuota.cpp
@@ -173,6 +173,7 @@
     asio::post(m_strand, [this, reply = std::move(reply)] {
         if (!m_quota || !m_quota->onReply(reply, Clock::now()))
             return;
+        checkView();
         for (const auto& it : reply.grants)
             resumeWaiting(it.customer, it.rejected);
         checkQuota();
--- a/daemon/RouteServiceRelays.cpp
+++ b/daemon/RouteServiceRelays.cpp
@@ -69,6 +69,7 @@
 
 void RouteService::beginRelayed(const Envelope& envelope, RelayedCall call)
 {
+    checkView();
     const auto& entry = envelope.sender;
     auto correlation = envelope.correlation;
     auto now = Clock::now();
--- a/daemon/RouteServiceStop.cpp
+++ b/daemon/RouteServiceStop.cpp
@@ -49,6 +49,8 @@
             for (const auto& it : waiting)
                 refuseStopping(it.caller, it.request, it.responder);
         }
+        for (const auto& it : std::exchange(m_waitingForView, {}))
+            refuseStopping(m_protocol.readCallerInfo(it.request), it.request, it.responder);
         std::vector<Id> ids;
         for (const auto& [id, it] : m_running)
             ids.push_back(id);
--- a/daemon/RoutedDaemon.cpp
+++ b/daemon/RoutedDaemon.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds leavesInterval { 50 };    // batches changes of the directory
 constexpr milliseconds broadcastInterval { 50 }; // between checks for due resends and timeouts
 constexpr milliseconds readinessInterval { 100 };
+constexpr milliseconds newsInterval { 100 };      // between requests for news, whose links may be down after a pause
 constexpr milliseconds quotaInterval { 200 };     // between updates of the instances that may hold leases
 constexpr milliseconds relayLinkInterval { 200 }; // until a link to a new relay peer is opened
 constexpr seconds trafficLogInterval { 10 };      // so that the log alone shows the traffic by purpose
@@ -133,6 +134,16 @@
 void RoutedDaemon::start()
 {
     runEvery(leavesInterval, [this] { onLeavesTimer(); });
+    if (m_routes) {
+        m_routes->onPauseEnded([this] {
+            m_awaitsNews = true;
+            asio::post(m_io, [this] { requestNews(); });
+        });
+        runEvery(newsInterval, [this] {
+            if (m_awaitsNews)
+                requestNews();
+        });
+    }
     runEvery(broadcastInterval, [this] { asio::post(m_broadcastStrand, [this] { onBroadcastTimer(); }); });
     if (m_quota)
         runEvery(quotaInterval, [this] { asio::post(m_broadcastStrand, [this] { m_quota->onTimer(Clock::now()); }); });
@@ -350,6 +361,14 @@
 
 void RoutedDaemon::onDirectory() { m_leavesChanged = true; }
 
+void RoutedDaemon::onDirectoryAnswered()
+{
+    if (!m_awaitsNews.exchange(false))
+        return;
+    updateRouteLeaves();
+    m_routes->onNews();
+}
+
 /// Applies changes of the directory, then acknowledges them. Both are batched, because applying takes time proportional
 /// to the number of known leaves, and hundreds of leaves start together.
 void RoutedDaemon::onLeavesTimer()
--- a/daemon/RoutedDaemon.h
+++ b/daemon/RoutedDaemon.h
@@ -83,6 +83,7 @@
     void onMembers() override;
     void onLinkDown(const std::string& address, Channel) override;
     void onDirectory() override;
+    void onDirectoryAnswered() override;
 
     void putConfiguration(std::string content, std::function<void(PutResult, std::string reason)> done) override;
     void readConfiguration(std::function<void(std::optional<StoredDocument>)> done) override;
@@ -125,6 +126,7 @@
     std::atomic<bool> m_ready { false };
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leavesChanged { true };
+    std::atomic<bool> m_awaitsNews { false };          // after a pause of the process, see PauseDetector
     std::atomic<std::uint64_t> m_decodedVersion { 0 }; // of the configuration that the routes use; 0: none yet
     std::atomic<bool> m_requiredKeys { false };        // whether the configuration in use asks for keys
     std::atomic<std::size_t> m_submittedBytes { 0 };   // of configurations that are not answered yet
--- a/query/RoutePolicies.h
+++ b/query/RoutePolicies.h
@@ -65,6 +65,8 @@
     void setTable(std::shared_ptr<const RouteTable>);
     /// Sets the zones that are taken out of service. Their leaves get no requests.
     void setZonesOut(std::set<std::string, std::less<>> zones) { m_zonesOut = std::move(zones); }
+    /// While the view is outdated, each leaf may have started again and gets requests as one that is warming up.
+    void setViewOutdated(bool isOutdated) { m_isViewOutdated = isOutdated; }
     /// Sets the names of all entry instances, including this one.
     void setEntryInstances(std::vector<std::string> names);
     /// Stops sending to a leaf until its next boot, because another leaf responded at its address.
@@ -242,6 +244,7 @@
     SharedBounds m_bounds;
     std::shared_ptr<const RouteTable> m_table = std::make_shared<const RouteTable>(ServingConfiguration {});
     std::set<std::string, std::less<>> m_zonesOut;
+    bool m_isViewOutdated = false;
     std::set<std::string, std::less<>> m_endedLeaves; // those with KnownLeaf::hasEnded
     std::vector<std::string> m_entryInstances;
     LeavesByService m_leaves;
--- a/query/RoutePoliciesChoice.cpp
+++ b/query/RoutePoliciesChoice.cpp
@@ -111,7 +111,7 @@
     for (const auto& it : found->second) {
         if (exclusionOf(it, tried, ownZoneOnly, now) != LeafExclusion::None)
             continue;
-        if (!it.isCold(now))
+        if (!it.isCold(now) && !m_isViewOutdated)
             warm.push_back(&it.announcement);
         else if (maySendToCold(it, now))
             cold.push_back(&it.announcement);
--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -370,6 +370,42 @@
     CHECK(it.counters.counter("route_callers_gone_total").value() == 1);
 }
 
+// Guards against a process that wakes from a freeze and sends all requests that wait in its sockets to a leaf that has
+// started again meanwhile, before it learns of that.
+TEST_CASE("requests that arrive while the process stands still wait for news of a peer")
+{
+    for (bool hasNews : { true, false }) {
+        CAPTURE(hasNews);
+        Fixture it;
+        int newsRequests = 0;
+        it.routes.onPauseEnded([&] { ++newsRequests; });
+        it.run(milliseconds(20));
+        std::vector<tcp::socket> callers;
+        for (int i = 0; i < 10; ++i)
+            callers.push_back(it.sendRequest());
+        auto gone = it.sendRequest();
+        std::this_thread::sleep_for(PauseDetector::threshold + arrivalTime);
+        it.run(milliseconds(60));
+        CHECK(it.arrivals == 0);
+        CHECK(newsRequests == 1);
+        gone.close();
+        if (hasNews) {
+            std::vector<Announcement> leaves;
+            it.routes.setLeaves(leaves); // the leaves are gone
+            it.routes.onNews();
+            it.run(milliseconds(100));
+            CHECK(it.arrivals == 0);
+            CHECK(Fixture::readAnswer(callers.front()).substr(0, 12) == "HTTP/1.1 503");
+            continue;
+        }
+        it.run(PauseDetector::maxWait + milliseconds(200));
+        CHECK(it.arrivals == 10);
+        for (auto& caller : callers)
+            CHECK(Fixture::readAnswer(caller).substr(0, 12) == "HTTP/1.1 200");
+        CHECK(it.counters.counter("route_callers_gone_total").value() == 1);
+    }
+}
+
 // Guards against a request that runs twice, or is answered "not run" though it runs, because a second copy of a refusal
 // is taken for the answer to its next attempt at the same leaf.
 TEST_CASE("a second copy of a refusal is not taken for the answer to the same request sent again")
