--- a/tests/RouteServiceTests.cpp
+++ b/tests/RouteServiceTests.cpp
@@ -381,6 +381,7 @@
         it.routes.onPauseEnded([&] { ++newsRequests; });
         it.run(milliseconds(20));
         std::vector<tcp::socket> callers;
+        callers.reserve(10);
         for (int i = 0; i < 10; ++i)
             callers.push_back(it.sendRequest());
         auto gone = it.sendRequest();
